--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -66,16 +66,6 @@
 	}
 }
 
-// tryPost hands over an event unless the queue is full.
-func (l *loop) tryPost(ev event.Event) bool {
-	select {
-	case l.events <- ev:
-		return true
-	default:
-		return false
-	}
-}
-
 // viewChanged wakes the loop to act on the last published view.
 func (l *loop) viewChanged() {
 	select {
