Place all sessions of a service on one shard

Cause: a proxy's share of a target is 3 to 12 connections today; divided among shards some would get none. Change: a shard is picked by the hash of the service. Ordered changes of primary get a quiescing phase in the shared types. Conclusion: shares need no division within a proxy; one service is bound by one goroutine.

--- a/core/proto/command.go
+++ b/core/proto/command.go
@@ -7,6 +7,7 @@
 type Command struct {
 	Change    *ChangeConfig
 	Member    *SetMember
+	Quiesce   *Quiesce
 	BeginTerm *BeginTerm
 	ServeTerm *ServeTerm
 	Proxy     *SetProxy
@@ -45,6 +46,14 @@
 	Remove  bool
 }
 
+// Quiesce prepares an ordered change of primary within the current term. The
+// leader begins the next term once every proxy is quiet, or the time is up.
+type Quiesce struct {
+	Service types.ServiceName
+	Term    types.Term
+	To      types.TargetName // empty lets control choose
+}
+
 // BeginTerm starts a new term of a group. From then on nobody acknowledges
 // writes of an earlier one.
 type BeginTerm struct {
--- a/core/proto/lease.go
+++ b/core/proto/lease.go
@@ -17,7 +17,8 @@
 	Reports          []TargetReport
 	Held             []ShareHeld
 	Announcements    []Announcement
-	Draining         bool // the proxy stops; its lease may be forgotten
+	Quiet            []types.ServiceName // quiescing services without work under way
+	Draining         bool                // the proxy stops; its lease may be forgotten
 }
 
 // TargetReport is what a proxy's probes say of one target.
--- a/core/session/shard.go
+++ b/core/session/shard.go
@@ -14,7 +14,6 @@
 	Host             types.HostID
 	AvailabilityZone types.AvailabilityZone
 	Index            int
-	Shards           int // number of shards that divide the proxy's shares
 }
 
 // Shard is the traffic state of one shard.
--- a/core/types/group.go
+++ b/core/types/group.go
@@ -28,6 +28,9 @@
 const (
 	// GroupForming waits for its members to announce themselves.
 	GroupForming GroupPhase = iota
+	// GroupQuiescing has an ordered change of primary before it: what is under
+	// way on the primary finishes, new writes wait.
+	GroupQuiescing
 	// GroupFencing has a new term whose primary is not chosen yet. Nobody
 	// acknowledges writes.
 	GroupFencing
@@ -40,7 +43,7 @@
 	Service ServiceName
 	Term    Term
 	Phase   GroupPhase
-	Primary TargetName // set while serving
+	Primary TargetName // set while serving or quiescing
 	Members []Target   // in order of name
 	History TermHistory
 }
--- a/runtime/session.go
+++ b/runtime/session.go
@@ -6,6 +6,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 )
 
@@ -25,10 +26,11 @@
 	refusal *types.Refusal
 }
 
-// Open begins a session on one of the proxy's shards.
+// Open begins a session. All sessions of a service live on one shard, so that
+// the shard owns the proxy's whole share of the service's targets.
 func (p *Proxy) Open(params types.SessionParams) (*Session, error) {
 	id := types.SessionID(p.next.Add(1))
-	sh := p.shards[uint64(id)%uint64(len(p.shards))]
+	sh := p.shards[xxhash.Sum64String(string(params.Service))%uint64(len(p.shards))]
 	s := &Session{
 		shard: sh, id: id,
 		replies: make(chan reply, 1),
