shared: Add Target.Drained and LeaseRequest.Taken

An operator's drain has to outlast the target's own announcements, and the leader has to know which grant of shares a proxy has taken before it gives what was freed to another proxy. Both fields are additive.

--- a/core/proto/lease.go
+++ b/core/proto/lease.go
@@ -17,6 +17,7 @@
 	Reports          []TargetReport
 	Held             []ShareHeld
 	Announcements    []Announcement
+	Taken            uint64              // Seq of the last grant whose shares it took
 	Quiet            []types.ServiceName // quiescing services without work under way
 	Draining         bool                // the proxy stops; its lease may be forgotten
 }
--- a/core/types/group.go
+++ b/core/types/group.go
@@ -19,6 +19,7 @@
 	Address          Address
 	AvailabilityZone AvailabilityZone
 	State            TargetState
+	Drained          bool // an operator drains it; announcements don't undo that
 }
 
 // GroupPhase says how far a group's current term has come.
