--- /dev/null
+++ b/core/cluster/apply.go
@@ -0,0 +1,191 @@
+package cluster
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// maxTermStarts is how many starts of terms a group remembers.
+const maxTermStarts = 32
+
+// apply carries out one committed command. A command that doesn't fit the
+// state any more changes nothing.
+func (s *State) apply(index uint64, c proto.Command) []effect.Effect {
+	switch {
+	case c.Change != nil:
+		return s.applyChange(index, *c.Change)
+	case c.Member != nil:
+		return s.applyMember(index, *c.Member)
+	case c.Quiesce != nil:
+		s.applyQuiesce(index, *c.Quiesce)
+	case c.BeginTerm != nil:
+		return s.applyBeginTerm(index, *c.BeginTerm)
+	case c.ServeTerm != nil:
+		return s.applyServeTerm(index, *c.ServeTerm)
+	case c.Proxy != nil:
+		s.applyProxy(*c.Proxy)
+	case c.Voters != nil:
+		s.voters = c.Voters.Voters
+	}
+	return nil
+}
+
+func (s *State) applyChange(index uint64, c proto.ChangeConfig) []effect.Effect {
+	result, changed := s.ledger.Apply(c)
+	if !changed {
+		if result.Accepted {
+			return nil
+		}
+		return decide(effect.Decide{Kind: effect.DecideConflict, Version: result.Version, Reason: result.Reason})
+	}
+	s.touch(index)
+	s.configVersion = index
+	s.followConfig(index)
+	return decide(effect.Decide{
+		Kind: effect.DecideConfig, Version: result.Version,
+		Reason: "change " + string(c.ID) + " was committed",
+	})
+}
+
+// followConfig creates the groups of new services and drops those of services
+// that are no longer configured.
+func (s *State) followConfig(index uint64) {
+	services := s.ledger.Config().Services
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		if s.groups[name] == nil {
+			s.setGroup(index, &types.Group{Service: name})
+		}
+	}
+	for _, name := range s.Services() {
+		if _, ok := services[name]; !ok {
+			delete(s.groups, name)
+			delete(s.groupVersion, name)
+			s.gone[name] = index
+		}
+	}
+}
+
+func (s *State) applyMember(index uint64, c proto.SetMember) []effect.Effect {
+	g := s.groups[c.Service]
+	if g == nil {
+		return nil
+	}
+	next := *g
+	old, known := g.Target(c.Target.Name)
+	switch {
+	case c.Remove && (!known || g.Primary == c.Target.Name):
+		return nil
+	case c.Remove:
+		next.Members = without(g.Members, c.Target.Name)
+	case known && old == c.Target:
+		return nil
+	case !known && len(g.Members) >= s.ledger.Config().Services[c.Service].Members:
+		return nil
+	default:
+		next.Members = withMember(g.Members, c.Target)
+	}
+	s.setGroup(index, &next)
+	return decide(effect.Decide{
+		Kind: effect.DecideMember, Service: c.Service, Target: c.Target.Name, Term: g.Term,
+		Reason: memberReason(c, known),
+	})
+}
+
+func memberReason(c proto.SetMember, known bool) string {
+	switch {
+	case c.Remove:
+		return "removed"
+	case !known:
+		return "joined"
+	case c.Target.Drained:
+		return "drained by an operator"
+	case c.Target.State == types.TargetLeaving:
+		return "announced that it leaves"
+	case c.Target.State == types.TargetSilent:
+		return "no announcement in time"
+	}
+	return "active"
+}
+
+func (s *State) applyQuiesce(index uint64, c proto.Quiesce) {
+	g := s.groups[c.Service]
+	if g == nil || g.Term != c.Term || g.Phase != types.GroupServing {
+		return
+	}
+	next := *g
+	next.Phase = types.GroupQuiescing
+	s.setGroup(index, &next)
+}
+
+func (s *State) applyBeginTerm(index uint64, c proto.BeginTerm) []effect.Effect {
+	g := s.groups[c.Service]
+	if g == nil || c.Term != g.Term+1 {
+		return nil
+	}
+	next := *g
+	next.Term, next.Phase, next.Primary = c.Term, types.GroupFencing, ""
+	s.setGroup(index, &next)
+	return decide(effect.Decide{
+		Kind: effect.DecideTermBegun, Service: c.Service, Target: g.Primary, Term: c.Term, Reason: c.Reason,
+	})
+}
+
+func (s *State) applyServeTerm(index uint64, c proto.ServeTerm) []effect.Effect {
+	g := s.groups[c.Service]
+	if g == nil || c.Term != g.Term || g.Phase != types.GroupFencing {
+		return nil
+	}
+	if _, ok := g.Target(c.Primary); !ok {
+		return nil
+	}
+	next := *g
+	next.Phase, next.Primary = types.GroupServing, c.Primary
+	next.History = append(slices.Clone(g.History), types.TermStart{Term: c.Term, Offset: c.Start})
+	if extra := len(next.History) - maxTermStarts; extra > 0 {
+		next.History = next.History[extra:]
+	}
+	s.setGroup(index, &next)
+	return decide(effect.Decide{
+		Kind: effect.DecideTermServing, Service: c.Service, Target: c.Primary, Term: c.Term,
+		Reason: "it held the furthest position of a quorum",
+	})
+}
+
+func (s *State) applyProxy(c proto.SetProxy) {
+	if c.Remove {
+		delete(s.proxies, c.Host)
+		return
+	}
+	s.proxies[c.Host] = c
+}
+
+func (s *State) setGroup(index uint64, g *types.Group) {
+	s.groups[g.Service] = g
+	s.groupVersion[g.Service] = index
+	delete(s.gone, g.Service)
+	s.touch(index)
+}
+
+func (s *State) touch(index uint64) {
+	s.version = index
+	s.view = nil
+}
+
+// without returns a copy of members that lacks name.
+func without(members []types.Target, name types.TargetName) []types.Target {
+	return slices.DeleteFunc(slices.Clone(members), func(t types.Target) bool { return t.Name == name })
+}
+
+// withMember returns a copy of members, in order of name, that holds t.
+func withMember(members []types.Target, t types.Target) []types.Target {
+	out := append(without(members, t.Name), t)
+	slices.SortFunc(out, func(a, b types.Target) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return out
+}
+
+func decide(d effect.Decide) []effect.Effect { return []effect.Effect{d} }
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -4,34 +4,147 @@
 package cluster
 
 import (
+	"maps"
+	"slices"
+
+	"github.com/camphorpaddle/camphorpaddle/core/configuration"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
-// State is the replicated state on one control host.
-type State struct{}
+// State is the replicated state on one control host. Groups are replaced by
+// changed copies, so that views share them.
+type State struct {
+	ledger  *configuration.Ledger
+	groups  map[types.ServiceName]*types.Group
+	proxies map[types.HostID]proto.SetProxy
+	voters  []proto.Voter
+	applied uint64
+
+	version       uint64 // last entry that changed what proxies see
+	since         uint64 // changes are known for versions from here on
+	configVersion uint64 // entry that brought the current configuration
+	groupVersion  map[types.ServiceName]uint64
+	gone          map[types.ServiceName]uint64
+
+	view *types.ClusterView // built when asked for; nil after a change
+}
 
 // New returns the empty state.
-func New() *State { return &State{} }
+func New() *State {
+	return &State{
+		ledger:       configuration.New(),
+		groups:       make(map[types.ServiceName]*types.Group),
+		proxies:      make(map[types.HostID]proto.SetProxy),
+		groupVersion: make(map[types.ServiceName]uint64),
+		gone:         make(map[types.ServiceName]uint64),
+	}
+}
 
 // View returns the state as proxies see it.
-func (s *State) View() *types.ClusterView { return nil }
+func (s *State) View() *types.ClusterView {
+	if s.view == nil {
+		s.view = &types.ClusterView{
+			Version: s.version,
+			Config:  s.ledger.Config(),
+			Groups:  maps.Clone(s.groups),
+		}
+	}
+	return s.view
+}
 
-// Snapshot returns the whole state.
-func (s *State) Snapshot() proto.ClusterState { return proto.ClusterState{} }
+// Config returns the current configuration.
+func (s *State) Config() *types.Config { return s.ledger.Config() }
+
+// Group returns the group of a service, or nil.
+func (s *State) Group(name types.ServiceName) *types.Group { return s.groups[name] }
+
+// Services returns the services that have a group, in order of name.
+func (s *State) Services() []types.ServiceName { return slices.Sorted(maps.Keys(s.groups)) }
+
+// GroupVersion returns the version at which a group changed last.
+func (s *State) GroupVersion(name types.ServiceName) uint64 { return s.groupVersion[name] }
+
+// Applied returns the index of the last applied entry.
+func (s *State) Applied() uint64 { return s.applied }
 
-// Update returns what a proxy that holds version have lacks, or nil.
-func (s *State) Update(have uint64) *proto.ViewUpdate { return nil }
+// Voters returns the control hosts of the last committed set.
+func (s *State) Voters() []proto.Voter { return s.voters }
+
+// Snapshot returns the whole state.
+func (s *State) Snapshot() proto.ClusterState {
+	out := proto.ClusterState{
+		Config:  s.ledger.Config(),
+		Source:  s.ledger.Source(),
+		Changes: s.ledger.Records(),
+		Proxies: s.Proxies(),
+	}
+	for _, name := range s.Services() {
+		out.Groups = append(out.Groups, s.groups[name])
+	}
+	return out
+}
 
 // Change returns the record of a past configuration change.
-func (s *State) Change(id types.ChangeID) (proto.ChangeRecord, bool) {
-	return proto.ChangeRecord{}, false
+func (s *State) Change(id types.ChangeID) (proto.ChangeRecord, bool) { return s.ledger.Record(id) }
+
+// Answer returns the answer to a configuration change that was committed.
+func (s *State) Answer(c proto.ChangeConfig) (proto.ChangeResult, bool) { return s.ledger.Answer(c) }
+
+// Proxy returns the registration of a proxy.
+func (s *State) Proxy(host types.HostID) (proto.SetProxy, bool) {
+	p, ok := s.proxies[host]
+	return p, ok
 }
 
 // Proxies returns the proxies that may hold a lease, in order of host.
-func (s *State) Proxies() []proto.SetProxy { return nil }
+func (s *State) Proxies() []proto.SetProxy {
+	out := make([]proto.SetProxy, 0, len(s.proxies))
+	for _, host := range slices.Sorted(maps.Keys(s.proxies)) {
+		out = append(out, s.proxies[host])
+	}
+	return out
+}
 
 // Step applies event.Committed and event.Restored.
-func (s *State) Step(event.Input) []effect.Effect { return nil }
+func (s *State) Step(in event.Input) []effect.Effect {
+	switch e := in.Event.(type) {
+	case event.Committed:
+		return s.commit(e.Entry)
+	case event.Restored:
+		s.restore(e.Snapshot)
+	}
+	return nil
+}
+
+func (s *State) commit(entry proto.Entry) []effect.Effect {
+	if entry.Index <= s.applied {
+		return nil
+	}
+	s.applied = entry.Index
+	return s.apply(entry.Index, entry.Command)
+}
+
+func (s *State) restore(snap proto.Snapshot) {
+	if snap.Index < s.applied {
+		return
+	}
+	s.ledger = configuration.Restore(snap.State.Config, snap.State.Source, snap.State.Changes)
+	s.groups = make(map[types.ServiceName]*types.Group)
+	s.groupVersion = make(map[types.ServiceName]uint64)
+	s.gone = make(map[types.ServiceName]uint64)
+	s.proxies = make(map[types.HostID]proto.SetProxy)
+	for _, g := range snap.State.Groups {
+		s.groups[g.Service] = g
+		s.groupVersion[g.Service] = snap.Index
+	}
+	for _, p := range snap.State.Proxies {
+		s.proxies[p.Host] = p
+	}
+	s.voters = snap.Voters
+	s.applied, s.version = snap.Index, snap.Index
+	s.since, s.configVersion = snap.Index, snap.Index
+	s.view = nil
+}
