shared: Add SetMember.Operator

A drain and an announcement may be proposed at the same time. The mark lets each change only its own part of a member. The field is additive.

--- a/core/proto/command.go
+++ b/core/proto/command.go
@@ -44,6 +44,9 @@
 	Service types.ServiceName
 	Target  types.Target
 	Remove  bool
+	// Operator marks a drain: only Target.Drained is taken over. Without it
+	// Target.Drained is ignored.
+	Operator bool
 }
 
 // Quiesce prepares an ordered change of primary within the current term. The
