--- a/core/cluster/apply.go
+++ b/core/cluster/apply.go
@@ -77,7 +77,10 @@
 	}
 	next := *g
 	old, known := g.Target(c.Target.Name)
+	c.Target = settleDrain(c, old, known)
 	switch {
+	case c.Operator && !known:
+		return nil
 	case c.Remove && (!known || g.Primary == c.Target.Name):
 		return nil
 	case c.Remove:
@@ -96,6 +99,24 @@
 	})
 }
 
+// settleDrain keeps what operators decide apart from what targets announce, so
+// that neither undoes a change of the other that was committed before it.
+func settleDrain(c proto.SetMember, old types.Target, known bool) types.Target {
+	next := c.Target
+	switch {
+	case c.Operator && known:
+		next = old
+		next.Drained = c.Target.Drained
+		next.State = types.TargetActive
+	default:
+		next.Drained = known && old.Drained
+	}
+	if next.Drained {
+		next.State = types.TargetLeaving
+	}
+	return next
+}
+
 func memberReason(c proto.SetMember, known bool) string {
 	switch {
 	case c.Remove:
