--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -1,33 +1,211 @@
 package lease
 
 import (
+	"maps"
+
+	"github.com/camphorpaddle/camphorpaddle/core/cluster"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
+// Keys of the holder's timers.
+const (
+	timerRequest uint64 = iota // the next request is due
+	timerAnswer                // the last request got no answer
+	timerExpiry                // the lease ends
+)
+
 // Holder keeps a proxy's lease alive and its cluster view up to date. The
 // node part of a proxy steps it.
-type Holder struct{}
+type Holder struct {
+	self types.HostID
+	zone types.AvailabilityZone
+	fill func(*proto.LeaseRequest)
+
+	seq    uint64
+	sent   map[uint64]types.Instant // requests that may still be granted
+	sentAt types.Instant            // of the last request
+	leader types.HostID             // whom to ask; empty stands for any
+	asked  types.HostID             // whom the last request went to
+	term   proto.ControlTerm        // latest term of a grant
+
+	until   types.Instant
+	cluster *types.ClusterView
+	shares  map[types.TargetRef]types.Share
+	taken   uint64 // number of the grant that brought shares
+}
 
 // NewHolder returns a holder without a lease. fill completes a request with
 // what the proxy has to report.
 func NewHolder(self types.HostID, zone types.AvailabilityZone, fill func(*proto.LeaseRequest)) *Holder {
-	return &Holder{}
+	return &Holder{self: self, zone: zone, fill: fill, sent: make(map[uint64]types.Instant)}
 }
 
 // Until returns the end of the lease, zero before the first.
-func (h *Holder) Until() types.Instant { return 0 }
+func (h *Holder) Until() types.Instant { return h.until }
 
 // Cluster returns the last cluster view, or nil.
-func (h *Holder) Cluster() *types.ClusterView { return nil }
+func (h *Holder) Cluster() *types.ClusterView { return h.cluster }
 
 // Shares returns this proxy's part of each target.
-func (h *Holder) Shares() map[types.TargetRef]types.Share { return nil }
+func (h *Holder) Shares() map[types.TargetRef]types.Share { return h.shares }
 
 // Hurry sends a request at once instead of at the next interval.
-func (h *Holder) Hurry(now types.Instant) []effect.Effect { return nil }
+func (h *Holder) Hurry(now types.Instant) []effect.Effect {
+	if next := h.sentAt.Add(hurryInterval); h.sentAt != 0 && now < next {
+		return []effect.Effect{h.arm(timerRequest, next)}
+	}
+	return h.request(now)
+}
 
 // Step takes in one event.
-func (h *Holder) Step(event.Input) []effect.Effect { return nil }
+func (h *Holder) Step(in event.Input) []effect.Effect {
+	switch e := in.Event.(type) {
+	case event.Start:
+		h.seq = in.Seed >> 1
+		return h.request(in.Now)
+	case event.TimerFired:
+		if e.ID.Domain == event.DomainLeaseHolder {
+			return h.timer(in.Now, e.ID.Key)
+		}
+	case event.LeaseGranted:
+		return h.granted(in.Now, e)
+	}
+	return nil
+}
+
+func (h *Holder) timer(now types.Instant, key uint64) []effect.Effect {
+	switch key {
+	case timerRequest:
+		return h.request(now)
+	case timerAnswer:
+		h.leader = ""
+		return h.request(now)
+	case timerExpiry:
+		if now >= h.until {
+			return h.expire()
+		}
+	}
+	return nil
+}
+
+// expire gives up the shares together with the lease.
+func (h *Holder) expire() []effect.Effect {
+	h.shares = nil
+	return []effect.Effect{effect.Decide{
+		Kind: effect.DecideLeaseLost, Host: h.self, Reason: "no control leader renewed the lease in time",
+	}}
+}
+
+// request asks for the lease. Grants of another host are not taken any more:
+// this host must know all that the proxy may still use.
+func (h *Holder) request(now types.Instant) []effect.Effect {
+	h.seq++
+	h.sentAt = now
+	if h.leader != h.asked || h.leader == "" {
+		clear(h.sent)
+	}
+	h.asked = h.leader
+	h.sent[h.seq] = now
+	r := proto.LeaseRequest{
+		Proxy: h.self, AvailabilityZone: h.zone, Seq: h.seq, SentAt: now, Taken: h.taken,
+	}
+	if h.cluster != nil {
+		r.Have = h.cluster.Version
+	}
+	h.fill(&r)
+	return []effect.Effect{
+		effect.RequestLease{To: h.leader, Request: r},
+		h.arm(timerRequest, now.Add(requestInterval)),
+		h.arm(timerAnswer, now.Add(answerTimeout)),
+	}
+}
+
+func (h *Holder) granted(now types.Instant, e event.LeaseGranted) []effect.Effect {
+	g := e.Grant
+	sentAt, ok := h.sent[g.Seq]
+	if !ok || sentAt != g.SentAt {
+		return nil
+	}
+	h.forget(g.Seq)
+	if g.NotLeader {
+		return h.redirect(now, g)
+	}
+	if g.Term < h.term || now >= sentAt.Add(Duration-driftMargin) {
+		return nil
+	}
+	h.leader, h.term = e.From, g.Term
+	out := []effect.Effect{effect.StopTimer{ID: timerID(timerAnswer)}}
+	if !h.takeView(g.View) {
+		return append(out, h.Hurry(now)...)
+	}
+	h.takeShares(g)
+	return append(out, h.extend(now, sentAt, g)...)
+}
+
+// forget drops the requests up to seq: an older grant has nothing to add.
+func (h *Holder) forget(seq uint64) {
+	maps.DeleteFunc(h.sent, func(other uint64, _ types.Instant) bool { return other <= seq })
+}
+
+// redirect asks the host that a follower named. Without a name the answer
+// timeout tries any other host.
+func (h *Holder) redirect(now types.Instant, g proto.LeaseGrant) []effect.Effect {
+	if g.Seq != h.seq || g.Leader == h.leader {
+		return nil
+	}
+	h.leader = g.Leader
+	return h.Hurry(now)
+}
+
+// takeView merges an update and reports whether the view is now at least as
+// new as control's was.
+func (h *Holder) takeView(u *proto.ViewUpdate) bool {
+	if u == nil {
+		return true
+	}
+	if next, ok := cluster.Merge(h.cluster, u); ok {
+		h.cluster = next
+	}
+	return h.cluster != nil && h.cluster.Version >= u.Version
+}
+
+// takeShares replaces the shares by those of the newest grant.
+func (h *Holder) takeShares(g proto.LeaseGrant) {
+	if g.Duration == 0 {
+		return
+	}
+	h.taken = g.Seq
+	shares := make(map[types.TargetRef]types.Share, len(g.Shares))
+	for _, s := range g.Shares {
+		shares[s.Ref] = s.Share
+	}
+	h.shares = shares
+}
+
+// extend counts the lease from the request, on the proxy's own clock.
+func (h *Holder) extend(now, sentAt types.Instant, g proto.LeaseGrant) []effect.Effect {
+	until := sentAt.Add(g.Duration - driftMargin)
+	if g.Duration == 0 || until <= h.until {
+		return nil
+	}
+	gained := now >= h.until
+	h.until = until
+	out := []effect.Effect{h.arm(timerExpiry, until)}
+	if gained && now < until {
+		out = append(out, effect.Decide{
+			Kind: effect.DecideLeaseGained, Host: h.self, Reason: "granted by the control leader",
+		})
+	}
+	return out
+}
+
+func (h *Holder) arm(key uint64, at types.Instant) effect.Effect {
+	return effect.ArmTimer{ID: timerID(key), At: at}
+}
+
+func timerID(key uint64) event.TimerID {
+	return event.TimerID{Domain: event.DomainLeaseHolder, Key: key}
+}
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -1,6 +1,3 @@
-// Package lease decides who may serve. Table is control's side: it grants
-// leases to proxies and knows when every proxy acts on a view or has lost its
-// lease. Holder is the proxy's side.
 package lease
 
 import (
@@ -22,20 +19,193 @@
 }
 
 // Table is the leases that this host granted as leader.
-type Table struct{}
+type Table struct {
+	self   types.HostID
+	state  *cluster.State
+	lead   Leadership
+	shares ShareSource
+
+	now     types.Instant // of the event that is under way
+	leading bool
+	leader  types.HostID
+	term    proto.ControlTerm
+	since   types.Instant // when this host became leader
+	proxies map[types.HostID]*proxyLease
+}
+
+// proxyLease is what the leader knows of one proxy.
+type proxyLease struct {
+	request  proto.LeaseRequest
+	heard    types.Instant // zero until it asked this leader
+	until    types.Instant // the proxy may count on its lease until then
+	seen     uint64        // largest version that it acts on
+	waiting  bool          // its request waits for the registration
+	proposed bool          // its registration is under way
+	removing bool          // its removal is under way
+}
 
 // NewTable returns an empty table.
-func NewTable(self types.HostID, state *cluster.State, lead Leadership) *Table { return &Table{} }
+func NewTable(self types.HostID, state *cluster.State, lead Leadership) *Table {
+	return &Table{self: self, state: state, lead: lead, proxies: make(map[types.HostID]*proxyLease)}
+}
 
 // SetShares names the source of the shares that grants carry.
-func (t *Table) SetShares(s ShareSource) {}
+func (t *Table) SetShares(s ShareSource) { t.shares = s }
+
+// Step grants leases.
+func (t *Table) Step(in event.Input) []effect.Effect {
+	t.now = in.Now
+	switch e := in.Event.(type) {
+	case event.RoleChanged:
+		return t.changeRole(e)
+	case event.LeaseRequested:
+		return t.request(e.Request)
+	case event.Committed:
+		if e.Entry.Command.Proxy != nil {
+			return t.registered(*e.Entry.Command.Proxy)
+		}
+	case event.TimerFired:
+		if e.ID.Domain == event.DomainLeaseTable {
+			return t.sweep()
+		}
+	}
+	return nil
+}
 
-// Fenced reports whether every proxy acts on a view of at least version, or
-// holds no lease.
-func (t *Table) Fenced(version uint64, now types.Instant) bool { return false }
+// changeRole begins with a table that knows no request. Each registered proxy
+// may hold a lease of the leader before.
+func (t *Table) changeRole(e event.RoleChanged) []effect.Effect {
+	again := e.Leading && t.leading && e.Term == t.term
+	t.leading, t.leader, t.term = e.Leading, e.Leader, e.Term
+	if again {
+		return nil
+	}
+	t.proxies = make(map[types.HostID]*proxyLease)
+	if !e.Leading {
+		return nil
+	}
+	t.since = t.now
+	for _, p := range t.state.Proxies() {
+		t.proxies[p.Host] = &proxyLease{until: t.now.Add(Duration + driftMargin)}
+	}
+	return []effect.Effect{t.armSweep()}
+}
 
-// Requests returns the last request of each proxy whose lease is live.
-func (t *Table) Requests(now types.Instant) []proto.LeaseRequest { return nil }
+func (t *Table) request(r proto.LeaseRequest) []effect.Effect {
+	if !t.surelyLeads() {
+		return t.refuse(r)
+	}
+	p := t.proxies[r.Proxy]
+	if p == nil {
+		if r.Draining {
+			return nil
+		}
+		p = &proxyLease{}
+		t.proxies[r.Proxy] = p
+	}
+	if p.heard != 0 && stale(r.Seq, p.request.Seq) {
+		return nil
+	}
+	p.request, p.heard = r, t.now
+	p.seen = max(p.seen, r.Seen)
+	if reg, ok := t.state.Proxy(r.Proxy); !ok || reg.AvailabilityZone != r.AvailabilityZone {
+		return t.register(p)
+	}
+	return t.grant(p)
+}
 
-// Step grants leases.
-func (t *Table) Step(event.Input) []effect.Effect { return nil }
+// staleWindow bounds how far behind the requests of one process can come. The
+// numbers of another process begin at random.
+const staleWindow = 1 << 20
+
+// stale reports whether seq is at or shortly before last.
+func stale(seq, last uint64) bool { return last-seq < staleWindow }
+
+func (t *Table) surelyLeads() bool { return t.leading && t.now < t.lead.LeadsUntil() }
+
+func (t *Table) refuse(r proto.LeaseRequest) []effect.Effect {
+	g := proto.LeaseGrant{Proxy: r.Proxy, Seq: r.Seq, SentAt: r.SentAt, Term: t.term, NotLeader: true}
+	if t.leader != t.self {
+		g.Leader = t.leader
+	}
+	return []effect.Effect{effect.GrantLease{Grant: g}}
+}
+
+// register proposes to record a proxy; its request is answered after that.
+func (t *Table) register(p *proxyLease) []effect.Effect {
+	p.waiting = true
+	if p.proposed {
+		return nil
+	}
+	p.proposed = true
+	return []effect.Effect{effect.Propose{Command: proto.Command{Proxy: &proto.SetProxy{
+		Host: p.request.Proxy, AvailabilityZone: p.request.AvailabilityZone,
+	}}}}
+}
+
+func (t *Table) registered(c proto.SetProxy) []effect.Effect {
+	p := t.proxies[c.Host]
+	switch {
+	case !t.leading || p == nil:
+		return nil
+	case c.Remove:
+		delete(t.proxies, c.Host)
+		return nil
+	}
+	p.proposed = false
+	if !p.waiting || !t.surelyLeads() {
+		return nil
+	}
+	p.waiting = false
+	return t.grant(p)
+}
+
+// grant answers the last request of a proxy. A proxy that stops gets no more
+// time, and none is given while its removal is under way.
+func (t *Table) grant(p *proxyLease) []effect.Effect {
+	if p.removing {
+		return nil
+	}
+	g := proto.LeaseGrant{
+		Proxy: p.request.Proxy, Seq: p.request.Seq, SentAt: p.request.SentAt,
+		Term: t.term, View: t.state.Update(p.request.Have),
+	}
+	if !p.request.Draining {
+		g.Duration = Duration
+		p.until = t.now.Add(Duration + driftMargin)
+	}
+	if t.shares != nil {
+		g.Shares = t.shares.Shares(p.request.Proxy)
+	}
+	return []effect.Effect{effect.GrantLease{Grant: g}}
+}
+
+func (t *Table) armSweep() effect.Effect {
+	return effect.ArmTimer{
+		ID: event.TimerID{Domain: event.DomainLeaseTable}, At: t.now.Add(sweepInterval),
+	}
+}
+
+// sweep proposes to forget proxies that stopped or were silent for long.
+func (t *Table) sweep() []effect.Effect {
+	if !t.leading {
+		return nil
+	}
+	out := []effect.Effect{t.armSweep()}
+	for _, reg := range t.state.Proxies() {
+		p := t.proxies[reg.Host]
+		if p == nil || t.now < p.until || !t.forgettable(p) {
+			continue
+		}
+		p.removing = true
+		out = append(out, effect.Propose{Command: proto.Command{Proxy: &proto.SetProxy{Host: reg.Host, Remove: true}}})
+	}
+	return out
+}
+
+func (t *Table) forgettable(p *proxyLease) bool {
+	if p.request.Draining {
+		return true
+	}
+	return t.now.Sub(max(p.heard, t.since)) >= forgetAfter
+}
