--- a/core/membership/keeper.go
+++ b/core/membership/keeper.go
@@ -3,16 +3,241 @@
 package membership
 
 import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// Times of announcements.
+const (
+	// SilentAfter is how long a target may go without an announcement.
+	SilentAfter = 3 * time.Second
+	// sweepInterval is the time between two searches for silent targets.
+	sweepInterval = 500 * time.Millisecond
+	// replaceAfter is how long a member has to be silent before a new target
+	// takes its place.
+	replaceAfter = 30 * time.Second
+	// repeatAfter is how long a proposal may stay without effect.
+	repeatAfter = time.Second
 )
 
 // Keeper turns announcements into commands while this host leads.
-type Keeper struct{}
+type Keeper struct {
+	state    *cluster.State
+	leading  bool
+	term     proto.ControlTerm
+	since    types.Instant // when this host became leader
+	heard    map[types.TargetRef]heard
+	proposed map[types.TargetRef]proposal
+}
+
+// heard is the last announcement of a target.
+type heard struct {
+	announcement proto.Announcement
+	at           types.Instant
+}
+
+// proposal is the last command proposed for a target.
+type proposal struct {
+	member proto.SetMember
+	at     types.Instant
+}
 
 // New returns a keeper that has heard nothing.
-func New(state *cluster.State) *Keeper { return &Keeper{} }
+func New(state *cluster.State) *Keeper {
+	return &Keeper{
+		state:    state,
+		heard:    make(map[types.TargetRef]heard),
+		proposed: make(map[types.TargetRef]proposal),
+	}
+}
 
 // Step takes in one event.
-func (k *Keeper) Step(event.Input) []effect.Effect { return nil }
+func (k *Keeper) Step(in event.Input) []effect.Effect {
+	switch e := in.Event.(type) {
+	case event.RoleChanged:
+		return k.changeRole(in.Now, e)
+	case event.LeaseRequested:
+		return k.hearAll(in.Now, e.Request.Announcements)
+	case event.OperatorCalled:
+		if e.Request.Announce != nil {
+			return k.hearAll(in.Now, []proto.Announcement{*e.Request.Announce})
+		}
+	case event.Committed:
+		return k.committed(in.Now, e.Entry.Command)
+	case event.TimerFired:
+		if e.ID.Domain == event.DomainMembership {
+			return k.sweep(in.Now)
+		}
+	}
+	return nil
+}
+
+func (k *Keeper) changeRole(now types.Instant, e event.RoleChanged) []effect.Effect {
+	again := k.leading && e.Leading && k.term == e.Term
+	k.leading, k.term = e.Leading, e.Term
+	if again {
+		return nil
+	}
+	clear(k.heard)
+	clear(k.proposed)
+	k.since = now
+	if !e.Leading {
+		return nil
+	}
+	return []effect.Effect{armSweep(now)}
+}
+
+func armSweep(now types.Instant) effect.Effect {
+	return effect.ArmTimer{ID: event.TimerID{Domain: event.DomainMembership}, At: now.Add(sweepInterval)}
+}
+
+func (k *Keeper) hearAll(now types.Instant, list []proto.Announcement) []effect.Effect {
+	if !k.leading {
+		return nil
+	}
+	var out []effect.Effect
+	for _, a := range list {
+		out = append(out, k.hear(now, a)...)
+	}
+	return out
+}
+
+// hear keeps the latest announcement of a target and acts on it.
+func (k *Keeper) hear(now types.Instant, a proto.Announcement) []effect.Effect {
+	ref := types.TargetRef{Service: a.Service, Name: a.Name}
+	at := now.Add(-a.Age)
+	if last, ok := k.heard[ref]; ok && last.at > at {
+		return nil
+	}
+	if k.state.Group(a.Service) == nil {
+		return nil
+	}
+	k.heard[ref] = heard{announcement: a, at: at}
+	return k.settle(now, ref)
+}
+
+// settle proposes what the last announcement of a target calls for.
+func (k *Keeper) settle(now types.Instant, ref types.TargetRef) []effect.Effect {
+	g := k.state.Group(ref.Service)
+	if g == nil {
+		return nil
+	}
+	last, known := k.heard[ref]
+	member, joined := g.Target(ref.Name)
+	if joined {
+		return k.propose(now, ref, proto.SetMember{Service: ref.Service, Target: k.wanted(now, member, last, known)})
+	}
+	if !known || last.announcement.Leaving || now.Sub(last.at) >= SilentAfter {
+		return nil
+	}
+	if len(g.Members) >= k.state.Config().Services[ref.Service].Members {
+		return k.makeRoom(now, g)
+	}
+	return k.propose(now, ref, proto.SetMember{Service: ref.Service, Target: target(last.announcement)})
+}
+
+// wanted returns a member as its last announcement makes it.
+func (k *Keeper) wanted(now types.Instant, member types.Target, last heard, known bool) types.Target {
+	silentSince := k.since
+	if known {
+		silentSince = last.at
+		drained := member.Drained
+		member = target(last.announcement)
+		member.Drained = drained
+	}
+	switch {
+	case member.Drained:
+		member.State = types.TargetLeaving
+	case now.Sub(silentSince) >= SilentAfter:
+		member.State = types.TargetSilent
+	}
+	return member
+}
+
+func target(a proto.Announcement) types.Target {
+	t := types.Target{Name: a.Name, Address: a.Address, AvailabilityZone: a.AvailabilityZone}
+	if a.Leaving {
+		t.State = types.TargetLeaving
+	}
+	return t
+}
+
+// makeRoom proposes to remove a member that has been gone for long, so that
+// another target can take its place. The group must have a primary then, which
+// holds every acknowledged write.
+func (k *Keeper) makeRoom(now types.Instant, g *types.Group) []effect.Effect {
+	if g.Phase != types.GroupServing {
+		return nil
+	}
+	for _, m := range g.Members {
+		ref := types.TargetRef{Service: g.Service, Name: m.Name}
+		at := max(k.heard[ref].at, k.since)
+		if m.State == types.TargetActive || m.Name == g.Primary || now.Sub(at) < replaceAfter {
+			continue
+		}
+		return k.propose(now, ref, proto.SetMember{Service: g.Service, Target: m, Remove: true})
+	}
+	return nil
+}
+
+// propose replicates a change of a member, unless it is so already or the same
+// change is under way.
+func (k *Keeper) propose(now types.Instant, ref types.TargetRef, c proto.SetMember) []effect.Effect {
+	if current, ok := k.state.Group(ref.Service).Target(ref.Name); ok && !c.Remove && current == c.Target {
+		return nil
+	}
+	if last, ok := k.proposed[ref]; ok && last.member == c && now.Sub(last.at) < repeatAfter {
+		return nil
+	}
+	k.proposed[ref] = proposal{member: c, at: now}
+	return []effect.Effect{effect.Propose{Command: proto.Command{Member: &c}}}
+}
+
+// committed acts on announcements that came before the change they needed.
+func (k *Keeper) committed(now types.Instant, c proto.Command) []effect.Effect {
+	if !k.leading || c.Member == nil {
+		return nil
+	}
+	ref := types.TargetRef{Service: c.Member.Service, Name: c.Member.Target.Name}
+	delete(k.proposed, ref)
+	if !c.Member.Remove {
+		return k.settle(now, ref)
+	}
+	delete(k.heard, ref)
+	var out []effect.Effect
+	for _, other := range k.refs() {
+		if other.Service == ref.Service {
+			out = append(out, k.settle(now, other)...)
+		}
+	}
+	return out
+}
+
+// sweep looks for members that have gone silent.
+func (k *Keeper) sweep(now types.Instant) []effect.Effect {
+	if !k.leading {
+		return nil
+	}
+	out := []effect.Effect{armSweep(now)}
+	for _, name := range k.state.Services() {
+		for _, m := range k.state.Group(name).Members {
+			out = append(out, k.settle(now, types.TargetRef{Service: name, Name: m.Name})...)
+		}
+	}
+	return out
+}
+
+// refs returns the targets that were heard, in order.
+func (k *Keeper) refs() []types.TargetRef {
+	return slices.SortedFunc(maps.Keys(k.heard), func(a, b types.TargetRef) int {
+		return strings.Compare(a.String(), b.String())
+	})
+}
--- a/core/operator/operator.go
+++ b/core/operator/operator.go
@@ -4,18 +4,146 @@
 package operator
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/lease"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
 // Desk holds the calls that wait for their commands to be committed.
-type Desk struct{}
+type Desk struct {
+	self    types.HostID
+	state   *cluster.State
+	leases  *lease.Table
+	leading bool
+	leader  types.HostID
+	term    proto.ControlTerm
+	waiting map[uint64]waiter
+}
+
+// waiter is a call that waits. It looks at a committed command and answers if
+// that settled the call.
+type waiter func(c proto.Command) (proto.OperatorReply, bool)
 
 // New returns a desk without calls.
-func New(self types.HostID, state *cluster.State, leases *lease.Table) *Desk { return &Desk{} }
+func New(self types.HostID, state *cluster.State, leases *lease.Table) *Desk {
+	return &Desk{self: self, state: state, leases: leases, waiting: make(map[uint64]waiter)}
+}
 
 // Step takes in one event.
-func (d *Desk) Step(event.Input) []effect.Effect { return nil }
+func (d *Desk) Step(in event.Input) []effect.Effect {
+	switch e := in.Event.(type) {
+	case event.RoleChanged:
+		return d.changeRole(e)
+	case event.OperatorCalled:
+		return d.call(in.Now, e.Call, e.Request)
+	case event.Committed:
+		return d.committed(e.Entry.Command)
+	}
+	return nil
+}
+
+// changeRole gives up the calls under way when this host stops leading: their
+// commands may be committed yet, or never.
+func (d *Desk) changeRole(e event.RoleChanged) []effect.Effect {
+	lost := d.leading && (!e.Leading || e.Term != d.term)
+	d.leading, d.leader, d.term = e.Leading, e.Leader, e.Term
+	if !lost {
+		return nil
+	}
+	var out []effect.Effect
+	for _, call := range slices.Sorted(maps.Keys(d.waiting)) {
+		out = append(out, reply(call, proto.OperatorReply{
+			Err: proto.OpErrUnknown, Leader: e.Leader,
+			Reason: "this host stopped leading before the call was committed",
+		}))
+	}
+	clear(d.waiting)
+	return out
+}
+
+func (d *Desk) call(now types.Instant, call uint64, r proto.OperatorRequest) []effect.Effect {
+	if r.Status != nil {
+		return done(call, proto.OperatorReply{Leader: d.leader, Status: d.status(now)})
+	}
+	if !d.leading {
+		return done(call, proto.OperatorReply{
+			Err: proto.OpErrNotLeader, Leader: d.leader, Reason: "this host does not lead",
+		})
+	}
+	switch {
+	case r.Change != nil:
+		return d.change(call, *r.Change)
+	case r.Drain != nil:
+		return d.drain(call, *r.Drain)
+	case r.Promote != nil:
+		return d.promote(call, *r.Promote)
+	case r.RemoveHost != nil:
+		return d.removeHost(call, *r.RemoveHost)
+	case r.Announce != nil:
+		return d.announce(call, *r.Announce)
+	}
+	return done(call, proto.OperatorReply{Err: proto.OpErrRefused, Reason: "the request is empty"})
+}
+
+// await proposes a command and keeps the call until w answers it.
+func (d *Desk) await(call uint64, c proto.Command, w waiter) []effect.Effect {
+	d.waiting[call] = w
+	return []effect.Effect{effect.Propose{Command: c}}
+}
+
+func (d *Desk) committed(c proto.Command) []effect.Effect {
+	var out []effect.Effect
+	for _, call := range slices.Sorted(maps.Keys(d.waiting)) {
+		if answer, ok := d.waiting[call](c); ok {
+			delete(d.waiting, call)
+			out = append(out, reply(call, answer))
+		}
+	}
+	return out
+}
+
+func (d *Desk) announce(call uint64, a proto.Announcement) []effect.Effect {
+	if d.state.Group(a.Service) == nil {
+		return done(call, proto.OperatorReply{Err: proto.OpErrNotFound, Reason: "no such service"})
+	}
+	return done(call, proto.OperatorReply{Leader: d.leader})
+}
+
+func (d *Desk) status(now types.Instant) *proto.Status {
+	st := &proto.Status{
+		Host: d.self, Leader: d.leader, Term: d.term,
+		Commit: d.state.Applied(), Applied: d.state.Applied(),
+		Voters: d.state.Voters(), State: d.state.Snapshot(), Proxies: d.leases.Status(),
+	}
+	latest := make(map[types.TargetRef]proto.TargetReport)
+	for _, r := range d.leases.Requests(now) {
+		for _, report := range r.Reports {
+			old, ok := latest[report.Ref]
+			if !ok || report.HeardAgo < old.HeardAgo {
+				latest[report.Ref] = report
+			}
+		}
+	}
+	for _, s := range st.State.Groups {
+		for _, t := range s.Members {
+			if report, ok := latest[types.TargetRef{Service: s.Service, Name: t.Name}]; ok {
+				st.Targets = append(st.Targets, report)
+			}
+		}
+	}
+	return st
+}
+
+func reply(call uint64, r proto.OperatorReply) effect.Effect {
+	return effect.ReplyOperator{Call: call, Reply: r}
+}
+
+func done(call uint64, r proto.OperatorReply) []effect.Effect {
+	return []effect.Effect{reply(call, r)}
+}
