--- a/core/node/node.go
+++ b/core/node/node.go
@@ -5,6 +5,8 @@
 import (
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/lease"
+	"github.com/camphorpaddle/camphorpaddle/core/probe"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -16,10 +18,109 @@
 }
 
 // Node is the control state of one proxy.
-type Node struct{}
+type Node struct {
+	options  Options
+	holder   *lease.Holder
+	prober   *probe.Prober
+	shards   map[int]event.ShardReport
+	news     announcements
+	shares   shareLog
+	draining bool
+
+	now     types.Instant // of the event that is under way
+	seen    uint64        // version that all shards were known to act on
+	cluster *types.ClusterView
+	until   types.Instant // end of the lease as published
+	changed bool          // something that shards see differs from the last view
+}
 
 // New returns a node without a lease.
-func New(Options) *Node { return &Node{} }
+func New(o Options) *Node {
+	n := &Node{
+		options: o,
+		prober:  probe.New(),
+		shards:  make(map[int]event.ShardReport),
+		news:    newAnnouncements(),
+		shares:  newShareLog(),
+	}
+	n.holder = lease.NewHolder(o.Host, o.AvailabilityZone, n.fill)
+	return n
+}
 
 // Step takes in one event.
-func (n *Node) Step(event.Input) []effect.Effect { return nil }
+func (n *Node) Step(in event.Input) []effect.Effect {
+	n.now = in.Now
+	out := n.handle(in)
+	out = append(out, n.holder.Step(in)...)
+	out = append(out, n.prober.Step(in)...)
+	if g, ok := in.Event.(event.LeaseGranted); ok {
+		n.news.granted(g.Grant)
+	}
+	out = append(out, n.follow()...)
+	return append(out, n.publish()...)
+}
+
+// handle takes in the events that are the node's own.
+func (n *Node) handle(in event.Input) []effect.Effect {
+	switch e := in.Event.(type) {
+	case event.DrainBegan:
+		n.draining, n.changed = true, true
+		return []effect.Effect{effect.Decide{
+			Kind: effect.DecideDrain, Host: n.options.Host, Reason: "the proxy was asked to stop",
+		}}
+	case event.Announced:
+		if n.news.hear(in.Now, e.Announcement) {
+			return n.holder.Hurry(in.Now)
+		}
+	case event.ShardReported:
+		return n.shardReported(e.Report)
+	case event.Probed:
+		n.changed = true
+	}
+	return nil
+}
+
+func (n *Node) shardReported(r event.ShardReport) []effect.Effect {
+	quiet := len(n.quiet())
+	n.shards[r.Shard] = r
+	var out []effect.Effect
+	if seen := n.minSeen(); seen > n.seen || len(n.quiet()) > quiet {
+		n.seen = seen
+		out = n.holder.Hurry(n.now)
+	}
+	return append(out, n.prober.SetWaiting(n.waiting(), n.now)...)
+}
+
+// follow takes over what the holder has learnt.
+func (n *Node) follow() []effect.Effect {
+	if until := n.holder.Until(); until != n.until {
+		n.until, n.changed = until, true
+	}
+	if n.shares.set(n.holder.Shares(), n.now) {
+		n.changed = true
+	}
+	var out []effect.Effect
+	if view := n.holder.Cluster(); view != n.cluster {
+		n.cluster, n.changed = view, true
+		out = n.prober.SetView(view, n.now)
+	}
+	if n.prober.TakeNews(n.now) {
+		out = append(out, n.holder.Hurry(n.now)...)
+	}
+	return out
+}
+
+// publish gives the shards a new view if anything in it changed.
+func (n *Node) publish() []effect.Effect {
+	if !n.changed || n.cluster == nil {
+		return nil
+	}
+	n.changed = false
+	return []effect.Effect{effect.PublishView{View: &types.NodeView{
+		Cluster:    n.cluster,
+		LeaseUntil: n.until,
+		Health:     n.prober.Health(),
+		Shares:     n.holder.Shares(),
+		Draining:   n.draining,
+	}}}
+}
--- /dev/null
+++ b/core/probe/prober.go
@@ -0,0 +1,290 @@
+// Package probe asks the targets of each group, again and again, where they
+// stand, and works out how fresh each replica is.
+package probe
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// Times of probes.
+const (
+	// interval is the time between two probes of a target.
+	interval = 50 * time.Millisecond
+	// timeout is how long a target may take to answer.
+	timeout = 250 * time.Millisecond
+	// demandInterval is the least time between two probes of a target whose
+	// position a shard waits for.
+	demandInterval = 2 * time.Millisecond
+	// lostAfter is when a probe without any result is taken as lost.
+	lostAfter = 4 * timeout
+)
+
+// Bounds of a primary's failure, as a proxy reports it.
+const (
+	// FailingBound is how long probes have to fail without a success.
+	FailingBound = 300 * time.Millisecond
+	// SilentBound is how long a target has to be silent.
+	SilentBound = 500 * time.Millisecond
+)
+
+// Keys of the prober's timers.
+const (
+	timerAll uint64 = iota
+	timerDemand
+)
+
+// Prober holds what one proxy knows of the targets from its own probes. The
+// node part of a proxy steps it.
+type Prober struct {
+	view    *types.ClusterView
+	targets map[types.TargetRef]*target
+	samples map[types.ServiceName]*samples
+	waiting map[types.ServiceName]bool
+	demand  bool // the demand timer is armed
+	news    bool // control should hear of a change at once
+}
+
+// target is what is known of one target.
+type target struct {
+	address  types.Address
+	health   types.TargetHealth
+	known    types.Instant // when the target appeared
+	asked    types.Instant // when the last probe was sent; zero before that
+	told     alarm         // what control was told at once
+	underWay bool
+}
+
+// alarm is how far the failure of a target has come.
+type alarm uint8
+
+// The alarms, in rising order.
+const (
+	alarmNone    alarm = iota
+	alarmFailing       // a probe failed
+	alarmFailed        // FailingBound or SilentBound was reached
+)
+
+// New returns a prober without targets.
+func New() *Prober {
+	return &Prober{
+		targets: make(map[types.TargetRef]*target),
+		samples: make(map[types.ServiceName]*samples),
+		waiting: make(map[types.ServiceName]bool),
+	}
+}
+
+// Step takes in one event.
+func (p *Prober) Step(in event.Input) []effect.Effect {
+	switch e := in.Event.(type) {
+	case event.Start:
+		return p.probeAll(in.Now)
+	case event.TimerFired:
+		if e.ID.Domain == event.DomainProbe {
+			return p.timer(in.Now, e.ID.Key)
+		}
+	case event.Probed:
+		return p.probed(in.Now, e)
+	}
+	return nil
+}
+
+// SetView follows the members and primaries of a new cluster view.
+func (p *Prober) SetView(view *types.ClusterView, now types.Instant) []effect.Effect {
+	p.view = view
+	var out []effect.Effect
+	seen := make(map[types.TargetRef]bool)
+	for _, name := range slices.Sorted(maps.Keys(view.Groups)) {
+		g := view.Groups[name]
+		p.follow(g)
+		for _, m := range g.Members {
+			ref := types.TargetRef{Service: name, Name: m.Name}
+			seen[ref] = true
+			out = append(out, p.add(ref, m, now)...)
+		}
+	}
+	maps.DeleteFunc(p.targets, func(ref types.TargetRef, _ *target) bool { return !seen[ref] })
+	return out
+}
+
+// follow forgets the samples of an earlier primary or term.
+func (p *Prober) follow(g *types.Group) {
+	s := p.samples[g.Service]
+	if s == nil || s.term != g.Term || s.primary != g.Primary {
+		p.samples[g.Service] = &samples{term: g.Term, primary: g.Primary}
+	}
+}
+
+// add takes in a member of a group and probes it if it is new.
+func (p *Prober) add(ref types.TargetRef, m types.Target, now types.Instant) []effect.Effect {
+	t := p.targets[ref]
+	if t != nil && t.address == m.Address {
+		return nil
+	}
+	t = &target{address: m.Address, known: now}
+	p.targets[ref] = t
+	return p.probe(ref, t, now)
+}
+
+// SetWaiting names the services whose positions a shard waits for.
+func (p *Prober) SetWaiting(waiting map[types.ServiceName]bool, now types.Instant) []effect.Effect {
+	p.waiting = waiting
+	if len(waiting) == 0 {
+		return nil
+	}
+	return p.probeWaiting(now)
+}
+
+// TakeNews reports whether control should hear at once of what happened since
+// the last call: a target began to fail, failed for long, or came back.
+func (p *Prober) TakeNews(now types.Instant) bool {
+	for _, t := range p.targets {
+		if level := t.alarm(now); level != t.told {
+			t.told, p.news = level, true
+		}
+	}
+	news := p.news
+	p.news = false
+	return news
+}
+
+func (t *target) alarm(now types.Instant) alarm {
+	switch {
+	case t.health.Failing && now.Sub(t.health.FailedAt) >= FailingBound, t.heardAgo(now) >= SilentBound:
+		return alarmFailed
+	case t.health.Failing:
+		return alarmFailing
+	}
+	return alarmNone
+}
+
+// heardAgo returns the time since the last answer.
+func (t *target) heardAgo(now types.Instant) time.Duration {
+	return now.Sub(max(t.health.HeardAt, t.known))
+}
+
+// Health returns what is known of each target.
+func (p *Prober) Health() map[types.TargetRef]types.TargetHealth {
+	out := make(map[types.TargetRef]types.TargetHealth, len(p.targets))
+	for ref, t := range p.targets {
+		out[ref] = t.health
+	}
+	return out
+}
+
+// Reports returns what control is told of each target, in order of target.
+func (p *Prober) Reports(now types.Instant) []proto.TargetReport {
+	out := make([]proto.TargetReport, 0, len(p.targets))
+	for _, ref := range p.refs() {
+		t := p.targets[ref]
+		r := proto.TargetReport{
+			Ref:      ref,
+			Status:   types.TargetStatus{Term: t.health.Term, Primary: t.health.Primary, Pos: t.health.Pos},
+			Failing:  t.health.Failing,
+			HeardAgo: t.heardAgo(now),
+		}
+		if r.Failing {
+			r.FailingFor = now.Sub(t.health.FailedAt)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func (p *Prober) refs() []types.TargetRef {
+	return slices.SortedFunc(maps.Keys(p.targets), func(a, b types.TargetRef) int {
+		return strings.Compare(a.String(), b.String())
+	})
+}
+
+func (p *Prober) timer(now types.Instant, key uint64) []effect.Effect {
+	if key == timerAll {
+		return p.probeAll(now)
+	}
+	p.demand = false
+	return p.probeWaiting(now)
+}
+
+func (p *Prober) probeAll(now types.Instant) []effect.Effect {
+	out := []effect.Effect{arm(timerAll, now.Add(interval))}
+	for _, ref := range p.refs() {
+		out = append(out, p.probe(ref, p.targets[ref], now)...)
+	}
+	return out
+}
+
+// probeWaiting probes the targets whose positions are waited for, except those
+// that were asked a moment ago: a timer comes back to them. A failing target
+// is left to the usual interval.
+func (p *Prober) probeWaiting(now types.Instant) []effect.Effect {
+	var out []effect.Effect
+	var next types.Instant
+	for _, ref := range p.refs() {
+		t := p.targets[ref]
+		if !p.waiting[ref.Service] || t.underWay || t.health.Failing {
+			continue
+		}
+		if at := t.asked.Add(demandInterval); t.asked != 0 && now < at {
+			next = earliest(next, at)
+			continue
+		}
+		out = append(out, p.probe(ref, t, now)...)
+	}
+	if next != 0 && !p.demand {
+		p.demand = true
+		out = append(out, arm(timerDemand, next))
+	}
+	return out
+}
+
+func earliest(a, b types.Instant) types.Instant {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
+
+// probe asks one target unless a probe of it is under way.
+func (p *Prober) probe(ref types.TargetRef, t *target, now types.Instant) []effect.Effect {
+	if t.underWay && now.Sub(t.asked) < lostAfter {
+		return nil
+	}
+	t.underWay, t.asked = true, now
+	return []effect.Effect{effect.Probe{Ref: ref, Address: t.address, Timeout: timeout}}
+}
+
+func (p *Prober) probed(now types.Instant, e event.Probed) []effect.Effect {
+	t := p.targets[e.Ref]
+	if t == nil {
+		return nil
+	}
+	t.underWay = false
+	if e.Err != nil {
+		if !t.health.Failing {
+			t.health.Failing, t.health.FailedAt = true, now
+		}
+		return p.probeWaiting(now)
+	}
+	t.health.Failing, t.health.FailedAt = false, 0
+	t.health.HeardAt, t.health.AskedAt = now, e.AskedAt
+	if e.Status.Pos.Compare(t.health.Pos) < 0 {
+		t.health.FreshAt = 0
+	}
+	if t.health.Term != e.Status.Term || t.health.Primary != e.Status.Primary {
+		p.news = true
+	}
+	t.health.Term, t.health.Primary, t.health.Pos = e.Status.Term, e.Status.Primary, e.Status.Pos
+	p.refresh(e.Ref, t)
+	return p.probeWaiting(now)
+}
+
+func arm(key uint64, at types.Instant) effect.Effect {
+	return effect.ArmTimer{ID: event.TimerID{Domain: event.DomainProbe, Key: key}, At: at}
+}
