Promote on the failure of a primary

Cause: nobody else orders a promotion. Change: a term is begun once a majority of the proxies with a lease can't reach the primary; proxies are fenced, the positions of a quorum are read, the furthest member is promoted and the others follow it.

--- /dev/null
+++ b/core/promotion/detect.go
@@ -0,0 +1,126 @@
+package promotion
+
+import (
+	"fmt"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/probe"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// driveServing watches the primary, and has the other members follow it.
+func (m *Manager) driveServing(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	gr.quiesced, gr.ordered = 0, false
+	if reason := m.failed(now, g, gr); reason != "" {
+		return m.beginTerm(now, g, gr, reason)
+	}
+	if p, ok := g.Target(g.Primary); ok && p.State == types.TargetLeaving && m.canMove(g) {
+		return m.propose(now, gr, g.Term, proto.Command{Quiesce: &proto.Quiesce{Service: g.Service, Term: g.Term}})
+	}
+	return m.driveFollowers(now, g, gr)
+}
+
+// canMove reports whether some other member is active.
+func (m *Manager) canMove(g *types.Group) bool {
+	for _, t := range g.Members {
+		if t.Name != g.Primary && t.State == types.TargetActive {
+			return true
+		}
+	}
+	return false
+}
+
+// failed returns why the primary has failed in the eyes of a majority of the
+// proxies that hold a lease, or "".
+func (m *Manager) failed(now types.Instant, g *types.Group, gr *group) string {
+	var live, gone, demoted int
+	version := m.state.GroupVersion(g.Service)
+	for _, r := range m.leases.Requests(now) {
+		live++
+		report, ok := primaryReport(r, g)
+		if !ok || !m.leases.HeardWithin(r.Proxy, reportBound, now) {
+			continue
+		}
+		switch {
+		case unreachable(report):
+			gone++
+		case r.Have >= version && !report.Failing && disowned(report.Status, g):
+			demoted++
+		}
+	}
+	if live > 0 && gone >= types.Quorum(live) {
+		return fmt.Sprintf("%d of %d proxies can't reach the primary", gone, live)
+	}
+	if live == 0 || demoted < types.Quorum(live) {
+		gr.demoted = 0
+		return ""
+	}
+	if gr.demoted == 0 {
+		gr.demoted = now
+	}
+	if now.Sub(gr.demoted) < demoteAfter {
+		return ""
+	}
+	return fmt.Sprintf("%d of %d proxies hear that the primary is none in this term", demoted, live)
+}
+
+func primaryReport(r proto.LeaseRequest, g *types.Group) (proto.TargetReport, bool) {
+	ref := types.TargetRef{Service: g.Service, Name: g.Primary}
+	for _, report := range r.Reports {
+		if report.Ref == ref {
+			return report, true
+		}
+	}
+	return proto.TargetReport{}, false
+}
+
+func unreachable(r proto.TargetReport) bool {
+	return r.HeardAgo >= probe.SilentBound || r.Failing && r.FailingFor >= probe.FailingBound
+}
+
+// disowned reports whether a member says that it is not the primary of the
+// group's term.
+func disowned(s types.TargetStatus, g *types.Group) bool {
+	return s.Term != g.Term || !s.Primary
+}
+
+// driveQuiescing begins the next term once no proxy has work under way on the
+// primary, or the time is up, or the primary has failed.
+func (m *Manager) driveQuiescing(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	if gr.quiesced == 0 {
+		gr.quiesced = now
+	}
+	end := gr.quiesced.Add(quiesceBound)
+	if reason := m.failed(now, g, gr); reason != "" {
+		return m.beginTerm(now, g, gr, reason)
+	}
+	if now >= end || m.quiet(now, g) {
+		gr.ordered = true
+		return m.beginTerm(now, g, gr, "ordered change of primary")
+	}
+	return []effect.Effect{arm(g.Service, end)}
+}
+
+// quiet reports whether every proxy that may hold a lease has said that it has
+// no work under way on the primary.
+func (m *Manager) quiet(now types.Instant, g *types.Group) bool {
+	if !m.leases.Fenced(m.state.GroupVersion(g.Service), now) {
+		return false
+	}
+	for _, r := range m.leases.Requests(now) {
+		if !saysQuiet(r, g.Service) {
+			return false
+		}
+	}
+	return true
+}
+
+func saysQuiet(r proto.LeaseRequest, service types.ServiceName) bool {
+	for _, s := range r.Quiet {
+		if s == service {
+			return true
+		}
+	}
+	return false
+}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -5,17 +5,252 @@
 package promotion
 
 import (
+	"time"
+
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/lease"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Times of promotions.
+const (
+	// callTimeout is how long a target may take to answer control.
+	callTimeout = 250 * time.Millisecond
+	// readGrace is how long further positions are awaited once a quorum has
+	// answered.
+	readGrace = 30 * time.Millisecond
+	// retryInterval is the time between two tries of the same step.
+	retryInterval = 100 * time.Millisecond
+	// repeatAfter is how long a proposal may stay without effect.
+	repeatAfter = time.Second
+	// demoteAfter is how long a primary has to say that it is none.
+	demoteAfter = 300 * time.Millisecond
+	// quiesceBound is how long an ordered change waits for work under way.
+	quiesceBound = 2 * time.Second
+	// catchUpBound is how long an ordered change waits for its target to
+	// reach the furthest position.
+	catchUpBound = 500 * time.Millisecond
+	// reportBound is the age up to which a proxy's report counts.
+	reportBound = 600 * time.Millisecond
 )
 
 // Manager drives the promotions of all groups while this host leads.
-type Manager struct{}
+type Manager struct {
+	state   *cluster.State
+	leases  *lease.Table
+	leading bool
+	term    proto.ControlTerm
+	groups  map[types.ServiceName]*group
+	timers  map[uint64]types.ServiceName
+	calls   map[uint64]call
+	last    uint64 // number of the last call to a target
+}
+
+// group is what the leader remembers of one group beside its replicated state.
+type group struct {
+	proposedAt types.Instant // of the command under way; zero if none
+	proposed   types.Term    // term that it is about
+	prefer     types.TargetName
+	demoted    types.Instant // since when the primary says that it is none
+	run        *run          // the promotion under way
+	quiesced   types.Instant // when the quiesce was first seen
+	ordered    bool          // the next term is an ordered change
+	followers  map[types.TargetName]*follower
+}
+
+// call is a question to a target that is not answered yet.
+type call struct {
+	service types.ServiceName
+	term    types.Term
+	target  types.TargetName
+	kind    types.OperationKind
+}
 
 // New returns a manager without promotions under way.
-func New(state *cluster.State, leases *lease.Table) *Manager { return &Manager{} }
+func New(state *cluster.State, leases *lease.Table) *Manager {
+	return &Manager{
+		state: state, leases: leases,
+		groups: make(map[types.ServiceName]*group),
+		timers: make(map[uint64]types.ServiceName),
+		calls:  make(map[uint64]call),
+	}
+}
 
 // Step takes in one event.
-func (m *Manager) Step(event.Input) []effect.Effect { return nil }
+func (m *Manager) Step(in event.Input) []effect.Effect {
+	switch e := in.Event.(type) {
+	case event.RoleChanged:
+		return m.changeRole(in.Now, e)
+	case event.Committed:
+		return m.committed(in.Now, e.Entry.Command)
+	case event.LeaseRequested:
+		return m.driveAll(in.Now)
+	case event.TargetReplied:
+		return m.replied(in.Now, e)
+	case event.TimerFired:
+		if service, ok := m.timers[e.ID.Key]; ok && e.ID.Domain == event.DomainPromotion {
+			return m.drive(in.Now, service)
+		}
+	}
+	return nil
+}
+
+func (m *Manager) changeRole(now types.Instant, e event.RoleChanged) []effect.Effect {
+	again := m.leading && e.Leading && m.term == e.Term
+	m.leading, m.term = e.Leading, e.Term
+	if again {
+		return nil
+	}
+	clear(m.groups)
+	clear(m.timers)
+	clear(m.calls)
+	return m.driveAll(now)
+}
+
+func (m *Manager) committed(now types.Instant, c proto.Command) []effect.Effect {
+	switch {
+	case !m.leading:
+		return nil
+	case c.Change != nil:
+		return m.driveAll(now)
+	case c.Member != nil:
+		return m.drive(now, c.Member.Service)
+	case c.Quiesce != nil:
+		m.settled(c.Quiesce.Service).prefer = c.Quiesce.To
+		return m.drive(now, c.Quiesce.Service)
+	case c.BeginTerm != nil:
+		return m.begun(now, *c.BeginTerm)
+	case c.ServeTerm != nil:
+		return m.served(now, *c.ServeTerm)
+	}
+	return nil
+}
+
+// served has the other members follow the primary of a term.
+func (m *Manager) served(now types.Instant, c proto.ServeTerm) []effect.Effect {
+	gr := m.settled(c.Service)
+	gr.run = nil
+	g := m.state.Group(c.Service)
+	if g == nil || g.Term != c.Term {
+		return nil
+	}
+	gr.followers = make(map[types.TargetName]*follower)
+	for _, t := range g.Members {
+		gr.followers[t.Name] = &follower{open: t.Name != c.Primary}
+	}
+	return m.drive(now, c.Service)
+}
+
+// settled returns a group whose proposal has been committed.
+func (m *Manager) settled(service types.ServiceName) *group {
+	gr := m.group(service)
+	gr.proposedAt = 0
+	return gr
+}
+
+func (m *Manager) group(service types.ServiceName) *group {
+	gr := m.groups[service]
+	if gr == nil {
+		gr = &group{}
+		m.groups[service] = gr
+		m.timers[xxhash.Sum64String(string(service))] = service
+	}
+	return gr
+}
+
+func (m *Manager) driveAll(now types.Instant) []effect.Effect {
+	if !m.leading {
+		return nil
+	}
+	var out []effect.Effect
+	for _, name := range m.state.Services() {
+		out = append(out, m.drive(now, name)...)
+	}
+	return out
+}
+
+// drive does what the phase of a group calls for now. It may be called at any
+// time.
+func (m *Manager) drive(now types.Instant, service types.ServiceName) []effect.Effect {
+	g := m.state.Group(service)
+	if !m.leading || g == nil {
+		return nil
+	}
+	gr := m.group(service)
+	switch g.Phase {
+	case types.GroupForming:
+		return m.driveForming(now, g, gr)
+	case types.GroupServing:
+		return m.driveServing(now, g, gr)
+	case types.GroupQuiescing:
+		return m.driveQuiescing(now, g, gr)
+	case types.GroupFencing:
+		return m.driveFencing(now, g, gr)
+	}
+	return nil
+}
+
+// driveForming begins the first term once every member has announced itself.
+func (m *Manager) driveForming(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	if len(g.Members) < m.size(g) {
+		return nil
+	}
+	return m.beginTerm(now, g, gr, "all members announced themselves")
+}
+
+// size returns the configured number of members.
+func (m *Manager) size(g *types.Group) int { return m.state.Config().Services[g.Service].Members }
+
+// beginTerm proposes the next term.
+func (m *Manager) beginTerm(now types.Instant, g *types.Group, gr *group, reason string) []effect.Effect {
+	return m.propose(now, gr, g.Term+1, proto.Command{BeginTerm: &proto.BeginTerm{
+		Service: g.Service, Term: g.Term + 1, Prefer: gr.prefer, Reason: reason,
+	}})
+}
+
+// propose replicates a command unless one about the same term is under way.
+func (m *Manager) propose(now types.Instant, gr *group, term types.Term, c proto.Command) []effect.Effect {
+	if gr.proposedAt != 0 && gr.proposed == term && now.Sub(gr.proposedAt) < repeatAfter {
+		return nil
+	}
+	gr.proposedAt, gr.proposed = now, term
+	return []effect.Effect{effect.Propose{Command: c}}
+}
+
+// call asks a member to do something.
+func (m *Manager) call(g *types.Group, t types.Target, op types.Operation) effect.Effect {
+	m.last++
+	m.calls[m.last] = call{service: g.Service, term: g.Term, target: t.Name, kind: op.Kind}
+	return effect.CallTarget{
+		Call: m.last, Service: g.Service, Target: t, Operation: op, Timeout: callTimeout,
+	}
+}
+
+// replied takes in the answer to a question of the current term.
+func (m *Manager) replied(now types.Instant, e event.TargetReplied) []effect.Effect {
+	c, ok := m.calls[e.Call]
+	delete(m.calls, e.Call)
+	g := m.state.Group(c.service)
+	if !ok || !m.leading || g == nil || g.Term != c.term {
+		return nil
+	}
+	gr := m.group(c.service)
+	switch c.kind {
+	case types.OpPosition:
+		return m.positionRead(now, g, gr, c.target, e)
+	case types.OpPromote:
+		return m.promoted(now, g, gr, c.target, e)
+	case types.OpFollow:
+		return m.followed(now, gr, c.target, e)
+	}
+	return nil
+}
+
+func arm(service types.ServiceName, at types.Instant) effect.Effect {
+	key := xxhash.Sum64String(string(service))
+	return effect.ArmTimer{ID: event.TimerID{Domain: event.DomainPromotion, Key: key}, At: at}
+}
--- /dev/null
+++ b/core/promotion/run.go
@@ -0,0 +1,175 @@
+package promotion
+
+import (
+	"fmt"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// stage is a step of a promotion.
+type stage uint8
+
+// The stages, in their order.
+const (
+	stageFence   stage = iota // wait until every proxy acts on the new term
+	stageRead                 // read positions
+	stagePromote              // the chosen member is asked to become primary
+	stageServe                // the choice is being committed
+)
+
+// run is a promotion that this leader began, or that it found committed by its
+// own proposal.
+type run struct {
+	term    types.Term
+	version uint64 // view that began the term
+	began   types.Instant
+	stage   stage
+	ordered bool
+	stalled bool // the wait was reported
+	answers map[types.TargetName]types.TargetStatus
+	asked   map[types.TargetName]types.Instant // position questions under way
+	quorum  types.Instant                      // when a quorum had answered
+	prefer  types.TargetName                   // an operator's choice
+	chosen  types.TargetName
+	start   uint64 // position at which the chosen member was promoted
+}
+
+// begun starts the promotion of a term that was just committed.
+func (m *Manager) begun(now types.Instant, c proto.BeginTerm) []effect.Effect {
+	gr := m.settled(c.Service)
+	g := m.state.Group(c.Service)
+	if g == nil || g.Term != c.Term || g.Phase != types.GroupFencing {
+		return nil
+	}
+	gr.run = &run{
+		term: c.Term, version: m.state.GroupVersion(c.Service), began: now,
+		ordered: gr.ordered, prefer: c.Prefer,
+		answers: make(map[types.TargetName]types.TargetStatus),
+		asked:   make(map[types.TargetName]types.Instant),
+	}
+	gr.prefer, gr.demoted, gr.quiesced, gr.ordered = "", 0, 0, false
+	return m.drive(now, c.Service)
+}
+
+// driveFencing takes the next step of a promotion. A term that an earlier
+// leader began is not taken up, because it may have promoted a member in it.
+func (m *Manager) driveFencing(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	r := gr.run
+	if r == nil || r.term != g.Term {
+		return m.beginTerm(now, g, gr, "no promotion is under way in the term")
+	}
+	switch r.stage {
+	case stageFence:
+		return m.fence(now, g, gr)
+	case stageRead:
+		return m.read(now, g, gr)
+	case stageServe:
+		return m.serve(now, g, gr)
+	}
+	return nil
+}
+
+// fence waits until no proxy acts on the earlier term.
+func (m *Manager) fence(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	r := gr.run
+	if m.leases.Fenced(r.version, now) {
+		r.stage = stageRead
+		return m.read(now, g, gr)
+	}
+	var out []effect.Effect
+	if waiting := m.leases.Waiting(r.version, now); !r.stalled && now.Sub(r.began) >= retryInterval && len(waiting) > 0 {
+		r.stalled = true
+		out = append(out, effect.Decide{
+			Kind: effect.DecidePromoteStall, Service: g.Service, Term: g.Term, Host: waiting[0],
+			Reason: fmt.Sprintf("%d proxies have not confirmed the term", len(waiting)),
+		})
+	}
+	at := m.leases.FencedAt(r.version)
+	if !r.stalled {
+		at = min(at, r.began.Add(retryInterval))
+	}
+	return append(out, arm(g.Service, max(at, now+1)))
+}
+
+// read asks every member for its position, and chooses when enough answered.
+func (m *Manager) read(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	r := gr.run
+	if chosen, ok := m.choose(now, g, r); ok {
+		return m.promote(g, r, chosen)
+	}
+	var out []effect.Effect
+	next := now.Add(retryInterval)
+	for _, t := range g.Members {
+		if _, ok := r.answers[t.Name]; ok && !r.rereads() {
+			continue
+		}
+		if at, ok := r.asked[t.Name]; ok && now.Sub(at) < retryInterval {
+			continue
+		}
+		r.asked[t.Name] = now
+		out = append(out, m.call(g, t, types.Operation{Kind: types.OpPosition}))
+	}
+	if r.quorum != 0 {
+		next = min(next, max(now+1, r.quorum.Add(readGrace)))
+	}
+	return append(out, arm(g.Service, next))
+}
+
+// rereads reports whether positions may still move towards the preferred one.
+func (r *run) rereads() bool { return r.ordered && r.quorum != 0 }
+
+func (m *Manager) positionRead(now types.Instant, g *types.Group, gr *group, name types.TargetName, e event.TargetReplied) []effect.Effect {
+	r := gr.run
+	if r == nil || r.term != g.Term || r.stage != stageRead {
+		return nil
+	}
+	if e.Err != nil || e.Result.Err != types.TargetErrNone {
+		return nil // asked again at the next try
+	}
+	r.answers[name] = e.Result.Status
+	if r.quorum == 0 && len(r.answers) >= m.needed(g) {
+		r.quorum = now
+	}
+	return m.read(now, g, gr)
+}
+
+// needed returns how many members have to answer: a quorum of the configured
+// size, and all of them before the first term has a primary.
+func (m *Manager) needed(g *types.Group) int {
+	if len(g.History) == 0 {
+		return m.size(g)
+	}
+	return types.Quorum(m.size(g))
+}
+
+// promote asks the chosen member to become primary.
+func (m *Manager) promote(g *types.Group, r *run, chosen types.Target) []effect.Effect {
+	r.stage, r.chosen = stagePromote, chosen.Name
+	return []effect.Effect{m.call(g, chosen, types.Operation{Kind: types.OpPromote, Term: g.Term})}
+}
+
+// promoted commits the choice. A member that did not answer may have become
+// primary all the same, so that the term is given up.
+func (m *Manager) promoted(now types.Instant, g *types.Group, gr *group, name types.TargetName, e event.TargetReplied) []effect.Effect {
+	r := gr.run
+	if r == nil || r.term != g.Term || r.stage != stagePromote || r.chosen != name {
+		return nil
+	}
+	s := e.Result.Status
+	if e.Err != nil || e.Result.Err != types.TargetErrNone || s.Term != g.Term || !s.Primary {
+		gr.run = nil
+		return m.beginTerm(now, g, gr, fmt.Sprintf("target %s was not promoted", name))
+	}
+	r.stage, r.start = stageServe, s.Pos.Offset
+	return m.serve(now, g, gr)
+}
+
+func (m *Manager) serve(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	out := m.propose(now, gr, g.Term, proto.Command{ServeTerm: &proto.ServeTerm{
+		Service: g.Service, Term: g.Term, Primary: gr.run.chosen, Start: gr.run.start,
+	}})
+	return append(out, arm(g.Service, now.Add(repeatAfter)))
+}
