Keep a slow disk from blocking the control loop

Cause: the control loop waited for room in the write queue while the disk goroutine waited for room in the event queue, so both stood still once both queues were full. Change: the write queue takes in without waiting; the disk goroutine takes all that waits in one go. Conclusion: the queue is bounded by what the events cause, not by a channel.

--- a/runtime/control.go
+++ b/runtime/control.go
@@ -13,11 +13,8 @@
 	"github.com/gravitational/trace"
 )
 
-// Queue lengths, in events.
-const (
-	controlQueue = 1024
-	persistQueue = 256
-)
+// controlQueue is how many events may wait for a control loop.
+const controlQueue = 1024
 
 // ControlOptions configures a ControlHost.
 type ControlOptions struct {
@@ -34,10 +31,10 @@
 // ControlHost drives the reducer of a control host.
 type ControlHost struct {
 	ControlOptions
-	loop    *loop
-	persist chan effect.Persist
-	calls   *targetCalls
-	ctx     context.Context // ends with Run; target calls use it
+	loop  *loop
+	disk  *diskQueue
+	calls *targetCalls
+	ctx   context.Context // ends with Run; target calls use it
 
 	lastCall atomic.Uint64
 	waiting  sync.Map // call number to chan proto.OperatorReply
@@ -47,7 +44,7 @@
 func NewControlHost(o ControlOptions) *ControlHost {
 	h := &ControlHost{
 		ControlOptions: o,
-		persist:        make(chan effect.Persist, persistQueue),
+		disk:           newDiskQueue(),
 		calls:          newTargetCalls(o.Targets),
 	}
 	h.loop = newLoop(loopOptions{
@@ -62,32 +59,29 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	h.ctx = ctx
-	var disk sync.WaitGroup
-	disk.Add(1)
+	written := make(chan error, 1)
 	go func() {
-		defer disk.Done()
-		cancel(h.writeLog(ctx))
+		err := h.writeLog(ctx)
+		cancel(err)
+		written <- err
 	}()
 	h.loop.run(ctx)
-	disk.Wait()
-	if err := context.Cause(ctx); err != context.Canceled {
-		return err
-	}
-	return nil
+	return <-written
 }
 
 // writeLog syncs what the reducer appends, in order. It returns when ctx ends
 // or with the first error.
 func (h *ControlHost) writeLog(ctx context.Context) error {
 	for {
-		select {
-		case p := <-h.persist:
+		batch := h.disk.take(ctx)
+		if batch == nil {
+			return nil
+		}
+		for _, p := range batch {
 			if err := h.Log.Persist(p); err != nil {
 				return trace.Wrap(err, "writing the control log")
 			}
 			h.loop.post(event.Persisted{Seq: p.Seq})
-		case <-ctx.Done():
-			return nil
 		}
 	}
 }
@@ -124,7 +118,7 @@
 	case effect.SendPeer:
 		h.Peers.Send(e.Message)
 	case effect.Persist:
-		h.queuePersist(e)
+		h.disk.add(e)
 	case effect.GrantLease:
 		h.Proxies.Grant(e.Grant)
 	case effect.ReplyOperator:
@@ -136,15 +130,6 @@
 	}
 }
 
-// queuePersist hands a write to the disk goroutine, in order. It waits while
-// the disk is that far behind.
-func (h *ControlHost) queuePersist(p effect.Persist) {
-	select {
-	case h.persist <- p:
-	case <-h.ctx.Done():
-	}
-}
-
 func (h *ControlHost) reply(e effect.ReplyOperator) {
 	if ch, ok := h.waiting.LoadAndDelete(e.Call); ok {
 		ch.(chan proto.OperatorReply) <- e.Reply
--- /dev/null
+++ b/runtime/control_test.go
@@ -0,0 +1,136 @@
+package runtime
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core"
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"gotest.tools/v3/assert"
+)
+
+// testWait bounds what a test waits for a goroutine.
+const testWait = 20 * time.Second
+
+// partFunc is a part made of a function.
+type partFunc func(event.Input) []effect.Effect
+
+func (f partFunc) Step(in event.Input) []effect.Effect { return f(in) }
+
+// logFunc is a control log made of a function.
+type logFunc func(effect.Persist) error
+
+func (f logFunc) Persist(p effect.Persist) error { return f(p) }
+
+// noRecorder drops what it gets.
+type noRecorder struct{}
+
+func (noRecorder) Decision(effect.Decide)         {}
+func (noRecorder) Observation(effect.Observation) {}
+
+func zeroSeed() uint64 { return 0 }
+
+func testControlHost(log ControlLog, part partFunc) *ControlHost {
+	return NewControlHost(ControlOptions{
+		Reducer: core.New(part), Clock: NewClock(), Seed: zeroSeed,
+		Log: log, Recorder: noRecorder{},
+	})
+}
+
+// TestSlowDiskDoesNotBlockTheControlLoop queues more writes and events than
+// any channel holds while the disk stands still.
+func TestSlowDiskDoesNotBlockTheControlLoop(t *testing.T) {
+	const writes = 4 * controlQueue
+	disk := make(chan struct{})
+	synced := make(chan struct{})
+	last := uint64(0)
+	host := testControlHost(
+		logFunc(func(effect.Persist) error { <-disk; return nil }),
+		func(in event.Input) []effect.Effect {
+			switch ev := in.Event.(type) {
+			case event.PeerMessage:
+				return []effect.Effect{effect.Persist{Seq: ev.Message.LogIndex}}
+			case event.Persisted:
+				assert.Check(t, ev.Seq == last+1, "synced %d after %d", ev.Seq, last)
+				last = ev.Seq
+				if last == writes {
+					close(synced)
+				}
+			}
+			return nil
+		})
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- host.Run(ctx) }()
+	for i := range writes {
+		host.PeerMessage(proto.Message{LogIndex: uint64(i) + 1})
+	}
+	close(disk)
+	select {
+	case <-synced:
+	case <-ctx.Done():
+		t.Fatalf("only %d of %d writes were reported as synced", last, writes)
+	}
+	cancel()
+	assert.NilError(t, <-ended)
+}
+
+// TestDiskErrorEndsTheControlHost checks that a host that can't sync its log
+// stops instead of answering.
+func TestDiskErrorEndsTheControlHost(t *testing.T) {
+	broken := errors.New("no space left")
+	host := testControlHost(
+		logFunc(func(effect.Persist) error { return broken }),
+		func(in event.Input) []effect.Effect {
+			if _, ok := in.Event.(event.Start); ok {
+				return []effect.Effect{effect.Persist{Seq: 1}}
+			}
+			return nil
+		})
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	assert.ErrorContains(t, host.Run(ctx), "no space left")
+}
+
+// TestOperatorCallGetsItsOwnReply answers calls in reverse order.
+func TestOperatorCallGetsItsOwnReply(t *testing.T) {
+	const calls = 5
+	var held []event.OperatorCalled
+	host := testControlHost(logFunc(func(effect.Persist) error { return nil }),
+		func(in event.Input) []effect.Effect {
+			ev, ok := in.Event.(event.OperatorCalled)
+			if !ok {
+				return nil
+			}
+			held = append(held, ev)
+			if len(held) < calls {
+				return nil
+			}
+			var out []effect.Effect
+			for i := calls - 1; i >= 0; i-- {
+				reply := proto.OperatorReply{Reason: string(held[i].Request.RemoveHost.Host)}
+				out = append(out, effect.ReplyOperator{Call: held[i].Call, Reply: reply})
+			}
+			return out
+		})
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	go host.Run(ctx)
+	results := make(chan bool, calls)
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		go func() {
+			req := proto.OperatorRequest{RemoveHost: &proto.RemoveHost{Host: types.HostID(name)}}
+			rep, err := host.Call(ctx, req)
+			results <- err == nil && rep.Reason == string(req.RemoveHost.Host)
+		}()
+	}
+	for range calls {
+		assert.Assert(t, <-results, "a call got another call's reply")
+	}
+}
