--- /dev/null
+++ b/core/types/logpos_test.go
@@ -0,0 +1,49 @@
+package types
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestTermHistoryCovers lists positions around two changes of primary.
+func TestTermHistoryCovers(t *testing.T) {
+	history := TermHistory{{Term: 1, Offset: 0}, {Term: 2, Offset: 50}, {Term: 3, Offset: 45}}
+	for _, tc := range []struct {
+		name        string
+		have, floor LogPos
+		covers      bool
+	}{
+		{"same term, behind", LogPos{1, 9}, LogPos{1, 10}, false},
+		{"same term, at", LogPos{1, 10}, LogPos{1, 10}, true},
+		{"older term with a larger offset", LogPos{1, 99}, LogPos{2, 60}, false},
+		{"later term, floor before its start", LogPos{2, 60}, LogPos{1, 50}, true},
+		{"later term, floor cut off by its start", LogPos{2, 60}, LogPos{1, 51}, false},
+		{"two terms later, cut off by the second", LogPos{3, 80}, LogPos{1, 46}, false},
+		{"two terms later, kept by both", LogPos{3, 80}, LogPos{1, 45}, true},
+		{"entry of a term that a later one cut off", LogPos{3, 80}, LogPos{2, 55}, false},
+		{"later term, but not caught up", LogPos{3, 30}, LogPos{1, 40}, false},
+		{"nothing asked", LogPos{3, 80}, LogPos{}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Equal(t, history.Covers(tc.have, tc.floor), tc.covers)
+		})
+	}
+}
+
+// TestLogPosCompareOrdersByTermFirst checks the order in which a promotion
+// chooses.
+func TestLogPosCompareOrdersByTermFirst(t *testing.T) {
+	rising := []LogPos{{1, 5}, {1, 6}, {2, 0}, {2, 7}}
+	for i, p := range rising {
+		for j, q := range rising {
+			want := 0
+			if i < j {
+				want = -1
+			} else if i > j {
+				want = 1
+			}
+			assert.Equal(t, p.Compare(q), want, "%v against %v", p, q)
+		}
+	}
+}
