Prove the state, the changes and the promotions under failure

A wait for a target to catch up spun on its own timer; it looks every 20 ms now, and the tests fail when one millisecond holds more than 10,000 events.

--- a/core/cluster/apply.go
+++ b/core/cluster/apply.go
@@ -145,7 +145,7 @@
 
 func (s *State) applyBeginTerm(index uint64, c proto.BeginTerm) []effect.Effect {
 	g := s.groups[c.Service]
-	if g == nil || c.Term != g.Term+1 {
+	if g == nil || c.Term <= g.Term {
 		return nil
 	}
 	next := *g
--- a/core/cluster/update.go
+++ b/core/cluster/update.go
@@ -43,13 +43,14 @@
 }
 
 // Merge returns the view that an update makes of base, and whether it fits. A
-// view never goes back to an older version.
+// view never goes back to an older version. An update since an earlier version
+// than base fits too, because it holds all that changed since base.
 func Merge(base *types.ClusterView, u *proto.ViewUpdate) (*types.ClusterView, bool) {
 	var have uint64
 	if base != nil {
 		have = base.Version
 	}
-	if u.Version <= have || (u.Base != 0 && u.Base != have) {
+	if u.Version <= have || u.Base > have {
 		return base, false
 	}
 	next := &types.ClusterView{Version: u.Version, Config: u.Config, Groups: make(map[types.ServiceName]*types.Group)}
--- a/core/configuration/ledger.go
+++ b/core/configuration/ledger.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
@@ -104,9 +105,24 @@
 			Reason: fmt.Sprintf("the change is based on version %d, the current version is %d", c.Base, current),
 		}
 	}
+	if reason := l.refuse(c.Config); reason != "" {
+		return proto.ChangeResult{ID: c.ID, Version: current, Reason: reason}
+	}
 	return proto.ChangeResult{ID: c.ID, Accepted: true, Version: current + 1}
 }
 
+// refuse returns why a configuration can't follow the current one, or "". A
+// smaller quorum could miss writes that a quorum of the larger group holds.
+func (l *Ledger) refuse(next *types.Config) string {
+	for _, name := range slices.Sorted(maps.Keys(next.Services)) {
+		old, ok := l.config.Services[name]
+		if ok && next.Services[name].Members < old.Members {
+			return fmt.Sprintf("service %q has %d members and can't be made smaller", name, old.Members)
+		}
+	}
+	return ""
+}
+
 // record remembers an answer and forgets the oldest one beyond maxRecords.
 func (l *Ledger) record(r proto.ChangeRecord) {
 	l.records[r.Result.ID] = r
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -129,15 +129,18 @@
 	if !ok || sentAt != g.SentAt {
 		return nil
 	}
-	h.forget(g.Seq)
 	if g.NotLeader {
 		return h.redirect(now, g)
 	}
 	if g.Term < h.term || now >= sentAt.Add(Duration-driftMargin) {
 		return nil
 	}
+	h.forgetBefore(g.Seq)
 	h.leader, h.term = e.From, g.Term
-	out := []effect.Effect{effect.StopTimer{ID: timerID(timerAnswer)}}
+	var out []effect.Effect
+	if g.Seq == h.seq {
+		out = append(out, effect.StopTimer{ID: timerID(timerAnswer)})
+	}
 	if !h.takeView(g.View) {
 		return append(out, h.Hurry(now)...)
 	}
@@ -145,17 +148,22 @@
 	return append(out, h.extend(now, sentAt, g)...)
 }
 
-// forget drops the requests up to seq: an older grant has nothing to add.
-func (h *Holder) forget(seq uint64) {
-	maps.DeleteFunc(h.sent, func(other uint64, _ types.Instant) bool { return other <= seq })
+// forgetBefore drops the requests before seq: an older grant has nothing to
+// add. Request seq itself may be answered again, with a newer view.
+func (h *Holder) forgetBefore(seq uint64) {
+	maps.DeleteFunc(h.sent, func(other uint64, _ types.Instant) bool { return other < seq })
 }
 
-// redirect asks the host that a follower named. Without a name the answer
-// timeout tries any other host.
+// redirect asks the host that a follower named. Without a name it tries any
+// host a little later.
 func (h *Holder) redirect(now types.Instant, g proto.LeaseGrant) []effect.Effect {
-	if g.Seq != h.seq || g.Leader == h.leader {
+	delete(h.sent, g.Seq)
+	if g.Seq != h.seq {
 		return nil
 	}
+	if g.Leader == "" || g.Leader == h.leader {
+		return []effect.Effect{h.arm(timerAnswer, now.Add(redirectDelay))}
+	}
 	h.leader = g.Leader
 	return h.Hurry(now)
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -17,8 +17,14 @@
 	requestInterval = 300 * time.Millisecond
 	// answerTimeout is how long a proxy waits before it asks another host.
 	answerTimeout = 200 * time.Millisecond
+	// redirectDelay is how long a proxy waits after a host said that it does
+	// not lead and knows no leader.
+	redirectDelay = 50 * time.Millisecond
 	// hurryInterval is the least time between two requests.
 	hurryInterval = 20 * time.Millisecond
+	// seenBound is how long the shards of a proxy may take to act on a view
+	// before its lease is no longer extended.
+	seenBound = time.Second
 	// forgetAfter is how long a silent proxy stays registered.
 	forgetAfter = 2 * time.Minute
 	// sweepInterval is the time between two searches for proxies to forget.
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -39,9 +39,12 @@
 	heard    types.Instant // zero until it asked this leader
 	until    types.Instant // the proxy may count on its lease until then
 	seen     uint64        // largest version that it acts on
-	waiting  bool          // its request waits for the registration
-	proposed bool          // its registration is under way
-	removing bool          // its removal is under way
+	sent     uint64        // version of the last view sent to it
+	due      uint64        // version that it has to act on by dueAt
+	dueAt    types.Instant
+	waiting  bool // its request waits for the registration
+	proposed bool // its registration is under way
+	removing bool // its removal is under way
 }
 
 // NewTable returns an empty table.
@@ -64,6 +67,7 @@
 		if e.Entry.Command.Proxy != nil {
 			return t.registered(*e.Entry.Command.Proxy)
 		}
+		return t.push()
 	case event.TimerFired:
 		if e.ID.Domain == event.DomainLeaseTable {
 			return t.sweep()
@@ -170,7 +174,8 @@
 		Proxy: p.request.Proxy, Seq: p.request.Seq, SentAt: p.request.SentAt,
 		Term: t.term, View: t.state.Update(p.request.Have),
 	}
-	if !p.request.Draining {
+	p.sent = t.state.View().Version
+	if !p.request.Draining && t.keepsUp(p) {
 		g.Duration = Duration
 		p.until = t.now.Add(Duration + driftMargin)
 	}
@@ -180,6 +185,38 @@
 	return []effect.Effect{effect.GrantLease{Grant: g}}
 }
 
+// keepsUp reports whether the shards of a proxy act on new views in time. One
+// that hangs would hold up every promotion.
+func (t *Table) keepsUp(p *proxyLease) bool {
+	if p.seen >= p.due {
+		p.due = t.state.View().Version
+		p.dueAt = t.now.Add(seenBound)
+	}
+	return p.seen >= p.due || t.now < p.dueAt
+}
+
+// push sends a new view to the proxies that hold a lease, as a further answer
+// to their last request. It brings no time and no shares.
+func (t *Table) push() []effect.Effect {
+	if !t.surelyLeads() {
+		return nil
+	}
+	version := t.state.View().Version
+	var out []effect.Effect
+	for _, reg := range t.state.Proxies() {
+		p := t.proxies[reg.Host]
+		if p == nil || p.heard == 0 || t.now >= p.until || p.sent >= version {
+			continue
+		}
+		out = append(out, effect.GrantLease{Grant: proto.LeaseGrant{
+			Proxy: reg.Host, Seq: p.request.Seq, SentAt: p.request.SentAt,
+			Term: t.term, View: t.state.Update(p.sent),
+		}})
+		p.sent = version
+	}
+	return out
+}
+
 func (t *Table) armSweep() effect.Effect {
 	return effect.ArmTimer{
 		ID: event.TimerID{Domain: event.DomainLeaseTable}, At: t.now.Add(sweepInterval),
--- a/core/promotion/detect.go
+++ b/core/promotion/detect.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/probe"
@@ -36,8 +37,12 @@
 func (m *Manager) failed(now types.Instant, g *types.Group, gr *group) string {
 	var live, gone, demoted int
 	version := m.state.GroupVersion(g.Service)
-	for _, r := range m.leases.Requests(now) {
+	for _, h := range m.leases.Holds() {
+		if !h.Live {
+			continue
+		}
 		live++
+		r := h.Request
 		report, ok := primaryReport(r, g)
 		if !ok || !m.leases.HeardWithin(r.Proxy, reportBound, now) {
 			continue
@@ -108,19 +113,10 @@
 	if !m.leases.Fenced(m.state.GroupVersion(g.Service), now) {
 		return false
 	}
-	for _, r := range m.leases.Requests(now) {
-		if !saysQuiet(r, g.Service) {
+	for _, h := range m.leases.Holds() {
+		if h.Live && !(h.Known && slices.Contains(h.Request.Quiet, g.Service)) {
 			return false
 		}
 	}
 	return true
 }
-
-func saysQuiet(r proto.LeaseRequest, service types.ServiceName) bool {
-	for _, s := range r.Quiet {
-		if s == service {
-			return true
-		}
-	}
-	return false
-}
--- a/core/promotion/failover_test.go
+++ b/core/promotion/failover_test.go
@@ -21,6 +21,16 @@
 
 func (w *world) primary() *fakeTarget { return w.targets[w.group().Primary] }
 
+// replica returns the first replica by name.
+func (w *world) replica() *fakeTarget {
+	for _, m := range w.group().Members {
+		if m.Name != w.group().Primary {
+			return w.targets[m.Name]
+		}
+	}
+	return nil
+}
+
 func TestFirstPrimary(t *testing.T) {
 	w := started(t)
 	assert.Equal(t, w.replies[1].Change.Accepted, true)
@@ -45,3 +55,166 @@
 	assert.Equal(t, w.primary().pos.Offset, uint64(7))
 	assert.Assert(t, w.primary() != old)
 }
+
+func TestFreezeCausesNoPromotion(t *testing.T) {
+	for _, freeze := range []time.Duration{50, 150, 299} {
+		w := started(t)
+		for range 20 {
+			w.pass(time.Duration(w.rng.IntN(100)) * time.Millisecond)
+			w.primary().frozen = w.now.Add(freeze * time.Millisecond)
+			w.pass(time.Second)
+		}
+		assert.Equal(t, w.group().Term, types.Term(1), "frozen for %d ms", freeze)
+	}
+}
+
+func TestFrozenPrimaryIsReplaced(t *testing.T) {
+	w := started(t)
+	w.primary().frozen = w.now.Add(time.Hour)
+	gap, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
+	assert.Assert(t, ok && gap <= 1500*time.Millisecond, "failover took %v", gap)
+}
+
+func TestPartitionedPrimaryRejoinsWithoutItsWrites(t *testing.T) {
+	w := started(t)
+	old := w.primary()
+	old.write(5)
+	w.pass(100 * time.Millisecond)
+	w.cut[string(old.name)] = true
+	old.write(3)
+	_, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
+	assert.Assert(t, ok)
+	w.primary().write(1)
+	w.pass(time.Second)
+	delete(w.cut, string(old.name))
+	_, ok = w.run(5*time.Second, func() bool { return old.term == 2 })
+	assert.Assert(t, ok, "the old primary was not rejoined")
+	w.pass(100 * time.Millisecond)
+	assert.Equal(t, old.primary, false)
+	assert.Equal(t, old.pos, types.LogPos{Term: 2, Offset: 6})
+	assert.Equal(t, w.group().Term, types.Term(2))
+}
+
+func TestLaterLeaderRejoinsTheOldPrimary(t *testing.T) {
+	w := started(t)
+	old := w.primary()
+	w.cut[string(old.name)] = true
+	old.write(3)
+	_, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
+	assert.Assert(t, ok)
+	w.elect("c2")
+	w.pass(time.Second)
+	delete(w.cut, string(old.name))
+	_, ok = w.run(2*time.Second, func() bool { return old.term == 2 && !old.primary && old.pos.Offset == 0 })
+	assert.Assert(t, ok, "the old primary was not rejoined: %+v", old.status())
+}
+
+func TestTwoPromotionsInARow(t *testing.T) {
+	w := newWorld(t, 3, 4, 5)
+	_, ok := w.run(3*time.Second, func() bool { return w.serving(1) })
+	assert.Assert(t, ok)
+	for term := types.Term(2); term <= 3; term++ {
+		w.primary().write(4)
+		w.pass(50 * time.Millisecond)
+		w.primary().down = true
+		gap, ok := w.run(3*time.Second, func() bool { return w.serving(term) })
+		assert.Assert(t, ok && gap <= time.Second, "failover took %v", gap)
+		assert.Equal(t, w.primary().pos.Offset, uint64(4*(term-1)))
+	}
+}
+
+func TestNewPrimaryDiesAtOnce(t *testing.T) {
+	w := newWorld(t, 3, 4, 5)
+	_, ok := w.run(3*time.Second, func() bool { return w.serving(1) })
+	assert.Assert(t, ok)
+	w.primary().write(4)
+	w.pass(50 * time.Millisecond)
+	w.primary().down = true
+	dying := 0
+	for _, name := range []types.TargetName{"t2", "t3", "t4", "t5"} {
+		if target := w.targets[name]; !target.down && dying == 0 {
+			target.refuse, target.pos.Offset = true, 4
+			dying++
+		}
+	}
+	gap, ok := w.run(5*time.Second, func() bool { return w.serving(2) })
+	assert.Assert(t, ok && gap <= 2*time.Second, "failover took %v: %+v", gap, w.group())
+	assert.Equal(t, w.group().Term, types.Term(3))
+	assert.Equal(t, w.primary().pos.Offset, uint64(4))
+}
+
+func TestNoPromotionWithoutQuorum(t *testing.T) {
+	w := started(t)
+	old := w.primary()
+	behind := w.replica()
+	behind.leader = ""
+	old.write(3)
+	w.pass(time.Second)
+	for _, target := range w.targets {
+		target.down = target != behind
+	}
+	w.pass(5 * time.Second)
+	assert.Equal(t, w.group().Phase, types.GroupFencing)
+	for _, target := range w.targets {
+		target.down = false
+	}
+	_, ok := w.run(5*time.Second, func() bool { return w.serving(2) })
+	assert.Assert(t, ok, "%+v", w.group())
+	assert.Equal(t, w.primary().pos.Offset, uint64(3))
+}
+
+func TestProxyThatIsCutOffHoldsUpTheNextTermUntilItsLeaseEnds(t *testing.T) {
+	w := started(t)
+	lost := w.proxies["p3"]
+	w.cut["p3"] = true
+	w.pass(100 * time.Millisecond)
+	w.primary().down = true
+	_, ok := w.run(4*time.Second, func() bool { return w.group().Phase == types.GroupServing && w.group().Term > 1 })
+	assert.Assert(t, ok)
+	assert.Assert(t, !lost.view.LeaseLive(w.now), "a proxy acts on term 1 beside the primary of term 2")
+	assert.Equal(t, lost.view.Group(service).Term, types.Term(1))
+}
+
+func TestControlLeaderIsCutOffSilently(t *testing.T) {
+	w := started(t)
+	w.cutLeader("c2")
+	w.pass(2 * time.Second)
+	assert.Assert(t, w.serving(1), "a proxy lost its lease for good")
+	w.primary().down = true
+	gap, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
+	assert.Assert(t, ok && gap <= time.Second, "failover took %v", gap)
+}
+
+func TestLeaderChangesDuringAPromotion(t *testing.T) {
+	for after := time.Duration(1); after <= 40; after += 3 {
+		w := started(t)
+		w.primary().write(4)
+		w.pass(50 * time.Millisecond)
+		w.primary().down = true
+		_, ok := w.run(3*time.Second, func() bool { return w.group().Phase == types.GroupFencing })
+		assert.Assert(t, ok)
+		w.pass(after * time.Millisecond)
+		w.elect("c2")
+		_, ok = w.run(5*time.Second, func() bool { return w.serving(2) })
+		assert.Assert(t, ok, "leader changed after %d ms: %+v", after, w.group())
+		assert.Equal(t, w.primary().pos.Offset, uint64(4))
+		for _, target := range w.targets {
+			assert.Assert(t, !target.primary || target.down || target.name == w.group().Primary || target.term < w.group().Term)
+		}
+	}
+}
+
+func TestFarBehindReplicaIsNotPromoted(t *testing.T) {
+	w := started(t)
+	behind := w.replica()
+	behind.leader = ""
+	w.primary().write(100)
+	w.pass(50 * time.Millisecond)
+	w.primary().down = true
+	_, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
+	assert.Assert(t, ok)
+	assert.Assert(t, w.primary() != behind)
+	assert.Equal(t, w.primary().pos.Offset, uint64(100))
+	_, ok = w.run(2*time.Second, func() bool { return behind.pos.Offset == 100 })
+	assert.Assert(t, ok, "the replica did not catch up")
+}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -34,6 +34,9 @@
 	// catchUpBound is how long an ordered change waits for its target to
 	// reach the furthest position.
 	catchUpBound = 500 * time.Millisecond
+	// catchUpInterval is the time between two looks at a target that catches
+	// up.
+	catchUpInterval = 20 * time.Millisecond
 	// reportBound is the age up to which a proxy's report counts.
 	reportBound = 600 * time.Millisecond
 )
@@ -207,8 +210,14 @@
 
 // beginTerm proposes the next term.
 func (m *Manager) beginTerm(now types.Instant, g *types.Group, gr *group, reason string) []effect.Effect {
-	return m.propose(now, gr, g.Term+1, proto.Command{BeginTerm: &proto.BeginTerm{
-		Service: g.Service, Term: g.Term + 1, Prefer: gr.prefer, Reason: reason,
+	return m.beginTermAfter(now, g, gr, g.Term, reason)
+}
+
+// beginTermAfter proposes the term that follows last, which may be a later one
+// than the group's.
+func (m *Manager) beginTermAfter(now types.Instant, g *types.Group, gr *group, last types.Term, reason string) []effect.Effect {
+	return m.propose(now, gr, last+1, proto.Command{BeginTerm: &proto.BeginTerm{
+		Service: g.Service, Term: last + 1, Prefer: gr.prefer, Reason: reason,
 	}})
 }
 
--- a/core/promotion/run.go
+++ b/core/promotion/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
@@ -101,19 +102,20 @@
 		return m.promote(g, r, chosen)
 	}
 	var out []effect.Effect
-	next := now.Add(retryInterval)
+	retry := r.retryInterval()
 	for _, t := range g.Members {
 		if _, ok := r.answers[t.Name]; ok && !r.rereads() {
 			continue
 		}
-		if at, ok := r.asked[t.Name]; ok && now.Sub(at) < retryInterval {
+		if at, ok := r.asked[t.Name]; ok && now.Sub(at) < retry {
 			continue
 		}
 		r.asked[t.Name] = now
 		out = append(out, m.call(g, t, types.Operation{Kind: types.OpPosition}))
 	}
-	if r.quorum != 0 {
-		next = min(next, max(now+1, r.quorum.Add(readGrace)))
+	next := now.Add(retry)
+	if grace := r.quorum.Add(readGrace); r.quorum != 0 && now < grace {
+		next = min(next, grace)
 	}
 	return append(out, arm(g.Service, next))
 }
@@ -121,6 +123,14 @@
 // rereads reports whether positions may still move towards the preferred one.
 func (r *run) rereads() bool { return r.ordered && r.quorum != 0 }
 
+// retryInterval returns the time until a member is asked again.
+func (r *run) retryInterval() time.Duration {
+	if r.rereads() {
+		return catchUpInterval
+	}
+	return retryInterval
+}
+
 func (m *Manager) positionRead(now types.Instant, g *types.Group, gr *group, name types.TargetName, e event.TargetReplied) []effect.Effect {
 	r := gr.run
 	if r == nil || r.term != g.Term || r.stage != stageRead {
@@ -129,6 +139,9 @@
 	if e.Err != nil || e.Result.Err != types.TargetErrNone {
 		return nil // asked again at the next try
 	}
+	if e.Result.Status.Term > g.Term {
+		return m.beginTermAfter(now, g, gr, e.Result.Status.Term, fmt.Sprintf("target %s stands in a later term", name))
+	}
 	r.answers[name] = e.Result.Status
 	if r.quorum == 0 && len(r.answers) >= m.needed(g) {
 		r.quorum = now
--- a/core/promotion/target_test.go
+++ b/core/promotion/target_test.go
@@ -33,7 +33,7 @@
 // announce tells one proxy about the target, again and again.
 func (t *fakeTarget) announce() {
 	w := t.world
-	if !t.down {
+	if !t.down && !w.cut[string(t.name)] {
 		w.proxies["p1"].step(event.Announced{Announcement: proto.Announcement{
 			Service: service, Name: t.name, Address: types.Address(t.name), Leaving: t.leaving,
 		}})
@@ -47,7 +47,7 @@
 	pos, term := t.pos, t.term
 	t.world.at(t.world.now.Add(t.lag), func() {
 		for _, f := range t.world.targets {
-			cut := t.world.cut[[2]string{string(t.name), string(f.name)}]
+			cut := t.world.cut[string(t.name)] || t.world.cut[string(f.name)]
 			if f.leader == t.name && f.term == term && !cut && !f.down && f.pos.Compare(pos) < 0 {
 				f.pos = pos
 			}
@@ -80,7 +80,7 @@
 	t.term, t.primary, t.leader = op.Term, false, op.Leader.Name
 	leader := t.world.targets[op.Leader.Name]
 	t.world.at(t.world.now.Add(leader.lag), func() {
-		if t.leader == leader.name {
+		if t.leader == leader.name && !t.world.cut[string(leader.name)] {
 			t.pos = leader.pos
 		}
 	})
--- a/core/promotion/world_test.go
+++ b/core/promotion/world_test.go
@@ -43,7 +43,9 @@
 	targets map[types.TargetName]*fakeTarget
 	replies map[uint64]proto.OperatorReply
 	decided []effect.Decide
-	cut     map[[2]string]bool // from, to
+	ms      types.Instant   // millisecond of the last event
+	inMs    int             // events in it
+	cut     map[string]bool // processes and targets that nobody reaches
 }
 
 // process is one reducer with its timers.
@@ -76,7 +78,7 @@
 
 func (f fakeLog) Step(in event.Input) []effect.Effect {
 	e, ok := in.Event.(event.Proposed)
-	if !ok || f.p.world.leader != f.p.id {
+	if !ok || f.p.world.leader != f.p.id || f.p.world.cut[string(f.p.id)] {
 		return nil
 	}
 	return f.p.world.commit(f.p, e.Command)
@@ -87,7 +89,7 @@
 		t: t, now: types.Instant(time.Second), rng: rand.New(rand.NewPCG(1, 2)),
 		hosts: map[types.HostID]*process{}, proxies: map[types.HostID]*process{},
 		targets: map[types.TargetName]*fakeTarget{}, replies: map[uint64]proto.OperatorReply{},
-		cut: map[[2]string]bool{},
+		cut: map[string]bool{},
 	}
 	for i := range hosts {
 		w.addHost(types.HostID("c" + string(rune('1'+i))))
@@ -134,11 +136,24 @@
 	w.term++
 	w.leader = id
 	for _, p := range w.hosts {
+		if w.cut[string(p.id)] {
+			continue
+		}
 		w.catchUp(p)
 		p.step(event.RoleChanged{Leading: p.id == id, Leader: id, Term: w.term})
 	}
 }
 
+// cutLeader cuts the leader off without its noticing; another host is elected
+// once the old one can't be sure of leading any more.
+func (w *world) cutLeader(next types.HostID) {
+	old := w.hosts[w.leader]
+	old.until = w.now.Add(300 * time.Millisecond)
+	w.cut[string(old.id)] = true
+	w.pass(300 * time.Millisecond)
+	w.elect(next)
+}
+
 // commit appends a command, which the others hear of after a hop.
 func (w *world) commit(p *process, c proto.Command) []effect.Effect {
 	entry := proto.Entry{Index: uint64(len(w.log) + 1), Term: w.term, Command: c}
@@ -226,9 +241,14 @@
 
 // send delivers after a hop unless the way is cut.
 func (w *world) send(from, to string, deliver func()) {
-	if !w.cut[[2]string{from, to}] {
-		w.at(w.now.Add(hop), deliver)
+	if w.cut[from] || w.cut[to] {
+		return
 	}
+	w.at(w.now.Add(hop), func() {
+		if !w.cut[to] {
+			deliver()
+		}
+	})
 }
 
 // run passes time until ok holds, and reports how long that took.
@@ -242,11 +262,22 @@
 		}
 		next := heap.Pop(&w.queue).(scheduled)
 		w.now = next.at
+		w.checkSpin()
 		next.do()
 	}
 	return w.now.Sub(began), true
 }
 
+// checkSpin fails the test when a millisecond holds more events than any use.
+func (w *world) checkSpin() {
+	ms := w.now / types.Instant(time.Millisecond)
+	if ms != w.ms {
+		w.ms, w.inMs = ms, 0
+	}
+	w.inMs++
+	assert.Assert(w.t, w.inMs < 10_000, "the reducers spin at %d ms", ms)
+}
+
 func (w *world) pass(d time.Duration) { w.run(d, func() bool { return false }) }
 
 func (w *world) group() *types.Group { return w.hosts[w.leader].state.Group(service) }
