--- /dev/null
+++ b/wire/frame.go
@@ -0,0 +1,40 @@
+// Package wire carries the messages between the system's processes: CBOR
+// frames over WebSocket. It decides nothing: it encodes, queues, and hands over
+// what came in.
+package wire
+
+import (
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// Version is the version of the protocol. Both ends must speak the same one.
+const Version = 1
+
+// Path is where control hosts serve the protocol.
+const Path = "/v1/peer"
+
+// Role says what kind of process opened a connection.
+type Role uint8
+
+// The roles.
+const (
+	RoleControl Role = iota + 1
+	RoleProxy
+)
+
+// Hello is the first frame in each direction.
+type Hello struct {
+	Version uint32
+	Host    types.HostID
+	Role    Role
+	Key     string // cluster key; a server does not send it back
+}
+
+// Frame is one message on a connection. Exactly one field is set.
+type Frame struct {
+	Hello        *Hello
+	Message      *proto.Message
+	LeaseRequest *proto.LeaseRequest
+	LeaseGrant   *proto.LeaseGrant
+}
