Add a driver of reducers in virtual time for tests

Failure tests need several hosts, a network that cuts, drops, repeats and reorders, disks that lose unsynced writes, and drifting clocks. The driver works on events and effects alone, so that any reducer fits.

--- /dev/null
+++ b/core/coretest/cluster.go
@@ -0,0 +1,245 @@
+// Package coretest drives reducers of several hosts in virtual time, with a
+// network that can lose, delay, repeat and reorder messages, disks that lose
+// what was not synced, and clocks that drift. Tests look at the effects.
+package coretest
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/consensus"
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// Stepper is a reducer or one part of one.
+type Stepper interface {
+	Step(in event.Input) []effect.Effect
+}
+
+// Network says how messages travel. Its zero value delivers at once.
+type Network struct {
+	DelayMin, DelayMax time.Duration
+	DropPercent        int
+	RepeatPercent      int
+	cut                map[link]bool
+}
+
+// link is one direction between two hosts.
+type link struct{ from, to types.HostID }
+
+// Host is one host of a Cluster.
+type Host struct {
+	ID       types.HostID
+	Disk     consensus.Saved // what is synced
+	Stepper  Stepper         // nil while the host is down
+	SyncTime time.Duration   // from a Persist until it is synced
+	Drift    float64         // of the clock: 0.01 runs one percent fast
+
+	run     int // counts restarts; events of an earlier run are dropped
+	frozen  bool
+	waiting []event.Event // while frozen
+	timers  map[event.TimerID]types.Instant
+	epoch   time.Duration // cluster time at which the clock was started
+
+	syncedAt time.Duration // when the disk is done with the writes so far
+}
+
+// Cluster steps hosts in virtual time. It is deterministic for a seed.
+type Cluster struct {
+	Network Network
+	// Build makes the reducer of a host that starts with what is on its disk.
+	Build func(h *Host) Stepper
+	// Effect sees each effect before it is carried out.
+	Effect func(h *Host, eff effect.Effect)
+	Hosts  map[types.HostID]*Host
+
+	random *rand.Rand
+	now    time.Duration
+	queue  eventQueue
+	order  uint64
+}
+
+// NewCluster returns a cluster without hosts.
+func NewCluster(seed uint64, build func(*Host) Stepper) *Cluster {
+	return &Cluster{
+		Build:   build,
+		Effect:  func(*Host, effect.Effect) {},
+		Hosts:   make(map[types.HostID]*Host),
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		Network: Network{cut: make(map[link]bool)},
+	}
+}
+
+// Start starts a host with what is on its disk. An unknown host is added.
+func (c *Cluster) Start(id types.HostID) *Host {
+	h, ok := c.Hosts[id]
+	if !ok {
+		h = &Host{ID: id}
+		c.Hosts[id] = h
+	}
+	h.run++
+	h.epoch = c.now
+	h.frozen, h.waiting, h.syncedAt = false, nil, c.now
+	h.timers = make(map[event.TimerID]types.Instant)
+	h.Stepper = c.Build(h)
+	c.Step(h, event.Start{})
+	return h
+}
+
+// Crash stops a host. What is not synced is lost.
+func (c *Cluster) Crash(id types.HostID) {
+	h := c.Hosts[id]
+	h.run++
+	h.Stepper = nil
+}
+
+// Freeze keeps a host from taking in events while its clock runs on.
+func (c *Cluster) Freeze(id types.HostID) { c.Hosts[id].frozen = true }
+
+// Thaw lets a frozen host go on with the events that wait.
+func (c *Cluster) Thaw(id types.HostID) {
+	h := c.Hosts[id]
+	events := h.waiting
+	h.frozen, h.waiting = false, nil
+	for _, ev := range events {
+		c.after(0, h, ev)
+	}
+}
+
+// Cut loses messages in one direction.
+func (c *Cluster) Cut(from, to types.HostID) { c.Network.cut[link{from, to}] = true }
+
+// Isolate loses messages of a host in both directions.
+func (c *Cluster) Isolate(id types.HostID) {
+	for other := range c.Hosts {
+		c.Cut(id, other)
+		c.Cut(other, id)
+	}
+}
+
+// Heal ends all cuts.
+func (c *Cluster) Heal() { c.Network.cut = make(map[link]bool) }
+
+// Now returns the virtual time.
+func (c *Cluster) Now() time.Duration { return c.now }
+
+// Local returns a host's clock. It starts at one second.
+func (c *Cluster) Local(h *Host) types.Instant {
+	return types.Instant(time.Second) + types.Instant(float64(c.now-h.epoch)*(1+h.Drift))
+}
+
+// Global returns the cluster time at which a host's clock reads t.
+func (c *Cluster) Global(h *Host, t types.Instant) time.Duration {
+	elapsed := float64(t.Sub(types.Instant(time.Second))) / (1 + h.Drift)
+	return h.epoch + time.Duration(math.Ceil(elapsed)) + 1
+}
+
+// Run steps the hosts for a time.
+func (c *Cluster) Run(d time.Duration) { c.RunUntil(d, func() bool { return false }) }
+
+// RunUntil steps the hosts until done holds, for at most d. It reports whether
+// done holds.
+func (c *Cluster) RunUntil(d time.Duration, done func() bool) bool {
+	end := c.now + d
+	for !done() {
+		if len(c.queue) == 0 || c.queue[0].at > end {
+			c.now = end
+			return done()
+		}
+		next := heap.Pop(&c.queue).(queued)
+		c.now = max(c.now, next.at)
+		c.deliver(next)
+	}
+	return true
+}
+
+// deliver hands an event to its host, if the host's run still lasts.
+func (c *Cluster) deliver(q queued) {
+	h := q.host
+	if h.run != q.run {
+		return
+	}
+	if d, ok := q.event.(synced); ok {
+		if err := h.Disk.Apply(d.write); err != nil {
+			panic(err)
+		}
+		q.event = event.Persisted{Seq: d.write.Seq}
+	}
+	if t, ok := q.event.(event.TimerFired); ok {
+		if at, armed := h.timers[t.ID]; !armed || at > c.Local(h) {
+			return
+		}
+		delete(h.timers, t.ID)
+	}
+	if h.frozen {
+		h.waiting = append(h.waiting, q.event)
+		return
+	}
+	c.Step(h, q.event)
+}
+
+// Step gives a host an event now and carries out the effects.
+func (c *Cluster) Step(h *Host, ev event.Event) {
+	in := event.Input{Now: c.Local(h), Seed: c.random.Uint64(), Event: ev}
+	for _, eff := range h.Stepper.Step(in) {
+		c.Effect(h, eff)
+		c.execute(h, eff)
+	}
+}
+
+func (c *Cluster) execute(h *Host, eff effect.Effect) {
+	switch e := eff.(type) {
+	case effect.ArmTimer:
+		h.timers[e.ID] = e.At
+		c.after(max(0, c.Global(h, e.At)-c.now), h, event.TimerFired{ID: e.ID})
+	case effect.StopTimer:
+		delete(h.timers, e.ID)
+	case effect.Persist:
+		h.syncedAt = max(h.syncedAt, c.now) + h.SyncTime
+		c.after(h.syncedAt-c.now, h, synced{Event: event.Persisted{}, write: e})
+	case effect.SendPeer:
+		c.sendPeer(h, e.Message)
+	}
+}
+
+// synced is the event that applies a write to the disk.
+type synced struct {
+	event.Event
+	write effect.Persist
+}
+
+func (c *Cluster) sendPeer(from *Host, m proto.Message) {
+	for _, id := range sortedHosts(c.Hosts) {
+		if id != from.ID && (m.To == "" || m.To == id) && !c.Network.cut[link{from.ID, id}] {
+			c.travel(c.Hosts[id], m)
+		}
+	}
+}
+
+func (c *Cluster) travel(to *Host, m proto.Message) {
+	copies := 1
+	if c.random.IntN(100) < c.Network.DropPercent {
+		copies--
+	}
+	if c.random.IntN(100) < c.Network.RepeatPercent {
+		copies++
+	}
+	for range copies {
+		delay := c.Network.DelayMin
+		if spread := c.Network.DelayMax - delay; spread > 0 {
+			delay += time.Duration(c.random.Int64N(int64(spread)))
+		}
+		c.after(delay, to, event.PeerMessage{Message: m})
+	}
+}
+
+// after queues an event for a host.
+func (c *Cluster) after(d time.Duration, h *Host, ev event.Event) {
+	c.order++
+	heap.Push(&c.queue, queued{at: c.now + d, order: c.order, host: h, run: h.run, event: ev})
+}
