--- /dev/null
+++ b/core/consensus/harness_test.go
@@ -0,0 +1,234 @@
+package consensus_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/consensus"
+	"github.com/camphorpaddle/camphorpaddle/core/coretest"
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// tester is the part of testing.T and rapid.T that the oracle needs.
+type tester interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// oracle checks what must hold of all hosts together.
+type oracle struct {
+	t        tester
+	cluster  *coretest.Cluster
+	nodes    map[types.HostID]*host
+	runs     int
+	elected  map[proto.ControlTerm]types.HostID
+	entries  map[uint64]proto.Entry   // committed
+	states   map[uint64]string        // state after each committed entry
+	promised map[string]time.Duration // until when a host's run leads, by cluster time
+	changes  []string                 // reasons of decisions
+	restores int
+}
+
+// host is a node with a small state machine that hashes what it applies.
+type host struct {
+	*consensus.Node
+	oracle  *oracle
+	host    *coretest.Host
+	run     string
+	state   string
+	applied uint64
+}
+
+func voter(name string) proto.Voter { return proto.Voter{Host: types.HostID(name)} }
+
+// newOracle returns a cluster whose hosts start from a snapshot with the
+// given voters.
+func newOracle(t tester, seed uint64, names ...string) *oracle {
+	o := &oracle{
+		t: t, nodes: make(map[types.HostID]*host),
+		elected: make(map[proto.ControlTerm]types.HostID),
+		entries: make(map[uint64]proto.Entry),
+		states:  map[uint64]string{1: ""}, promised: make(map[string]time.Duration),
+	}
+	o.cluster = coretest.NewCluster(seed, o.build)
+	o.cluster.Network.DelayMin, o.cluster.Network.DelayMax = time.Millisecond, 3*time.Millisecond
+	first := &proto.Snapshot{Index: 1, Term: 1}
+	for _, name := range names {
+		first.Voters = append(first.Voters, voter(name))
+	}
+	for _, v := range first.Voters {
+		o.cluster.Hosts[v.Host] = &coretest.Host{
+			ID: v.Host, SyncTime: time.Millisecond,
+			Disk: consensus.Saved{HardState: proto.HardState{Term: 1, Commit: 1}, Snapshot: first},
+		}
+	}
+	for _, v := range first.Voters {
+		o.cluster.Start(v.Host)
+	}
+	return o
+}
+
+func (o *oracle) build(h *coretest.Host) coretest.Stepper {
+	o.runs++
+	n := &host{oracle: o, host: h, run: fmt.Sprintf("%s#%d", h.ID, o.runs)}
+	saved := h.Disk
+	n.Node = consensus.New(consensus.Options{
+		Self: proto.Voter{Host: h.ID}, Saved: saved,
+		State: func() proto.ClusterState { return proto.ClusterState{Source: n.state} },
+	})
+	o.nodes[h.ID] = n
+	return n
+}
+
+// Step steps the node and checks what came out.
+func (h *host) Step(in event.Input) []effect.Effect {
+	out := h.Node.Step(in)
+	for _, eff := range out {
+		h.observe(eff)
+	}
+	if until := h.LeadsUntil(); until > 0 {
+		h.oracle.promised[h.run] = h.oracle.cluster.Global(h.host, until)
+	}
+	return out
+}
+
+func (h *host) observe(eff effect.Effect) {
+	o := h.oracle
+	switch e := eff.(type) {
+	case effect.Commit:
+		o.committed(h, e.Entry)
+	case effect.Restore:
+		o.restores++
+		h.applied, h.state = e.Snapshot.Index, e.Snapshot.State.Source
+		o.checkState(h)
+	case effect.Decide:
+		o.changes = append(o.changes, string(e.Kind)+": "+e.Reason)
+		if e.Kind == effect.DecideLeader {
+			o.checkElected(h, proto.ControlTerm(e.Term))
+		}
+	}
+}
+
+// committed checks state machine safety (Raft, figure 3).
+func (o *oracle) committed(h *host, e proto.Entry) {
+	o.t.Helper()
+	if e.Index != h.applied+1 {
+		o.t.Fatalf("%s applied entry %d after %d", h.run, e.Index, h.applied)
+	}
+	if known, ok := o.entries[e.Index]; ok && (known.Term != e.Term || text(known) != text(e)) {
+		o.t.Fatalf("%s applied %v at %d, where %v was committed", h.run, e, e.Index, known)
+	}
+	o.entries[e.Index] = e
+	h.applied = e.Index
+	h.state = digest(h.state, e)
+	o.checkState(h)
+}
+
+func (o *oracle) checkState(h *host) {
+	o.t.Helper()
+	if known, ok := o.states[h.applied]; ok && known != h.state {
+		o.t.Fatalf("%s has state %s at %d, not %s", h.run, h.state, h.applied, known)
+	}
+	o.states[h.applied] = h.state
+}
+
+// checkElected checks election safety and that no lease of another leader runs.
+func (o *oracle) checkElected(h *host, term proto.ControlTerm) {
+	o.t.Helper()
+	if other, ok := o.elected[term]; ok && other != h.ID() {
+		o.t.Fatalf("%s and %s were both elected in term %d", other, h.ID(), term)
+	}
+	o.elected[term] = h.ID()
+	for run, until := range o.promised {
+		if run != h.run && o.cluster.Now() < until {
+			o.t.Fatalf("%s was elected at %v, but %s leads until %v", h.run, o.cluster.Now(), run, until)
+		}
+	}
+}
+
+// ID returns the host's identity.
+func (h *host) ID() types.HostID { return h.host.ID }
+
+func text(e proto.Entry) string {
+	if e.Command.Change == nil {
+		return fmt.Sprint(e.Command.Voters)
+	}
+	return e.Command.Change.Source
+}
+
+func digest(state string, e proto.Entry) string {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, state, e.Index, e.Term, text(e))
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// leader returns the host that leads, or nil.
+func (o *oracle) leader() *host {
+	for id, n := range o.nodes {
+		h := o.cluster.Hosts[id]
+		if h.Stepper != nil && n.LeadsUntil() > o.cluster.Local(h) {
+			return n
+		}
+	}
+	return nil
+}
+
+// awaitLeader runs until a host leads, for at most d.
+func (o *oracle) awaitLeader(d time.Duration) *host {
+	o.t.Helper()
+	if !o.cluster.RunUntil(d, func() bool { return o.leader() != nil }) {
+		o.t.Fatalf("no leader within %v", d)
+	}
+	return o.leader()
+}
+
+// propose gives a command to a host.
+func (o *oracle) propose(h *host, source string) {
+	o.cluster.Step(h.host, event.Proposed{Command: proto.Command{Change: &proto.ChangeConfig{Source: source}}})
+}
+
+// awaitCommit proposes a command to the leader and runs until it is committed.
+func (o *oracle) awaitCommit(d time.Duration, source string) {
+	o.t.Helper()
+	var asked *host
+	done := func() bool {
+		if l := o.leader(); l != nil && l != asked {
+			asked = l
+			o.propose(l, source)
+		}
+		return o.hasCommitted(source)
+	}
+	if !o.cluster.RunUntil(d, done) {
+		o.t.Fatalf("%q was not committed within %v", source, d)
+	}
+}
+
+func (o *oracle) hasCommitted(source string) bool {
+	for i := uint64(len(o.entries) + 1); i > 1 && i+20 > uint64(len(o.entries)); i-- {
+		if e, ok := o.entries[i]; ok && text(e) == source {
+			return true
+		}
+	}
+	return false
+}
+
+// TestLeaderIsElectedAndReplicates runs the plain path.
+func TestLeaderIsElectedAndReplicates(t *testing.T) {
+	o := newOracle(t, 1, "a", "b", "c")
+	o.awaitLeader(2 * time.Second)
+	for i := range 20 {
+		o.awaitCommit(time.Second, fmt.Sprint("change ", i))
+	}
+	o.cluster.Run(500 * time.Millisecond)
+	for id, n := range o.nodes {
+		if n.applied != o.leader().applied {
+			t.Errorf("%s applied %d entries, the leader %d", id, n.applied, o.leader().applied)
+		}
+	}
+}
--- /dev/null
+++ b/core/consensus/voters.go
@@ -0,0 +1,184 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// The rules for the set of control hosts.
+const (
+	targetVoters   = 3                // voters that the leader aims at
+	learnerLag     = 10               // entries that a learner may lack when it becomes a voter
+	voterSilence   = 10 * time.Second // then a spare learner replaces the voter
+	learnerSilence = time.Minute      // then the learner is removed
+
+	joinInterval = time.Second     // between requests to be taken in
+	rejoinAfter  = 3 * time.Second // without a leader, a voter may have been removed
+)
+
+// isVoter reports whether a host votes.
+func isVoter(voters []proto.Voter, h types.HostID) bool {
+	return slices.ContainsFunc(voters, func(v proto.Voter) bool { return v.Host == h && !v.Learner })
+}
+
+// isMember reports whether a host votes or learns.
+func isMember(voters []proto.Voter, h types.HostID) bool {
+	return slices.ContainsFunc(voters, func(v proto.Voter) bool { return v.Host == h })
+}
+
+// joinDue asks the other control hosts to take this one in.
+func (n *Node) joinDue() {
+	n.arm(timerJoin, joinInterval)
+	if n.leader != "" {
+		return
+	}
+	if isVoter(n.log.voters(), n.self) && n.now.Sub(n.heardAt) < rejoinAfter {
+		return
+	}
+	self := n.opt.Self
+	n.send(proto.Message{Kind: proto.MsgJoin, Term: n.term, Joiner: &self})
+}
+
+// handleJoin adds an unknown host as a learner.
+func (n *Node) handleJoin(m proto.Message) {
+	if m.Joiner == nil || isMember(n.log.voters(), m.Joiner.Host) {
+		return
+	}
+	joiner := *m.Joiner
+	joiner.Learner = true
+	n.changeVoters(append(slices.Clone(n.log.voters()), joiner), joiner.Host, "a new host asked to join")
+}
+
+// mayChangeVoters reports whether voters may be proposed: no change is
+// uncommitted, and it differs from the set in force in one host.
+func (n *Node) mayChangeVoters(voters []proto.Voter) bool {
+	if n.log.votersIndex() > n.commit {
+		return false
+	}
+	return differences(n.log.voters(), voters) == 1 && slices.ContainsFunc(voters, func(v proto.Voter) bool { return !v.Learner })
+}
+
+// differences counts the hosts that are added, removed or changed.
+func differences(a, b []proto.Voter) int {
+	count := 0
+	for _, v := range a {
+		if !slices.Contains(b, v) {
+			count++
+		}
+	}
+	for _, v := range b {
+		if !isMember(a, v.Host) {
+			count++
+		}
+	}
+	return count
+}
+
+// changeVoters proposes a set of voters, if it may.
+func (n *Node) changeVoters(voters []proto.Voter, host types.HostID, reason string) {
+	if !n.leading() || !n.mayChangeVoters(voters) {
+		return
+	}
+	n.decide(effect.DecideVoters, host, reason)
+	n.propose(proto.Command{Voters: &proto.SetVoters{Voters: voters}})
+}
+
+// votersCommitted ends the leadership of a host that was voted out.
+func (n *Node) votersCommitted() {
+	if n.role == leader && n.log.votersIndex() <= n.applied && !isVoter(n.log.voters(), n.self) {
+		n.stepDown("this host was removed from the voters")
+	}
+}
+
+// manageVoters makes the next change of voters that is called for, if any:
+// learners that caught up replace silent voters, first in, then out, so that
+// the set never shrinks below what it was.
+func (n *Node) manageVoters() {
+	if !n.leading() {
+		return
+	}
+	voters := n.log.voters()
+	count := countVoters(voters)
+	silent, anySilent := find(voters, func(v proto.Voter) bool {
+		return !v.Learner && n.silentFor(v.Host) >= voterSilence
+	})
+	spare, anySpare := find(voters, func(v proto.Voter) bool { return v.Learner && n.caughtUp(v.Host) })
+	lost, anyLost := find(voters, func(v proto.Voter) bool {
+		return v.Learner && n.silentFor(v.Host) >= learnerSilence
+	})
+	switch {
+	case count > targetVoters && anySilent:
+		n.changeVoters(without(voters, silent.Host), silent.Host, "voter was silent for "+voterSilence.String())
+	case count > targetVoters:
+		v := n.surplus(voters)
+		n.changeVoters(withRole(voters, v.Host, true), v.Host, "more voters than needed")
+	case anySpare && count < targetVoters:
+		n.changeVoters(withRole(voters, spare.Host, false), spare.Host, "learner caught up")
+	case anySpare && anySilent:
+		n.changeVoters(withRole(voters, spare.Host, false), spare.Host, "learner replaces voter "+string(silent.Host))
+	case anyLost:
+		n.changeVoters(without(voters, lost.Host), lost.Host, "learner was silent for "+learnerSilence.String())
+	}
+}
+
+// silentFor returns how long a host has sent no reply.
+func (n *Node) silentFor(h types.HostID) time.Duration {
+	if h == n.self {
+		return 0
+	}
+	return n.now.Sub(n.peer(h).heardAt)
+}
+
+// caughtUp reports whether a host answers and lacks few entries.
+func (n *Node) caughtUp(h types.HostID) bool {
+	p := n.peer(h)
+	return n.silentFor(h) < ElectionTimeoutMin && p.match >= n.lead.first && p.match+learnerLag >= n.log.last()
+}
+
+// surplus returns the voter to make a learner again: the last that does not lead.
+func (n *Node) surplus(voters []proto.Voter) proto.Voter {
+	for _, v := range slices.Backward(voters) {
+		if !v.Learner && v.Host != n.self {
+			return v
+		}
+	}
+	return proto.Voter{}
+}
+
+func countVoters(voters []proto.Voter) int {
+	count := 0
+	for _, v := range voters {
+		if !v.Learner {
+			count++
+		}
+	}
+	return count
+}
+
+func find(voters []proto.Voter, is func(proto.Voter) bool) (proto.Voter, bool) {
+	i := slices.IndexFunc(voters, is)
+	if i < 0 {
+		return proto.Voter{}, false
+	}
+	return voters[i], true
+}
+
+// without returns the set without a host.
+func without(voters []proto.Voter, h types.HostID) []proto.Voter {
+	return slices.DeleteFunc(slices.Clone(voters), func(v proto.Voter) bool { return v.Host == h })
+}
+
+// withRole returns the set with a host as voter or learner.
+func withRole(voters []proto.Voter, h types.HostID, learner bool) []proto.Voter {
+	next := slices.Clone(voters)
+	for i := range next {
+		if next[i].Host == h {
+			next[i].Learner = learner
+		}
+	}
+	return next
+}
