--- /dev/null
+++ b/storage/storage_test.go
@@ -0,0 +1,123 @@
+package storage
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/camphorpaddle/camphorpaddle/core/consensus"
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"gotest.tools/v3/assert"
+)
+
+// entry returns an entry that changes the configuration.
+func entry(index uint64, term proto.ControlTerm) proto.Entry {
+	return proto.Entry{Index: index, Term: term, Command: proto.Command{Change: &proto.ChangeConfig{Source: "text"}}}
+}
+
+// write returns a Persist with entries from first to last.
+func write(term proto.ControlTerm, first, last uint64) effect.Persist {
+	p := effect.Persist{HardState: &proto.HardState{Term: term, Vote: "a", Commit: first}}
+	for i := first; i <= last; i++ {
+		p.Entries = append(p.Entries, entry(i, term))
+	}
+	return p
+}
+
+func open(t *testing.T, dir string) *Log {
+	t.Helper()
+	l, err := Open(dir, "c1")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// reopen closes a log and returns what the folder holds then.
+func reopen(t *testing.T, l *Log) consensus.Saved {
+	t.Helper()
+	assert.NilError(t, l.Close())
+	return open(t, l.folder.path).Saved()
+}
+
+// initialized returns the log of a new cluster with some entries.
+func initialized(t *testing.T) *Log {
+	t.Helper()
+	dir := t.TempDir()
+	_, err := Init(dir, proto.Voter{Host: "c1", Address: "127.0.0.1:1"})
+	assert.NilError(t, err)
+	l := open(t, dir)
+	assert.NilError(t, l.Persist(write(2, 2, 4)))
+	assert.NilError(t, l.Persist(write(2, 5, 5)))
+	return l
+}
+
+func TestWhatWasPersistedIsRead(t *testing.T) {
+	l := initialized(t)
+	host := l.Host()
+	assert.Assert(t, strings.HasPrefix(string(host), "c1."))
+	assert.NilError(t, l.Persist(write(3, 4, 4))) // replaces 4 and 5
+	want := l.Saved()
+	assert.Equal(t, len(want.Entries), 3)
+	got := reopen(t, l)
+	assert.DeepEqual(t, got, want)
+	assert.Equal(t, got.Snapshot.Voters[0].Host, host)
+}
+
+func TestInitRefusesUsedFolder(t *testing.T) {
+	l := initialized(t)
+	assert.NilError(t, l.Close())
+	_, err := Init(l.folder.path, proto.Voter{Host: "c1"})
+	assert.ErrorContains(t, err, "holds a control host already")
+}
+
+func TestLostFolderGetsNewIdentity(t *testing.T) {
+	l := initialized(t)
+	old := l.Host()
+	assert.NilError(t, l.Close())
+	assert.NilError(t, os.RemoveAll(l.folder.path))
+	again := open(t, l.folder.path)
+	assert.Assert(t, again.Host() != old)
+	assert.Assert(t, again.Saved().Snapshot == nil)
+	assert.Equal(t, len(again.Saved().Entries), 0)
+}
+
+func TestFolderIsLocked(t *testing.T) {
+	l := initialized(t)
+	_, err := Open(l.folder.path, "c1")
+	assert.ErrorContains(t, err, "in use by another process")
+}
+
+func TestSnapshotRotatesLog(t *testing.T) {
+	l := initialized(t)
+	p := write(2, 6, 6)
+	p.Snapshot = &proto.Snapshot{Index: 4, Term: 2}
+	assert.NilError(t, l.Persist(p))
+	assert.NilError(t, l.Persist(write(2, 7, 7)))
+	got := reopen(t, l)
+	assert.Equal(t, got.Snapshot.Index, uint64(4))
+	assert.Equal(t, len(got.Entries), 3)
+	assert.Equal(t, got.Entries[0].Index, uint64(5))
+}
+
+func TestSnapshotOfAnotherHistoryDropsEntries(t *testing.T) {
+	l := initialized(t)
+	assert.NilError(t, l.Persist(effect.Persist{Snapshot: &proto.Snapshot{Index: 4, Term: 3}}))
+	assert.Equal(t, len(reopen(t, l).Entries), 0)
+}
+
+// TestCrashBetweenSnapshotAndRotation leaves the old log beside the new snapshot.
+func TestCrashBetweenSnapshotAndRotation(t *testing.T) {
+	l := initialized(t)
+	path := filepath.Join(l.folder.path, logFile)
+	before, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.NilError(t, l.Persist(effect.Persist{Snapshot: &proto.Snapshot{Index: 4, Term: 2}}))
+	assert.NilError(t, l.Close())
+	assert.NilError(t, os.WriteFile(path, before, 0o600))
+	got := open(t, l.folder.path).Saved()
+	assert.Equal(t, got.Snapshot.Index, uint64(4))
+	assert.Equal(t, len(got.Entries), 1)
+	assert.Equal(t, got.Entries[0].Index, uint64(5))
+}
