--- a/wire/frame.go
+++ b/wire/frame.go
@@ -37,4 +37,19 @@
 	Message      *proto.Message
 	LeaseRequest *proto.LeaseRequest
 	LeaseGrant   *proto.LeaseGrant
+	KeepAlive    *KeepAlive
+}
+
+// KeepAlive shows that a connection without other frames still works.
+type KeepAlive struct{}
+
+// String returns the role as logs show it.
+func (r Role) String() string {
+	switch r {
+	case RoleControl:
+		return "control"
+	case RoleProxy:
+		return "proxy"
+	}
+	return "unknown"
 }
--- /dev/null
+++ b/wire/server.go
@@ -0,0 +1,93 @@
+package wire
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+
+	"github.com/coder/websocket"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+)
+
+// Server accepts the connections of control hosts and proxies at Path.
+type Server struct{ mesh *Mesh }
+
+// NewServer returns the handler that feeds m. It takes connections once m has
+// started.
+func NewServer(m *Mesh) *Server { return &Server{mesh: m} }
+
+// ServeHTTP upgrades a request and serves the connection until it ends. The
+// request's own context is not used, as servers bound it by a timeout.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.mesh.started() || !s.mesh.tasks.enter() {
+		http.Error(w, "this control host is not running", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.mesh.tasks.wait.Done()
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return // Accept has answered the request
+	}
+	defer func() { _ = ws.CloseNow() }()
+	ctx := s.mesh.tasks.ctx
+	peer, err := s.greet(ctx, ws)
+	if err != nil {
+		klog.InfoS("peer_refused", "host", s.mesh.dialer.self.Host, "address", r.RemoteAddr, "reason", err.Error())
+		_ = ws.Close(websocket.StatusPolicyViolation, closeReason(err))
+		return
+	}
+	c := newConn(ws, peer)
+	klog.InfoS("peer_accepted", "host", s.mesh.dialer.self.Host, "peer", peer.Host, "role", peer.Role.String())
+	c.logEnd(s.mesh.dialer.self, s.mesh.accepted(ctx, c))
+}
+
+func (m *Mesh) started() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.handlers.Message != nil
+}
+
+// greet reads the other side's hello, checks it, and answers.
+func (s *Server) greet(ctx context.Context, ws *websocket.Conn) (Hello, error) {
+	ws.SetReadLimit(maxHelloBytes)
+	f, err := readFrame(ctx, ws, maxHelloBytes, helloTimeout)
+	if err != nil {
+		return Hello{}, err
+	}
+	if f.Hello == nil {
+		return Hello{}, trace.BadParameter("the first frame is not a hello")
+	}
+	if err := s.check(f.Hello); err != nil {
+		return Hello{}, err
+	}
+	reply := s.mesh.dialer.self
+	reply.Key = ""
+	return *f.Hello, writeFrame(ctx, ws, Frame{Hello: &reply})
+}
+
+func (s *Server) check(h *Hello) error {
+	switch {
+	case h.Version != Version:
+		return trace.BadParameter("protocol version %d is not %d", h.Version, Version)
+	case !sameKey(h.Key, s.mesh.dialer.options.Key):
+		return trace.AccessDenied("the cluster key differs")
+	case h.Host == "" || h.Role != RoleControl && h.Role != RoleProxy:
+		return trace.BadParameter("the hello names no host or role")
+	}
+	return nil
+}
+
+// sameKey compares two keys in constant time, whatever their lengths.
+func sameKey(a, b string) bool {
+	x, y := sha256.Sum256([]byte(a)), sha256.Sum256([]byte(b))
+	return subtle.ConstantTimeCompare(x[:], y[:]) == 1
+}
+
+// closeReason returns the text of an error as far as a close frame holds it.
+func closeReason(err error) string {
+	const limit = 120 // a close frame has room for 123 bytes
+	text := trace.UserMessage(err)
+	return text[:min(limit, len(text))]
+}
