Serve sessions: floors, routing, durable acknowledgement, transactions

The shard gives each session its floor, queues requests for the targets that may serve them, and acknowledges a write only under a live lease, the current term and a majority that holds its position. A refusal inside a transaction ends the session, so that the rest of it can't be committed without the refused request. An id'd request is never refused as not run, since an earlier request of that id may have run.

--- /dev/null
+++ b/core/session/acknowledge.go
@@ -0,0 +1,117 @@
+package session
+
+import (
+	"fmt"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// verdict says whether an answer of a target may go to the caller.
+type verdict struct {
+	ok     bool
+	wait   bool              // for a newer view
+	code   types.RefusalCode // when neither
+	reason string
+}
+
+// acknowledge gives the caller its answer, waits, or refuses. It runs when the
+// target answered and again with each new view.
+func (s *Shard) acknowledge(r *request) {
+	v := s.judge(r)
+	switch {
+	case v.ok:
+		delete(r.service.waiting, r)
+		s.raiseFloor(r)
+		s.reply(r)
+	case v.wait:
+		s.wait(r, stageDurable)
+	default:
+		delete(r.service.waiting, r)
+		s.attemptFailed(r, true, v.code, v.reason)
+	}
+}
+
+func (s *Shard) judge(r *request) verdict {
+	if !s.leaseLive() {
+		return verdict{
+			wait: r.writes() && r.answer.Tx == types.TxIdle,
+			code: types.RefuseNoLease, reason: "the proxy's lease ran out before the answer came",
+		}
+	}
+	if r.replica {
+		return s.judgeReplica(r)
+	}
+	g := s.view.Group(r.service.name)
+	if !hasPrimary(g) || g.Primary != r.target || g.Term != r.sentTerm {
+		return replaced(r)
+	}
+	if r.answer.Tx != types.TxIdle {
+		return verdict{ok: true}
+	}
+	if !r.positioned {
+		return verdict{code: types.RefuseNotDurable, reason: fmt.Sprintf("target %s gave no position", r.target)}
+	}
+	if !r.status.Primary || r.status.Term != g.Term {
+		return replaced(r)
+	}
+	if r.writes() && r.profile.Durability == types.DurableMajority && !s.durable(r.service, g, r) {
+		return verdict{wait: true}
+	}
+	return verdict{ok: true}
+}
+
+// judgeReplica accepts an answer when the replica stands in the term that it
+// stood in when it was chosen, and still covers the session's floor.
+func (s *Shard) judgeReplica(r *request) verdict {
+	g := s.view.Group(r.service.name)
+	if !r.positioned && r.answer.Tx != types.TxIdle {
+		return verdict{ok: true}
+	}
+	if g == nil || !r.positioned || r.status.Term != r.sentTerm {
+		return replaced(r)
+	}
+	if !g.History.Covers(r.status.Pos, r.session.floor.bound(r.profile)) {
+		return verdict{code: types.RefuseReplaced, reason: fmt.Sprintf("replica %s has lost entries", r.target)}
+	}
+	return verdict{ok: true}
+}
+
+func replaced(r *request) verdict {
+	return verdict{
+		code:   types.RefuseReplaced,
+		reason: fmt.Sprintf("target %s was replaced in term %d before the answer could be confirmed", r.target, r.sentTerm),
+	}
+}
+
+// durable reports whether a majority of the group holds the request's
+// position in the current term.
+func (s *Shard) durable(svc *service, g *types.Group, r *request) bool {
+	size := max(s.view.Cluster.Config.Services[svc.name].Members, len(g.Members))
+	holders := 1 // the primary
+	for _, m := range g.Members {
+		if m.Name == g.Primary {
+			continue
+		}
+		h := svc.health(s.view, m.Name)
+		if h.Term == g.Term && g.History.Covers(h.Pos, r.status.Pos) {
+			holders++
+		}
+	}
+	return holders >= types.Quorum(size)
+}
+
+// raiseFloor makes the session's later reads cover what this answer showed.
+func (s *Shard) raiseFloor(r *request) {
+	f := &r.session.floor
+	switch {
+	case !r.positioned:
+	case r.replica:
+		f.raiseSeen(r.status.Pos)
+	case !f.known:
+		f.begin(r.status.Pos)
+	case r.writes():
+		f.raiseWritten(r.status.Pos)
+	default:
+		f.raiseSeen(r.status.Pos)
+	}
+}
--- /dev/null
+++ b/core/session/deadline.go
@@ -0,0 +1,134 @@
+package session
+
+import (
+	"fmt"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+func sessionTimer(id types.SessionID) event.TimerID {
+	return event.TimerID{Domain: event.DomainSession, Key: uint64(id)}
+}
+
+// armSession sets the session's timer to the next instant at which something
+// is due, and brings the shard's counts up to date.
+func (s *Shard) armSession(c *session) {
+	s.track(c)
+	at := s.nextDue(c)
+	if at == c.timerAt {
+		return
+	}
+	c.timerAt = at
+	if at == 0 {
+		s.emit(effect.StopTimer{ID: sessionTimer(c.id)})
+		return
+	}
+	s.emit(effect.ArmTimer{ID: sessionTimer(c.id), At: max(at, s.now+1)})
+}
+
+// nextDue returns when something of the session is due, or zero.
+func (s *Shard) nextDue(c *session) types.Instant {
+	var at types.Instant
+	if r := c.request; r != nil {
+		at = r.due()
+	}
+	if until, ok := s.transactionUntil(c); ok && (at == 0 || until < at) {
+		at = until
+	}
+	return at
+}
+
+// due returns when the request's present stage ends.
+func (r *request) due() types.Instant {
+	switch r.stage {
+	case stageFloor, stageQueued:
+		return r.queueDeadline
+	case stageBackoff:
+		return r.retryAt
+	}
+	return r.deadline
+}
+
+// transactionUntil returns until when the session's transaction may go on
+// because its target leaves.
+func (s *Shard) transactionUntil(c *session) (types.Instant, bool) {
+	if !c.inTransaction() {
+		return 0, false
+	}
+	svc := s.services[c.service]
+	return svc.departures.Deadline(c.conn.Ref.Name, c.profile.DrainTimeout)
+}
+
+// sessionDue acts on what is due of a session.
+func (s *Shard) sessionDue(c *session) {
+	c.timerAt = 0
+	if until, ok := s.transactionUntil(c); ok && s.now >= until {
+		s.endTransaction(c, types.RefuseNotClean, leavingReason(c.conn.Ref.Name))
+		return
+	}
+	if r := c.request; r != nil && s.now >= r.due() {
+		s.requestDue(r)
+		return
+	}
+	s.armSession(c)
+}
+
+// endTransaction ends a transaction that can't be committed any more, and its
+// session.
+func (s *Shard) endTransaction(c *session, code types.RefusalCode, reason string) {
+	if r := c.request; r != nil {
+		r.mayRun = true
+		s.refuse(r, code, types.Unknown, reason)
+		return
+	}
+	s.endSession(c, refusal(code, types.NotRun, reason))
+}
+
+func (s *Shard) requestDue(r *request) {
+	switch r.stage {
+	case stageFloor:
+		s.refuse(r, s.unavailable(r), r.outcome(), "the group's primary gave no position in time")
+	case stageQueued:
+		s.refuseQueued(r)
+	case stageBackoff:
+		r.queueDeadline = min(r.deadline, s.now.Add(orDefault(r.profile.QueueTimeout, defaultQueueTimeout)))
+		s.place(r)
+	case stageRunning:
+		r.mayRun = true
+		s.refuse(r, types.RefuseTimeout, types.Unknown, fmt.Sprintf("target %s did not answer in time", r.target))
+	case stageDurable:
+		s.refuseNotDurable(r)
+	}
+}
+
+// unavailable returns why nothing of the service can be served.
+func (s *Shard) unavailable(r *request) types.RefusalCode {
+	if !s.leaseLive() {
+		return types.RefuseNoLease
+	}
+	return types.RefuseNoPrimary
+}
+
+func (s *Shard) refuseQueued(r *request) {
+	q := r.service.queues[r.key]
+	switch {
+	case !s.leaseLive():
+		s.refuse(r, types.RefuseNoLease, r.outcome(), "the proxy's lease has run out")
+	case len(s.queueTargets(r.service, q)) == 0:
+		s.refuse(r, types.RefuseNoPrimary, r.outcome(), "the group has no primary")
+	case s.now >= r.deadline:
+		s.refuse(r, types.RefuseTimeout, r.outcome(), "no connection came free in time")
+	default:
+		s.refuse(r, types.RefuseOverloaded, r.outcome(), "no connection came free in time")
+	}
+}
+
+func (s *Shard) refuseNotDurable(r *request) {
+	code := types.RefuseNotDurable
+	if !s.leaseLive() {
+		code = types.RefuseNoLease
+	}
+	s.refuse(r, code, types.Unknown, fmt.Sprintf("no majority confirmed position %s in time", r.status.Pos))
+}
--- /dev/null
+++ b/core/session/exchange.go
@@ -0,0 +1,195 @@
+package session
+
+import (
+	"fmt"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/retry"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// step is the exchange that a running request has under way.
+type step uint8
+
+const (
+	stepCaller step = iota // the caller's statement alone
+	stepClaim              // record the request's id
+	stepRun                // the statement, after its id was recorded
+	stepRecord             // store the answer and commit
+	stepLookup             // fetch the answer of an earlier run
+)
+
+// start gives a queued request a connection of the target and sends it.
+func (s *Shard) start(r *request, name types.TargetName) {
+	c := r.service.target(name).pool.Take(r.session.id)
+	g := s.view.Group(r.service.name)
+	r.conn, r.target, r.replica = c, name, name != g.Primary
+	r.observed.Assigned = s.now
+	s.sendFirst(r)
+}
+
+// startPinned sends a request of an open transaction on its connection.
+func (s *Shard) startPinned(r *request) {
+	c := r.session
+	r.conn, r.target, r.replica = c.conn, c.conn.Ref.Name, c.onReplica
+	r.observed.Floored, r.observed.Assigned = s.now, s.now
+	if at, ok := r.service.departures.Deadline(r.target, r.profile.DrainTimeout); ok && s.now >= at {
+		s.refuse(r, types.RefuseNotClean, r.outcome(), leavingReason(r.target))
+		return
+	}
+	s.sendFirst(r)
+}
+
+func leavingReason(t types.TargetName) string {
+	return fmt.Sprintf("target %s leaves and the time for its transactions is over", t)
+}
+
+func (s *Shard) sendFirst(r *request) {
+	if r.ID != "" {
+		s.send(r, stepClaim)
+		return
+	}
+	s.send(r, stepCaller)
+}
+
+func (s *Shard) send(r *request, st step) {
+	r.stage, r.step, r.sentAt = stageRunning, st, s.now
+	if g := s.view.Group(r.service.name); g != nil {
+		r.sentTerm = g.Term
+	}
+	s.emit(effect.SendTarget{
+		Conn: r.conn.ID, Seq: r.conn.Begin(), Operations: r.operations(), Trace: r.Trace,
+	})
+	s.armSession(r.session)
+}
+
+// operations returns what the request's step asks of the target. Every
+// exchange that may be the last ends with the target's position.
+func (r *request) operations() []types.Operation {
+	caller := types.Operation{Kind: types.OpCaller, Payload: r.Payload}
+	position := types.Operation{Kind: types.OpPosition}
+	own := !r.inTx
+	switch r.step {
+	case stepClaim:
+		return wrap(own, types.OpBegin, types.Operation{Kind: types.OpClaim, RequestID: r.ID})
+	case stepRun:
+		return []types.Operation{caller}
+	case stepRecord:
+		record := types.Operation{Kind: types.OpRecordAnswer, RequestID: r.ID, Payload: r.answer.Payload}
+		if own {
+			return []types.Operation{record, {Kind: types.OpCommit}, position}
+		}
+		return []types.Operation{record, position}
+	case stepLookup:
+		lookup := types.Operation{Kind: types.OpLookup, RequestID: r.ID}
+		return append(wrap(own, types.OpRollback, lookup), position)
+	}
+	return []types.Operation{caller, position}
+}
+
+// wrap puts an operation of the given kind before op when first is set.
+func wrap(first bool, kind types.OperationKind, op types.Operation) []types.Operation {
+	if first {
+		return []types.Operation{{Kind: kind}, op}
+	}
+	return []types.Operation{op}
+}
+
+func (s *Shard) targetAnswered(e event.TargetAnswered) {
+	conn, ok := s.conns[e.Conn]
+	if !ok || !conn.Matches(e.Seq) {
+		return
+	}
+	conn.End()
+	r := s.sessions[conn.Owner].request
+	s.dirty[r.service.name] = true
+	if e.Err == nil && len(e.Results) != len(r.operations()) {
+		e.Err = fmt.Errorf("target %s gave %d results for %d operations", r.target, len(e.Results), len(r.operations()))
+		e.Sent = true
+	}
+	if e.Err != nil {
+		s.attemptFailed(r, e.Sent, types.RefuseConnLost, fmt.Sprintf("the connection to target %s broke: %v", r.target, e.Err))
+		return
+	}
+	r.observed.Answered = s.now
+	r.service.target(r.target).stats.Answered(s.now, e.Took)
+	s.takeStatus(r, e.Results[len(e.Results)-1])
+	s.stepDone(r, e.Results)
+}
+
+// takeStatus keeps the status of the target when the exchange ended with it.
+func (s *Shard) takeStatus(r *request, last types.Result) {
+	r.positioned = false
+	if last.Err != types.TargetErrNone || last.Status == (types.TargetStatus{}) {
+		return
+	}
+	r.positioned, r.status = true, last.Status
+	r.service.learn(r.target, last.Status, r.sentAt, s.now)
+}
+
+func (s *Shard) stepDone(r *request, results []types.Result) {
+	switch r.step {
+	case stepCaller:
+		s.callerDone(r, results[0])
+	case stepClaim:
+		s.claimDone(r, results[len(results)-1])
+	case stepRun:
+		s.runDone(r, results[0])
+	case stepRecord:
+		s.recordDone(r, results)
+	case stepLookup:
+		s.lookupDone(r, results[len(results)-2])
+	}
+}
+
+// callerDone takes in the answer to the caller's statement.
+func (s *Shard) callerDone(r *request, res types.Result) {
+	if res.Err == types.TargetErrReadOnly && !r.replica {
+		s.attemptFailed(r, true, types.RefuseReplaced, fmt.Sprintf("target %s is no longer the primary", r.target))
+		return
+	}
+	r.answer = types.Answer{Payload: res.Payload, Tx: res.Tx}
+	s.settleConn(r, res.Tx)
+	s.acknowledge(r)
+}
+
+// settleConn binds the connection to the session while a transaction is open,
+// and gives it back otherwise.
+func (s *Shard) settleConn(r *request, tx types.TxStatus) {
+	c, conn := r.session, r.conn
+	r.stage, r.conn = stageDurable, nil
+	if tx != types.TxIdle {
+		c.conn, c.onReplica, c.profile = conn, r.replica, r.profile
+		return
+	}
+	c.conn = nil
+	s.release(conn)
+}
+
+// attemptFailed closes the connection of an attempt that brought no answer and
+// sends the request again if that is safe, or refuses it.
+func (s *Shard) attemptFailed(r *request, sent bool, code types.RefusalCode, reason string) {
+	lostTx := r.inTx || r.session.inTransaction()
+	again := !lostTx && (!sent || r.repeatable())
+	r.mayRun = r.mayRun || sent
+	s.abandon(r)
+	if again && s.retry(r, reason) {
+		return
+	}
+	s.refuse(r, code, r.outcome(), reason)
+}
+
+// retry puts the request aside for another attempt, if there is time and the
+// service's budget allows it.
+func (s *Shard) retry(r *request, reason string) bool {
+	at := s.now.Add(retry.Backoff(r.retries, s.random()))
+	if at >= r.deadline || !r.service.budget.Spend() {
+		return false
+	}
+	r.retries++
+	r.stage, r.retryAt = stageBackoff, at
+	s.emit(effect.Decide{Kind: effect.DecideRetry, Service: r.service.name, Target: r.target, Host: s.options.Host, Reason: reason})
+	s.armSession(r.session)
+	return true
+}
--- /dev/null
+++ b/core/session/once.go
@@ -0,0 +1,62 @@
+package session
+
+import "github.com/camphorpaddle/camphorpaddle/core/types"
+
+// claimDone goes on with the statement once the request's id is recorded, or
+// fetches the answer of the earlier run.
+func (s *Shard) claimDone(r *request, res types.Result) {
+	switch res.Err {
+	case types.TargetErrNone:
+		s.send(r, stepRun)
+	case types.TargetErrDuplicate:
+		s.send(r, stepLookup)
+	default:
+		s.attemptFailed(r, true, types.RefuseReplaced, "target "+string(r.target)+" could not record the request's id")
+	}
+}
+
+// runDone stores the answer beside the id. A statement that failed leaves no
+// trace of the id.
+func (s *Shard) runDone(r *request, res types.Result) {
+	r.answer = types.Answer{Payload: res.Payload, Tx: res.Tx}
+	if res.Err == types.TargetErrNone {
+		s.send(r, stepRecord)
+		return
+	}
+	if r.inTx {
+		s.settleConn(r, res.Tx)
+		s.acknowledge(r)
+		return
+	}
+	r.answer.Tx = types.TxIdle
+	s.dropConn(r.conn)
+	r.conn = nil
+	s.reply(r)
+}
+
+// recordDone acknowledges the request once its answer is stored.
+func (s *Shard) recordDone(r *request, results []types.Result) {
+	for _, res := range results[:len(results)-1] {
+		if res.Err != types.TargetErrNone {
+			s.attemptFailed(r, true, types.RefuseReplaced, "target "+string(r.target)+" could not store the answer")
+			return
+		}
+	}
+	tx := results[len(results)-2].Tx
+	r.answer.Tx = tx
+	s.settleConn(r, tx)
+	s.acknowledge(r)
+}
+
+// lookupDone answers with what the earlier run of the id recorded.
+func (s *Shard) lookupDone(r *request, res types.Result) {
+	if res.Err != types.TargetErrNone || !res.Found {
+		r.mayRun = true
+		s.settleConn(r, res.Tx)
+		s.refuse(r, types.RefuseConnLost, types.Unknown, "a request with this id already ran and its answer was not recorded")
+		return
+	}
+	r.answer = types.Answer{Payload: res.Payload, Tx: res.Tx}
+	s.settleConn(r, res.Tx)
+	s.acknowledge(r)
+}
--- /dev/null
+++ b/core/session/place.go
@@ -0,0 +1,228 @@
+package session
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/pool"
+	"github.com/camphorpaddle/camphorpaddle/core/routing"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+const (
+	// primaryKey is the candidate set of requests that need the primary.
+	primaryKey = "\x00primary"
+	// maxQueue bounds the requests that wait for one candidate set.
+	maxQueue = 4096
+)
+
+// queue holds the requests that wait for one candidate set.
+type queue struct {
+	entries    pool.Queue[*request]
+	candidates []types.TargetName // empty for primaryKey
+}
+
+// place decides what a request waits for next and puts it there.
+func (s *Shard) place(r *request) {
+	s.dirty[r.service.name] = true
+	if !r.onPrimary() && !s.sessionFloor(r.session) {
+		s.wait(r, stageFloor)
+		return
+	}
+	if pos, lost := s.lostFloor(r.session); lost {
+		s.refuseLost(r, pos)
+		return
+	}
+	if r.observed.Floored == 0 {
+		r.observed.Floored = s.now
+	}
+	s.enqueue(r)
+}
+
+// refuseLost tells a session once that something it has seen is gone. Its
+// floor is asked for again.
+func (s *Shard) refuseLost(r *request, pos types.LogPos) {
+	c := r.session
+	c.floor = floor{}
+	c.opened = s.now
+	s.refuse(r, types.RefuseLostWrite, r.outcome(),
+		"a promotion lost position "+pos.String()+", which the session has seen or written")
+}
+
+// wait puts a request among those that wait for positions.
+func (s *Shard) wait(r *request, st stage) {
+	r.stage = st
+	r.service.waiting[r] = true
+	s.armSession(r.session)
+}
+
+func (s *Shard) enqueue(r *request) {
+	key, candidates := s.candidateSet(r)
+	q, ok := r.service.queues[key]
+	if !ok {
+		q = &queue{candidates: candidates}
+		r.service.queues[key] = q
+	}
+	if reason := s.overload(r, q); reason != "" && !r.admitted {
+		s.refuse(r, types.RefuseOverloaded, r.outcome(), reason)
+		return
+	}
+	r.stage, r.key, r.admitted = stageQueued, key, true
+	r.entry = q.entries.Push(r.profile.Name, r.profile.Weight, r)
+	s.armSession(r.session)
+}
+
+// overload returns why the queue can't take the request, or nothing.
+func (s *Shard) overload(r *request, q *queue) string {
+	if q.entries.Len() >= maxQueue {
+		return "the queue is full"
+	}
+	wait := s.queueTime(r.service, q)
+	if s.now.Add(wait) > r.queueDeadline {
+		return "the queue would take " + wait.String()
+	}
+	return ""
+}
+
+// queueTime estimates how long a request that joins the queue will wait.
+func (s *Shard) queueTime(svc *service, q *queue) time.Duration {
+	var perSecond float64
+	for _, name := range s.queueTargets(svc, q) {
+		t := svc.target(name)
+		if took := t.stats.Latency(); took > 0 {
+			perSecond += float64(t.pool.Limit()) / took.Seconds()
+		}
+	}
+	if perSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(q.entries.Len()) / perSecond * float64(time.Second))
+}
+
+func (s *Shard) unqueue(r *request) {
+	r.service.queues[r.key].entries.Remove(r.profile.Name, r.entry)
+	r.entry = nil
+}
+
+// candidateSet returns the replicas that may serve the request, or the key of
+// the primary.
+func (s *Shard) candidateSet(r *request) (string, []types.TargetName) {
+	if r.onPrimary() {
+		return primaryKey, nil
+	}
+	var names []types.TargetName
+	g := s.view.Group(r.service.name)
+	if hasPrimary(g) {
+		for _, t := range g.Members {
+			if s.replicaServes(r, g, t) {
+				names = append(names, t.Name)
+			}
+		}
+	}
+	if len(names) == 0 {
+		return primaryKey, nil
+	}
+	return setKey(names), names
+}
+
+func setKey(names []types.TargetName) string {
+	parts := make([]string, len(names))
+	for i, n := range names {
+		parts[i] = string(n)
+	}
+	return strings.Join(parts, "\x00")
+}
+
+// replicaServes reports whether the member is a replica that may serve the
+// read now.
+func (s *Shard) replicaServes(r *request, g *types.Group, t types.Target) bool {
+	if t.Name == g.Primary || t.State != types.TargetActive {
+		return false
+	}
+	h := r.service.health(s.view, t.Name)
+	if h.Failing || h.Term != g.Term || !r.service.target(t.Name).pool.Reachable() {
+		return false
+	}
+	if r.profile.Freshness == types.FreshAge && !fresh(h, s.now, r.profile.MaxAge) {
+		return false
+	}
+	return g.History.Covers(h.Pos, r.session.floor.bound(r.profile))
+}
+
+// fresh reports whether the target's data is at most maxAge old.
+func fresh(h types.TargetHealth, now types.Instant, maxAge time.Duration) bool {
+	return h.FreshAt != 0 && now.Sub(h.FreshAt) <= maxAge
+}
+
+// queueTargets returns the targets that may serve a queue now.
+func (s *Shard) queueTargets(svc *service, q *queue) []types.TargetName {
+	if len(q.candidates) > 0 {
+		return q.candidates
+	}
+	g := s.view.Group(svc.name)
+	if g == nil || g.Phase != types.GroupServing || g.Primary == "" || svc.departures.Leaving(g.Primary) {
+		return nil
+	}
+	return []types.TargetName{g.Primary}
+}
+
+// dispatch starts the queued requests that a connection is free for, and
+// opens connections for those that wait.
+func (s *Shard) dispatch(svc *service) {
+	for s.leaseLive() {
+		q, ready := s.nextQueue(svc)
+		if q == nil {
+			break
+		}
+		r, _ := q.entries.Pop()
+		r.entry = nil
+		if key, _ := s.candidateSet(r); key != r.key {
+			s.enqueue(r)
+			continue
+		}
+		s.start(r, s.choose(svc, ready))
+	}
+	s.dial(svc)
+}
+
+// nextQueue returns the queue whose next request arrived first among those
+// with a free connection, and the targets that have one.
+func (s *Shard) nextQueue(svc *service) (*queue, []types.TargetName) {
+	var best *queue
+	var bestReady []types.TargetName
+	var bestArrived types.Instant
+	for _, key := range sortedKeys(svc.queues) {
+		q := svc.queues[key]
+		r, ok := q.entries.Peek()
+		if !ok || (best != nil && r.arrived >= bestArrived) {
+			continue
+		}
+		if ready := s.readyTargets(svc, q); len(ready) > 0 {
+			best, bestReady, bestArrived = q, ready, r.arrived
+		}
+	}
+	return best, bestReady
+}
+
+func (s *Shard) readyTargets(svc *service, q *queue) []types.TargetName {
+	return slices.DeleteFunc(slices.Clone(s.queueTargets(svc, q)), func(n types.TargetName) bool {
+		return svc.departures.Leaving(n) || !svc.target(n).pool.Ready()
+	})
+}
+
+// choose applies the routing policy.
+func (s *Shard) choose(svc *service, names []types.TargetName) types.TargetName {
+	g := s.view.Group(svc.name)
+	candidates := make([]routing.Candidate, len(names))
+	for i, name := range names {
+		t := svc.target(name)
+		member, _ := g.Target(name)
+		candidates[i] = routing.Candidate{
+			Target: name, Outstanding: t.pool.InFlight(), Slots: t.pool.Share().Slots,
+			Latency: t.stats.Latency(), Rate: t.stats.Rate(),
+			SameZone: member.AvailabilityZone == s.options.AvailabilityZone,
+		}
+	}
+	return names[s.options.Policy.Pick(candidates, s.random())]
+}
--- /dev/null
+++ b/core/session/service.go
@@ -0,0 +1,102 @@
+package session
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/camphorpaddle/camphorpaddle/core/drain"
+	"github.com/camphorpaddle/camphorpaddle/core/pool"
+	"github.com/camphorpaddle/camphorpaddle/core/retry"
+	"github.com/camphorpaddle/camphorpaddle/core/routing"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// service is the traffic state of one service.
+type service struct {
+	name       types.ServiceName
+	key        uint64 // numbers its timer
+	targets    map[types.TargetName]*target
+	queues     map[string]*queue
+	waiting    map[*request]bool // for the floor or for a majority
+	departures drain.Departures
+	budget     *retry.Budget
+	writing    int          // sessions with a write or a transaction on the primary
+	group      *types.Group // group that the shard acted on last
+}
+
+// target is what the shard knows of one member of a service.
+type target struct {
+	pool    *pool.Target
+	stats   routing.Stats
+	learned types.TargetHealth // status that came with an answer
+}
+
+// service returns the state of a service and creates it with its targets.
+func (s *Shard) service(name types.ServiceName) *service {
+	svc, ok := s.services[name]
+	if !ok {
+		svc = &service{
+			name: name, key: uint64(len(s.services) + 1),
+			targets: make(map[types.TargetName]*target),
+			queues:  make(map[string]*queue),
+			waiting: make(map[*request]bool),
+			budget:  retry.NewBudget(),
+		}
+		s.services[name] = svc
+		svc.group = s.view.Group(name)
+		s.updateTargets(svc)
+	}
+	return svc
+}
+
+// target returns the state of a member.
+func (svc *service) target(name types.TargetName) *target {
+	t, ok := svc.targets[name]
+	if !ok {
+		t = &target{pool: pool.NewTarget(types.TargetRef{Service: svc.name, Name: name})}
+		svc.targets[name] = t
+	}
+	return t
+}
+
+// health returns the latest that is known of a target: what its last probe
+// brought, or what came with an answer to a request sent after that probe.
+func (svc *service) health(v *types.NodeView, name types.TargetName) types.TargetHealth {
+	h := v.Health[types.TargetRef{Service: svc.name, Name: name}]
+	t, ok := svc.targets[name]
+	if !ok || t.learned.AskedAt <= h.AskedAt {
+		return h
+	}
+	h.Term, h.Primary, h.Pos = t.learned.Term, t.learned.Primary, t.learned.Pos
+	h.AskedAt, h.HeardAt = t.learned.AskedAt, t.learned.HeardAt
+	return h
+}
+
+// learn takes in the status that came with an answer.
+func (svc *service) learn(name types.TargetName, st types.TargetStatus, asked, heard types.Instant) {
+	t := svc.target(name)
+	if asked < t.learned.AskedAt {
+		return
+	}
+	t.learned = types.TargetHealth{
+		Term: st.Term, Primary: st.Primary, Pos: st.Pos, AskedAt: asked, HeardAt: heard,
+	}
+}
+
+// waitingOrNil makes the set usable for requests that found no service.
+func (svc *service) waitingOrNil() map[*request]bool {
+	if svc == nil {
+		return nil
+	}
+	return svc.waiting
+}
+
+// waitingInOrder returns the waiting requests in the order of their sessions.
+func (svc *service) waitingInOrder() []*request {
+	return slices.SortedFunc(maps.Keys(svc.waiting), func(a, b *request) int {
+		return cmp.Compare(a.session.id, b.session.id)
+	})
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/core/session/session.go
@@ -0,0 +1,143 @@
+package session
+
+import (
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/pool"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// session is the state of one caller's session.
+type session struct {
+	id      types.SessionID
+	service types.ServiceName
+	opened  types.Instant // a floor asked for later covers what was acknowledged before
+	floor   floor
+	request *request // under way, or nil
+	timerAt types.Instant
+
+	// Set while a transaction is open.
+	conn      *pool.Conn
+	onReplica bool
+	profile   types.Profile // of the last request in it
+
+	// Counted in the shard's reports.
+	busy    bool
+	writing bool
+}
+
+// inTransaction reports whether a connection is bound to the session.
+func (c *session) inTransaction() bool { return c.conn != nil }
+
+// floor is what a session's reads must cover.
+type floor struct {
+	known   bool
+	written types.LogPos // own writes, and what was acknowledged before the session opened
+	seen    types.LogPos // what the session wrote or may have read
+}
+
+func (f *floor) begin(pos types.LogPos) {
+	f.known = true
+	f.raiseWritten(pos)
+}
+
+func (f *floor) raiseWritten(pos types.LogPos) {
+	if pos.Compare(f.written) > 0 {
+		f.written = pos
+	}
+	f.raiseSeen(pos)
+}
+
+func (f *floor) raiseSeen(pos types.LogPos) {
+	if pos.Compare(f.seen) > 0 {
+		f.seen = pos
+	}
+}
+
+// bound returns the position that a read of the profile must cover.
+func (f *floor) bound(p types.Profile) types.LogPos {
+	if p.Freshness == types.FreshAge {
+		return f.written
+	}
+	return f.seen
+}
+
+func (s *Shard) openSession(e event.SessionOpened) {
+	if s.draining {
+		s.emit(effect.EndSession{Session: e.Session, Refusal: refusal(types.RefuseDraining, types.NotRun, "the proxy is stopping")})
+		return
+	}
+	c := &session{id: e.Session, service: e.Params.Service, opened: s.now}
+	if e.Params.Token != nil {
+		c.floor.begin(*e.Params.Token)
+	}
+	s.sessions[e.Session] = c
+}
+
+// closeSession forgets a session whose caller is gone. What it has under way
+// on a target ends with the connection.
+func (s *Shard) closeSession(id types.SessionID) {
+	c, ok := s.sessions[id]
+	if !ok {
+		return
+	}
+	if r := c.request; r != nil {
+		s.abandon(r)
+	}
+	if c.conn != nil {
+		s.dropConn(c.conn)
+	}
+	s.forget(c)
+}
+
+// endSession tells the caller that its session is over.
+func (s *Shard) endSession(c *session, r types.Refusal) {
+	if c.conn != nil {
+		s.dropConn(c.conn)
+		c.conn = nil
+	}
+	s.emit(effect.EndSession{Session: c.id, Refusal: r})
+	s.forget(c)
+}
+
+func (s *Shard) forget(c *session) {
+	s.untrack(c)
+	s.emit(effect.StopTimer{ID: sessionTimer(c.id)})
+	delete(s.sessions, c.id)
+}
+
+// sessionFloor makes sure that the session has a floor. Without a token it is
+// the position of the primary, asked for after the session opened and answered
+// under a live lease and the current term.
+func (s *Shard) sessionFloor(c *session) bool {
+	if c.floor.known {
+		return true
+	}
+	svc := s.services[c.service]
+	g := s.view.Group(c.service)
+	if svc == nil || !s.leaseLive() || !hasPrimary(g) {
+		return false
+	}
+	h := svc.health(s.view, g.Primary)
+	if h.AskedAt < c.opened || h.Term != g.Term || !h.Primary {
+		return false
+	}
+	c.floor.begin(h.Pos)
+	return true
+}
+
+// lostFloor returns the position that the session has seen and a promotion
+// has lost.
+func (s *Shard) lostFloor(c *session) (types.LogPos, bool) {
+	g := s.view.Group(c.service)
+	if !c.floor.known || !hasPrimary(g) || g.History.Survives(c.floor.seen, g.Term) {
+		return types.LogPos{}, false
+	}
+	return c.floor.seen, true
+}
+
+// hasPrimary reports whether the group's primary may acknowledge writes.
+func hasPrimary(g *types.Group) bool {
+	return g != nil && g.Primary != "" &&
+		(g.Phase == types.GroupServing || g.Phase == types.GroupQuiescing)
+}
--- a/core/session/shard.go
+++ b/core/session/shard.go
@@ -4,8 +4,13 @@
 package session
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/pool"
+	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -14,13 +19,96 @@
 	Host             types.HostID
 	AvailabilityZone types.AvailabilityZone
 	Index            int
+	Policy           routing.Policy // nil picks routing.Default
 }
 
 // Shard is the traffic state of one shard.
-type Shard struct{}
+type Shard struct {
+	options  Options
+	sessions map[types.SessionID]*session
+	services map[types.ServiceName]*service
+	conns    map[types.ConnID]*pool.Conn
+	lastConn types.ConnID
+	draining bool
+	reports  reporter
+
+	// Valid during one step.
+	now   types.Instant
+	seed  uint64
+	view  *types.NodeView
+	dirty map[types.ServiceName]bool // services whose queues may move on
+	out   []effect.Effect
+}
 
 // NewShard returns a shard without sessions.
-func NewShard(Options) *Shard { return &Shard{} }
+func NewShard(o Options) *Shard {
+	if o.Policy == nil {
+		o.Policy = routing.Default()
+	}
+	return &Shard{
+		options:  o,
+		sessions: make(map[types.SessionID]*session),
+		services: make(map[types.ServiceName]*service),
+		conns:    make(map[types.ConnID]*pool.Conn),
+		dirty:    make(map[types.ServiceName]bool),
+	}
+}
 
 // Step takes in one event; Input.View is the view to act on.
-func (s *Shard) Step(event.Input) []effect.Effect { return nil }
+func (s *Shard) Step(in event.Input) []effect.Effect {
+	s.now, s.seed, s.out = in.Now, in.Seed, nil
+	if in.View != s.view {
+		s.view = in.View
+		s.viewChanged()
+	}
+	s.handle(in.Event)
+	for _, name := range slices.Sorted(maps.Keys(s.dirty)) {
+		s.dispatch(s.services[name])
+	}
+	clear(s.dirty)
+	s.report()
+	return s.out
+}
+
+func (s *Shard) handle(ev event.Event) {
+	switch e := ev.(type) {
+	case event.SessionOpened:
+		s.openSession(e)
+	case event.RequestArrived:
+		s.requestArrived(e)
+	case event.SessionClosed:
+		s.closeSession(e.Session)
+	case event.TargetConnected:
+		s.targetConnected(e)
+	case event.TargetAnswered:
+		s.targetAnswered(e)
+	case event.TimerFired:
+		s.timerFired(e.ID)
+	case event.DrainBegan:
+		s.drain()
+	}
+}
+
+func (s *Shard) emit(eff effect.Effect) { s.out = append(s.out, eff) }
+
+// random returns fresh random bits, different for each call within a step.
+func (s *Shard) random() uint64 {
+	s.seed = s.seed*6364136223846793005 + 1442695040888963407
+	return s.seed
+}
+
+// leaseLive reports whether the proxy may serve now.
+func (s *Shard) leaseLive() bool { return s.view.LeaseLive(s.now) }
+
+func (s *Shard) timerFired(id event.TimerID) {
+	switch id.Domain {
+	case event.DomainSession:
+		if c, ok := s.sessions[types.SessionID(id.Key)]; ok {
+			s.sessionDue(c)
+		}
+	case event.DomainPool:
+		s.poolDue(id.Key)
+	case event.DomainDrain:
+		s.reports.timerFired()
+	}
+}
