--- a/core/session/driver_test.go
+++ b/core/session/driver_test.go
@@ -233,7 +233,7 @@
 			results[i].Status = st
 		}
 	}
-	d.step(event.TargetAnswered{Conn: e.Conn, Seq: e.Seq, Sent: true, Results: results, Took: time.Millisecond})
+	d.step(answered(e, results))
 }
 
 // fail breaks the connection of the exchange that was sent last.
@@ -273,3 +273,16 @@
 func openWith(id types.SessionID, p types.SessionParams) event.SessionOpened {
 	return event.SessionOpened{Session: id, Params: p}
 }
+
+var errRefused = errors.New("connection refused")
+
+func answered(e effect.SendTarget, results []types.Result) event.TargetAnswered {
+	return event.TargetAnswered{Conn: e.Conn, Seq: e.Seq, Sent: true, Results: results, Took: time.Millisecond}
+}
+
+// answeredIn answers a write on the primary of term 1 that took so long.
+func answeredIn(e effect.SendTarget, took time.Duration) event.TargetAnswered {
+	a := answered(e, []types.Result{{}, {Status: types.TargetStatus{Term: 1, Primary: true, Pos: pos(1)}}})
+	a.Took = took
+	return a
+}
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -17,6 +17,7 @@
 	stepClaim              // record the request's id
 	stepRun                // the statement, after its id was recorded
 	stepRecord             // store the answer and commit
+	stepUndo               // roll back after the statement failed
 	stepLookup             // fetch the answer of an earlier run
 )
 
@@ -81,6 +82,8 @@
 			return []types.Operation{record, {Kind: types.OpCommit}, position}
 		}
 		return []types.Operation{record, position}
+	case stepUndo:
+		return []types.Operation{{Kind: types.OpRollback}, position}
 	case stepLookup:
 		lookup := types.Operation{Kind: types.OpLookup, RequestID: r.ID}
 		return append(wrap(own, types.OpRollback, lookup), position)
@@ -138,6 +141,8 @@
 		s.runDone(r, results[0])
 	case stepRecord:
 		s.recordDone(r, results)
+	case stepUndo:
+		s.undoDone(r, results[0])
 	case stepLookup:
 		s.lookupDone(r, results[len(results)-2])
 	}
--- a/core/session/once.go
+++ b/core/session/once.go
@@ -28,10 +28,15 @@
 		s.acknowledge(r)
 		return
 	}
-	r.answer.Tx = types.TxIdle
-	s.dropConn(r.conn)
-	r.conn = nil
-	s.reply(r)
+	s.send(r, stepUndo)
+}
+
+// undoDone answers with the error of the statement whose transaction, and the
+// id with it, was rolled back.
+func (s *Shard) undoDone(r *request, res types.Result) {
+	r.answer.Tx = res.Tx
+	s.settleConn(r, res.Tx)
+	s.acknowledge(r)
 }
 
 // recordDone acknowledges the request once its answer is stored.
