--- /dev/null
+++ b/target/pg/answer.go
@@ -0,0 +1,140 @@
+package pg
+
+import (
+	"io"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// answer is what the target sent for one operation.
+type answer struct {
+	reply  Reply
+	tx     types.TxStatus
+	err    *pgproto3.ErrorResponse
+	row    [][]byte // values of the first row; only of operations of ours
+	parses int      // Parse messages answered so far
+}
+
+// stateTags are the command tags of statements that change the state of the
+// connection beyond the transaction.
+var stateTags = map[string]bool{
+	"SET": true, "RESET": true, "LISTEN": true, "UNLISTEN": true,
+	"PREPARE": true, "DEALLOCATE": true, "DEALLOCATE ALL": true,
+	"DISCARD ALL": true, "DISCARD": true, "LOAD": true, "DECLARE CURSOR": true,
+}
+
+// readAnswer reads the messages up to ReadyForQuery.
+func (c *Conn) readAnswer(op types.Operation, budget int) (*answer, error) {
+	a := &answer{}
+	for {
+		kind, size, err := c.readHeader()
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if len(a.reply.Messages)+size+headerSize > budget {
+			return nil, trace.LimitExceeded("the answer is larger than %d bytes", c.maxReply)
+		}
+		body, err := c.appendMessage(&a.reply, size)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if kind == msgReadyForQuery {
+			a.drop(size)
+			a.tx, err = txStatus(body)
+			c.idle = a.tx == types.TxIdle
+			return a, trace.Wrap(err)
+		}
+		if err := c.inspect(a, op, kind, body); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+}
+
+// appendMessage appends the message whose header was read and returns its body.
+func (c *Conn) appendMessage(r *Reply, size int) ([]byte, error) {
+	start := len(r.Messages) + headerSize
+	r.Messages = append(r.Messages, c.header[:]...)
+	r.Messages = append(r.Messages, make([]byte, size)...)
+	body := r.Messages[start:]
+	_, err := io.ReadFull(c.reader, body)
+	return body, trace.Wrap(err)
+}
+
+// drop removes the last message, whose body has size bytes.
+func (a *answer) drop(size int) {
+	a.reply.Messages = a.reply.Messages[:len(a.reply.Messages)-size-headerSize]
+}
+
+// inspect notes what a message says and drops those that callers must not see.
+func (c *Conn) inspect(a *answer, op types.Operation, kind byte, body []byte) error {
+	switch kind {
+	case msgParseComplete:
+		if a.hidden(op) {
+			a.drop(len(body))
+		}
+		a.parses++
+	case msgErrorResponse:
+		a.reply.Failed = true
+		a.err = &pgproto3.ErrorResponse{}
+		return trace.Wrap(a.err.Decode(body))
+	case msgCommandComplete:
+		tag := strings.TrimSuffix(string(body), "\x00")
+		c.dirty = c.dirty || op.Kind == types.OpCaller && stateTags[tag]
+	case msgNotification, msgParameterStatus:
+		a.drop(len(body))
+	case msgCopyIn, msgCopyOut, msgCopyBoth:
+		return trace.NotImplemented("COPY is not served through the proxy")
+	case msgDataRow:
+		return trace.Wrap(a.keepRow(op, body))
+	}
+	return nil
+}
+
+// hidden reports whether the front added the Parse message that is answered.
+func (a *answer) hidden(op types.Operation) bool {
+	batch, ok := op.Payload.(*Batch)
+	return ok && op.Kind == types.OpCaller && a.parses < len(batch.HiddenParses) && batch.HiddenParses[a.parses]
+}
+
+// keepRow keeps the first row of an operation of ours.
+func (a *answer) keepRow(op types.Operation, body []byte) error {
+	if op.Kind == types.OpCaller || a.row != nil {
+		return nil
+	}
+	var row pgproto3.DataRow
+	if err := row.Decode(body); err != nil {
+		return trace.Wrap(err)
+	}
+	a.row = row.Values
+	return nil
+}
+
+// txStatus decodes the body of ReadyForQuery.
+func txStatus(body []byte) (types.TxStatus, error) {
+	var ready pgproto3.ReadyForQuery
+	if err := ready.Decode(body); err != nil {
+		return 0, trace.Wrap(err)
+	}
+	switch ready.TxStatus {
+	case 'I':
+		return types.TxIdle, nil
+	case 'T':
+		return types.TxOpen, nil
+	case 'E':
+		return types.TxFailed, nil
+	}
+	return 0, trace.BadParameter("the target sent transaction status %q", ready.TxStatus)
+}
+
+// decodeError returns the target's ErrorResponse as an error.
+func decodeError(body []byte) error {
+	var response pgproto3.ErrorResponse
+	if err := response.Decode(body); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Errorf("the target answered %s: %s", response.Code, response.Message)
+}
--- /dev/null
+++ b/target/pg/batch.go
@@ -0,0 +1,21 @@
+package pg
+
+// Batch is the payload of a caller's request: one Query message, or the
+// messages of the extended protocol up to and with Sync. It needs nothing that
+// an earlier batch left on the connection.
+type Batch struct {
+	// Messages are the encoded messages.
+	Messages []byte
+	// HiddenParses tells for each Parse message, in order, whether the front
+	// added it. The caller must not see the answer to such a message.
+	HiddenParses []bool
+}
+
+// Reply is the payload of an answer: the messages of the target without the
+// final ReadyForQuery.
+type Reply struct {
+	// Messages are the encoded messages.
+	Messages []byte
+	// Failed reports that the messages hold an ErrorResponse.
+	Failed bool
+}
--- /dev/null
+++ b/target/pg/conn.go
@@ -0,0 +1,127 @@
+package pg
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+
+	"github.com/gravitational/trace"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// Types of the target's messages.
+const (
+	msgAuthentication  = 'R'
+	msgCommandComplete = 'C'
+	msgCopyBoth        = 'W'
+	msgCopyIn          = 'G'
+	msgCopyOut         = 'H'
+	msgDataRow         = 'D'
+	msgErrorResponse   = 'E'
+	msgNotification    = 'A'
+	msgParseComplete   = '1'
+	msgParameterStatus = 'S'
+	msgReadyForQuery   = 'Z'
+)
+
+// headerSize is the size of a message's type and length, in bytes.
+const headerSize = 5
+
+// maxMessage bounds one message of a target, in bytes.
+const maxMessage = DefaultMaxReply
+
+// Conn is a connection to a target.
+type Conn struct {
+	conn     net.Conn
+	reader   *bufio.Reader
+	maxReply int
+	header   [headerSize]byte
+	tableOK  bool // paddle_requests is known to exist
+	dirty    bool // a statement changed the state of the connection
+	idle     bool // no transaction is open
+}
+
+// Close drops the connection. An exchange under way fails.
+func (c *Conn) Close() { c.conn.Close() }
+
+// Exchange sends the operations in one go and reads a result for each. A
+// statement that fails is a result, not an error.
+func (c *Conn) Exchange(ctx context.Context, ops []types.Operation) ([]types.Result, bool, error) {
+	if c.dirty && c.idle {
+		return nil, false, trace.CompareFailed("a statement changed the state of the connection")
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, false, trace.Wrap(err)
+	}
+	stop := context.AfterFunc(ctx, c.Close)
+	results, sent, err := c.exchange(ops)
+	if !stop() && err != nil && ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	return results, sent, trace.Wrap(err)
+}
+
+func (c *Conn) exchange(ops []types.Operation) ([]types.Result, bool, error) {
+	if err := c.ensureTable(ops); err != nil {
+		return nil, false, trace.Wrap(err)
+	}
+	var out []byte
+	for _, op := range ops {
+		var err error
+		if out, err = appendOperation(out, op); err != nil {
+			return nil, false, trace.Wrap(err)
+		}
+	}
+	if n, err := c.conn.Write(out); err != nil {
+		return nil, n > 0, trace.Wrap(err, "sending to the target")
+	}
+	results, err := c.readResults(ops)
+	return results, true, trace.Wrap(err)
+}
+
+func (c *Conn) readResults(ops []types.Operation) ([]types.Result, error) {
+	results := make([]types.Result, 0, len(ops))
+	budget := c.maxReply
+	for _, op := range ops {
+		answer, err := c.readAnswer(op, budget)
+		if err != nil {
+			return nil, trace.Wrap(err, "reading the target's answer")
+		}
+		budget -= len(answer.reply.Messages)
+		result, err := answer.result(op)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		results = append(results, result)
+	}
+	return results, nil
+}
+
+// readMessage returns the type and the body of the next message.
+func (c *Conn) readMessage() (byte, []byte, error) {
+	kind, size, err := c.readHeader()
+	if err != nil {
+		return 0, nil, trace.Wrap(err)
+	}
+	if size > maxMessage {
+		return 0, nil, trace.LimitExceeded("the target sent a message of %d bytes", size)
+	}
+	body := make([]byte, size)
+	_, err = io.ReadFull(c.reader, body)
+	return kind, body, trace.Wrap(err)
+}
+
+// readHeader returns the type and the body size of the next message.
+func (c *Conn) readHeader() (byte, int, error) {
+	if _, err := io.ReadFull(c.reader, c.header[:]); err != nil {
+		return 0, 0, trace.Wrap(err)
+	}
+	size := int(binary.BigEndian.Uint32(c.header[1:])) - 4
+	if size < 0 {
+		return 0, 0, trace.BadParameter("the target sent a message with a length below its header")
+	}
+	return c.header[0], size, nil
+}
--- /dev/null
+++ b/target/pg/dialer.go
@@ -0,0 +1,173 @@
+package pg
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/runtime"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxReply    = 64 << 20 // bytes
+	DefaultDialTimeout = 5 * time.Second
+)
+
+// readBuffer is the size of the read buffer of a connection, in bytes.
+const readBuffer = 16 << 10
+
+// Config says how to connect to targets.
+type Config struct {
+	// User is the user name of the startup message.
+	User string
+	// Password is sent when the target asks for it in clear text. A target
+	// that asks for another method is refused.
+	Password string
+	// Database is the database name; empty stands for the service name.
+	Database string
+	// TLS turns on TLS when it is set.
+	TLS *tls.Config
+	// MaxReply bounds the answer to one exchange, in bytes.
+	MaxReply int
+	// DialTimeout bounds a dial whose context has no deadline.
+	DialTimeout time.Duration
+}
+
+// Dialer opens connections to targets.
+type Dialer struct {
+	config Config
+	net    net.Dialer
+}
+
+var _ runtime.TargetDialer = (*Dialer)(nil)
+
+// NewDialer returns a dialer with the defaults for what c leaves out.
+func NewDialer(c Config) *Dialer {
+	if c.User == "" {
+		c.User = "camphorpaddle"
+	}
+	if c.MaxReply <= 0 {
+		c.MaxReply = DefaultMaxReply
+	}
+	if c.DialTimeout <= 0 {
+		c.DialTimeout = DefaultDialTimeout
+	}
+	return &Dialer{config: c}
+}
+
+// Dial connects to the target and completes the startup.
+func (d *Dialer) Dial(ctx context.Context, ref types.TargetRef, addr types.Address) (runtime.TargetConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.config.DialTimeout)
+	defer cancel()
+	raw, err := d.net.DialContext(ctx, "tcp", string(addr))
+	if err != nil {
+		return nil, trace.Wrap(err, "connecting to target %s", ref)
+	}
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	conn, err := d.startup(ctx, raw, ref)
+	if !stop() || err != nil {
+		raw.Close()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, trace.Wrap(err, "starting a connection to target %s", ref)
+	}
+	return conn, nil
+}
+
+func (d *Dialer) startup(ctx context.Context, raw net.Conn, ref types.TargetRef) (*Conn, error) {
+	secured, err := d.secure(ctx, raw)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c := &Conn{conn: secured, reader: bufio.NewReaderSize(secured, readBuffer), maxReply: d.config.MaxReply}
+	if err := c.sendStartup(d.config, ref.Service); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return c, trace.Wrap(c.awaitReady(d.config.Password))
+}
+
+// secure turns on TLS when the settings ask for it.
+func (d *Dialer) secure(ctx context.Context, raw net.Conn) (net.Conn, error) {
+	if d.config.TLS == nil {
+		return raw, nil
+	}
+	request, err := (&pgproto3.SSLRequest{}).Encode(nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if _, err := raw.Write(request); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	answer := make([]byte, 1)
+	if _, err := raw.Read(answer); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if answer[0] != 'S' {
+		return nil, trace.AccessDenied("the target does not offer TLS")
+	}
+	secured := tls.Client(raw, d.config.TLS)
+	return secured, trace.Wrap(secured.HandshakeContext(ctx))
+}
+
+func (c *Conn) sendStartup(config Config, service types.ServiceName) error {
+	database := config.Database
+	if database == "" {
+		database = string(service)
+	}
+	startup := pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters: map[string]string{
+			"user": config.User, "database": database, "application_name": "camphorpaddle",
+		},
+	}
+	message, err := startup.Encode(nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = c.conn.Write(message)
+	return trace.Wrap(err)
+}
+
+// awaitReady reads the answers to the startup up to ReadyForQuery.
+func (c *Conn) awaitReady(password string) error {
+	for {
+		kind, body, err := c.readMessage()
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		switch kind {
+		case msgReadyForQuery:
+			return nil
+		case msgErrorResponse:
+			return trace.Wrap(decodeError(body))
+		case msgAuthentication:
+			if err := c.authenticate(body, password); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+	}
+}
+
+// authenticate answers an authentication request.
+func (c *Conn) authenticate(body []byte, password string) error {
+	if (&pgproto3.AuthenticationOk{}).Decode(body) == nil {
+		return nil
+	}
+	if (&pgproto3.AuthenticationCleartextPassword{}).Decode(body) != nil || password == "" {
+		return trace.AccessDenied("the target asks for an authentication method that is not configured")
+	}
+	message, err := (&pgproto3.PasswordMessage{Password: password}).Encode(nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = c.conn.Write(message)
+	return trace.Wrap(err)
+}
--- /dev/null
+++ b/target/pg/operation.go
@@ -0,0 +1,194 @@
+package pg
+
+import (
+	"encoding/base64"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// SQLSTATEs that the adapter tells apart.
+const (
+	codeUniqueViolation = "23505"
+	codeReadOnly        = "25006"
+	// CodeStaleTerm is what a target answers to an order of an older term.
+	CodeStaleTerm = "PD002"
+)
+
+// roleOfPrimary is how a target names its role in its position.
+const roleOfPrimary = "primary"
+
+// positionColumns is the number of columns of the answer to SHOW
+// paddle.position: term, role, term of the last log entry, its offset.
+const positionColumns = 4
+
+// createRequests makes the table of request ids.
+const createRequests = "CREATE TABLE IF NOT EXISTS paddle_requests (id TEXT PRIMARY KEY, answer TEXT)"
+
+// appendOperation appends the messages of an operation.
+func appendOperation(dst []byte, op types.Operation) ([]byte, error) {
+	if op.Kind == types.OpCaller {
+		batch, ok := op.Payload.(*Batch)
+		if !ok {
+			return nil, trace.BadParameter("payload %T is not of the PostgreSQL front", op.Payload)
+		}
+		return append(dst, batch.Messages...), nil
+	}
+	sql, err := statement(op)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return (&pgproto3.Query{String: sql}).Encode(dst)
+}
+
+// statement returns the SQL text of an operation of ours.
+func statement(op types.Operation) (string, error) {
+	switch op.Kind {
+	case types.OpPosition:
+		return "SHOW paddle.position", nil
+	case types.OpBegin:
+		return "BEGIN", nil
+	case types.OpCommit:
+		return "COMMIT", nil
+	case types.OpRollback:
+		return "ROLLBACK", nil
+	case types.OpClaim:
+		return fmt.Sprintf("INSERT INTO paddle_requests (id) VALUES (%s)", quote(string(op.RequestID))), nil
+	case types.OpRecordAnswer:
+		return recordAnswer(op)
+	case types.OpLookup:
+		return fmt.Sprintf("SELECT answer FROM paddle_requests WHERE id = %s", quote(string(op.RequestID))), nil
+	case types.OpPromote:
+		return fmt.Sprintf("PADDLE PROMOTE TERM %d", op.Term), nil
+	case types.OpFollow:
+		return fmt.Sprintf("PADDLE FOLLOW %s %s TERM %d START %d",
+			quote(string(op.Leader.Name)), quote(string(op.Leader.Address)), op.Term, op.Start), nil
+	}
+	return "", trace.BadParameter("operation %d is not known", op.Kind)
+}
+
+func recordAnswer(op types.Operation) (string, error) {
+	reply, ok := op.Payload.(*Reply)
+	if !ok {
+		return "", trace.BadParameter("payload %T is not an answer of a target", op.Payload)
+	}
+	text := base64.StdEncoding.EncodeToString(reply.Messages)
+	return fmt.Sprintf("UPDATE paddle_requests SET answer = %s WHERE id = %s",
+		quote(text), quote(string(op.RequestID))), nil
+}
+
+// quote returns s as a string literal.
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+
+// result decodes the answer to op.
+func (a *answer) result(op types.Operation) (types.Result, error) {
+	result := types.Result{Tx: a.tx, Err: a.errorKind(op.Kind)}
+	if op.Kind == types.OpCaller {
+		result.Payload = &a.reply
+		return result, nil
+	}
+	if a.err != nil {
+		result.Payload = &a.reply
+		return result, nil
+	}
+	return a.decodeRow(op, result)
+}
+
+// errorKind classes the target's error.
+func (a *answer) errorKind(kind types.OperationKind) types.TargetErrorKind {
+	switch {
+	case a.err == nil:
+		return types.TargetErrNone
+	case kind == types.OpClaim && a.err.Code == codeUniqueViolation:
+		return types.TargetErrDuplicate
+	case a.err.Code == codeReadOnly:
+		return types.TargetErrReadOnly
+	case a.err.Code == CodeStaleTerm:
+		return types.TargetErrStaleTerm
+	}
+	return types.TargetErrStatement
+}
+
+// decodeRow reads the row of operations that answer with one.
+func (a *answer) decodeRow(op types.Operation, result types.Result) (types.Result, error) {
+	var err error
+	switch op.Kind {
+	case types.OpPosition, types.OpPromote, types.OpFollow:
+		result.Status, err = decodeStatus(a.row)
+	case types.OpLookup:
+		result, err = decodeLookup(a.row, result)
+	}
+	return result, trace.Wrap(err)
+}
+
+func decodeLookup(row [][]byte, result types.Result) (types.Result, error) {
+	result.Found = row != nil
+	if len(row) != 1 || row[0] == nil {
+		return result, nil
+	}
+	messages, err := base64.StdEncoding.DecodeString(string(row[0]))
+	if err != nil {
+		return result, trace.Wrap(err, "decoding a recorded answer")
+	}
+	result.Payload = &Reply{Messages: messages}
+	return result, nil
+}
+
+func decodeStatus(row [][]byte) (types.TargetStatus, error) {
+	if len(row) != positionColumns {
+		return types.TargetStatus{}, trace.BadParameter("the target's position has %d columns", len(row))
+	}
+	var numbers [positionColumns]uint64
+	for i, value := range row {
+		if i == 1 {
+			continue
+		}
+		n, err := strconv.ParseUint(string(value), 10, 64)
+		if err != nil {
+			return types.TargetStatus{}, trace.Wrap(err, "decoding the target's position")
+		}
+		numbers[i] = n
+	}
+	return types.TargetStatus{
+		Term:    types.Term(numbers[0]),
+		Primary: string(row[1]) == roleOfPrimary,
+		Pos:     types.LogPos{Term: types.Term(numbers[2]), Offset: numbers[3]},
+	}, nil
+}
+
+// ensureTable makes the table of request ids before its first use on this
+// connection. Nothing of the exchange has been sent then.
+func (c *Conn) ensureTable(ops []types.Operation) error {
+	if c.tableOK || !usesRequests(ops) {
+		return nil
+	}
+	query, err := (&pgproto3.Query{String: createRequests}).Encode(nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if _, err := c.conn.Write(query); err != nil {
+		return trace.Wrap(err)
+	}
+	a, err := c.readAnswer(types.Operation{Kind: types.OpBegin}, c.maxReply)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.tableOK = a.err == nil
+	return nil
+}
+
+// usesRequests reports whether the operations read or write the table of
+// request ids outside an open transaction.
+func usesRequests(ops []types.Operation) bool {
+	for _, op := range ops {
+		if op.Kind == types.OpClaim || op.Kind == types.OpLookup {
+			return true
+		}
+	}
+	return false
+}
