--- /dev/null
+++ b/settings/daemon.go
@@ -0,0 +1,246 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// Role is the kind of a daemon.
+type Role uint8
+
+// The roles.
+const (
+	RoleProxy Role = iota
+	RoleControl
+)
+
+// String returns the role's name.
+func (r Role) String() string {
+	if r == RoleControl {
+		return "control"
+	}
+	return "proxy"
+}
+
+// Daemon holds the settings of one daemon.
+type Daemon struct {
+	Role             Role
+	Host             types.HostID
+	AvailabilityZone types.AvailabilityZone
+	Region           string
+	Listen           Listen
+	Advertise        types.Address   // where other control hosts reach this one; control only
+	Control          []types.Address // peer addresses of the control hosts
+	DataFolder       string          // control only
+	Security         Security
+	Limits           Limits
+	Target           Target
+	Shards           int           // proxy only
+	DrainLimit       time.Duration // longest graceful stop
+	Trace            Trace
+}
+
+// Listen holds the addresses that a daemon listens on.
+type Listen struct {
+	Callers types.Address // PostgreSQL protocol; proxy only
+	Peers   types.Address // other processes of the system; control only
+	HTTP    types.Address // operators, announcements, health and metrics
+}
+
+// Security holds the key that all processes of a deployment share, and the
+// files of TLS.
+type Security struct {
+	KeyFile         string // file with the cluster key
+	CertificateFile string
+	PrivateKeyFile  string
+	AuthorityFile   string
+}
+
+// TLS reports whether the system's own ports use TLS.
+func (s Security) TLS() bool { return s.CertificateFile != "" }
+
+// Limits bounds what a caller may use of a proxy.
+type Limits struct {
+	MessageBytes int64
+	AnswerBytes  int64
+	Sessions     int
+	StartupTime  time.Duration
+}
+
+// Target says how the system logs in to targets.
+type Target struct {
+	User         string
+	Database     string
+	PasswordFile string
+}
+
+// Trace sets the export of traces.
+type Trace struct {
+	Endpoint string  // OTLP over HTTP; empty turns the export off
+	Sample   float64 // share of the requests without a trace of their own
+}
+
+// Defaults of the daemons' settings.
+const (
+	defaultMessageBytes = 16 * mebibyte
+	defaultAnswerBytes  = 64 * mebibyte
+	defaultSessions     = 10_000
+	defaultStartupTime  = 5 * time.Second
+	defaultDrainLimit   = 30 * time.Second
+	defaultShards       = 4
+	defaultUser         = "paddle"
+	defaultSample       = 0.01
+)
+
+// Bounds of the daemons' settings.
+const (
+	minMessageBytes = kibibyte
+	maxMessageBytes = gibibyte
+	maxSessions     = 1_000_000
+	maxStartupTime  = time.Minute
+	maxShards       = 256
+)
+
+// ParseDaemon reads the settings of a daemon of the given role. The error is
+// an *InvalidError.
+func ParseDaemon(file string, data []byte, role Role) (*Daemon, error) {
+	d := &decoder{file: file}
+	root := d.root(data)
+	out := &Daemon{
+		Role:             role,
+		Host:             types.HostID(root.name("host")),
+		AvailabilityZone: types.AvailabilityZone(root.name("availability_zone")),
+		Region:           root.name("region"),
+		Control:          root.addresses("control"),
+		DrainLimit: root.duration("drain_limit", defaultDrainLimit,
+			span[time.Duration]{time.Second, maxTimeout}),
+	}
+	out.Listen = root.listen(role)
+	out.Security = root.security()
+	out.Target = root.target()
+	out.Trace = root.trace()
+	if role == RoleProxy {
+		out.Limits = root.limits()
+		out.Shards = root.integer("shards", defaultShards, span[int]{1, maxShards})
+	} else {
+		out.Advertise = root.address("advertise", false)
+		root.need("data_folder")
+		out.DataFolder = root.text("data_folder", "")
+	}
+	root.close()
+	root.checkDaemon(out)
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// addresses reads a list of addresses without doubles.
+func (m *mapping) addresses(key string) []types.Address {
+	if _, ok := m.need(key); !ok {
+		return nil
+	}
+	var out []types.Address
+	seen := make(map[types.Address]bool)
+	for _, e := range m.list(key) {
+		a := m.addressValue(e.value, e.path, false)
+		if a == "" {
+			continue
+		}
+		if seen[a] {
+			m.add(e.value, e.path, "%s is listed twice", a)
+			continue
+		}
+		seen[a] = true
+		out = append(out, a)
+	}
+	if len(out) == 0 {
+		m.add(m.at(key), join(m.path, key), "must list at least one address")
+	}
+	return out
+}
+
+func (m *mapping) listen(role Role) Listen {
+	m.need("listen")
+	l := m.sub("listen")
+	out := Listen{HTTP: l.address("http", true)}
+	if role == RoleProxy {
+		out.Callers = l.address("callers", true)
+	} else {
+		out.Peers = l.address("peers", true)
+	}
+	l.close()
+	return out
+}
+
+func (m *mapping) security() Security {
+	s := m.sub("security")
+	out := Security{
+		KeyFile:         s.text("key_file", ""),
+		CertificateFile: s.text("certificate_file", ""),
+		PrivateKeyFile:  s.text("private_key_file", ""),
+		AuthorityFile:   s.text("authority_file", ""),
+	}
+	s.close()
+	given := 0
+	for _, f := range []string{out.CertificateFile, out.PrivateKeyFile, out.AuthorityFile} {
+		if f != "" {
+			given++
+		}
+	}
+	if given != 0 && given != 3 {
+		m.add(s.node, s.path, "TLS needs certificate_file, private_key_file and authority_file")
+	}
+	return out
+}
+
+func (m *mapping) limits() Limits {
+	l := m.sub("limits")
+	sizes := span[int64]{minMessageBytes, maxMessageBytes}
+	out := Limits{
+		MessageBytes: l.size("message_size", defaultMessageBytes, sizes),
+		AnswerBytes:  l.size("answer_size", defaultAnswerBytes, sizes),
+		Sessions:     l.integer("sessions", defaultSessions, span[int]{1, maxSessions}),
+		StartupTime: l.duration("startup_time", defaultStartupTime,
+			span[time.Duration]{time.Millisecond, maxStartupTime}),
+	}
+	l.close()
+	return out
+}
+
+func (m *mapping) target() Target {
+	t := m.sub("target")
+	out := Target{
+		User:         t.text("user", defaultUser),
+		Database:     t.text("database", ""),
+		PasswordFile: t.text("password_file", ""),
+	}
+	t.close()
+	return out
+}
+
+func (m *mapping) trace() Trace {
+	t := m.sub("trace")
+	out := Trace{
+		Endpoint: t.text("endpoint", ""),
+		Sample:   t.fraction("sample", defaultSample),
+	}
+	t.close()
+	return out
+}
+
+// checkDaemon finds contradictions between the settings.
+func (m *mapping) checkDaemon(d *Daemon) {
+	open := false
+	for _, a := range []types.Address{d.Listen.HTTP, d.Listen.Peers} {
+		open = open || a != "" && !IsLoopback(a)
+	}
+	if open && d.Security.KeyFile == "" {
+		m.add(m.at("listen"), "security.key_file",
+			"is missing: it is required when http or peers can be reached from other hosts")
+	}
+	if d.Role == RoleControl && m.has("data_folder") && d.DataFolder == "" {
+		m.add(m.at("data_folder"), "data_folder", "must name a folder")
+	}
+}
--- /dev/null
+++ b/settings/scalar.go
@@ -0,0 +1,258 @@
+package settings
+
+import (
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"gopkg.in/yaml.v3"
+)
+
+// Factors of the units of sizes, in bytes.
+const (
+	kibibyte = 1 << 10
+	mebibyte = 1 << 20
+	gibibyte = 1 << 30
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	sizePattern = regexp.MustCompile(`^(\d+)(B|KiB|MiB|GiB)$`)
+)
+
+const nameRule = "must be 1 to 63 lower case letters, digits and hyphens"
+
+// scalar returns the text of a scalar value.
+func (d *decoder) scalar(n *yaml.Node, path string) (string, bool) {
+	if n.Kind != yaml.ScalarNode || n.Tag == "!!null" {
+		d.add(n, path, "must be a single value, is %s", kindName(n))
+		return "", false
+	}
+	return n.Value, true
+}
+
+// text returns the text below a key, or fallback when the key is missing.
+func (m *mapping) text(key, fallback string) string {
+	e, ok := m.take(key)
+	if !ok {
+		return fallback
+	}
+	s, ok := m.scalar(e.value, e.path)
+	if !ok {
+		return fallback
+	}
+	return s
+}
+
+// name returns the required name below a key.
+func (m *mapping) name(key string) string {
+	e, ok := m.need(key)
+	if !ok {
+		return ""
+	}
+	return m.nameValue(e.value, e.path)
+}
+
+func (d *decoder) nameValue(n *yaml.Node, path string) string {
+	s, ok := d.scalar(n, path)
+	if ok && !namePattern.MatchString(s) {
+		d.add(n, path, "%q %s", s, nameRule)
+		return ""
+	}
+	return s
+}
+
+// choice returns the value below a key, one of the allowed ones.
+func choice[T any](m *mapping, key string, fallback T, allowed map[string]T) T {
+	e, ok := m.take(key)
+	if !ok {
+		return fallback
+	}
+	s, ok := m.scalar(e.value, e.path)
+	if !ok {
+		return fallback
+	}
+	v, ok := allowed[s]
+	if !ok {
+		m.add(e.value, e.path, "%q must be one of %s", s, keyList(allowed))
+		return fallback
+	}
+	return v
+}
+
+func keyList[T any](allowed map[string]T) string {
+	keys := make([]string, 0, len(allowed))
+	for k := range allowed {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return strings.Join(keys, ", ")
+}
+
+// span is the range that a value must lie in.
+type span[T any] struct{ least, most T }
+
+// duration returns the duration below a key, which must carry a unit.
+func (m *mapping) duration(key string, fallback time.Duration, in span[time.Duration]) time.Duration {
+	e, ok := m.take(key)
+	if !ok {
+		return fallback
+	}
+	s, ok := m.scalar(e.value, e.path)
+	if !ok {
+		return fallback
+	}
+	v, err := time.ParseDuration(s)
+	switch {
+	case err != nil || isNumber(s):
+		m.add(e.value, e.path, "%q must be a duration with a unit, such as 500ms or 5s", s)
+		return fallback
+	case v < in.least || v > in.most:
+		m.add(e.value, e.path, "%s must lie between %s and %s", v, in.least, in.most)
+		return fallback
+	}
+	return v
+}
+
+// isNumber reports whether s lacks a unit; time.ParseDuration takes "0".
+func isNumber(s string) bool {
+	_, err := strconv.ParseFloat(s, 64)
+	return err == nil
+}
+
+// size returns the number of bytes below a key, which must carry a unit.
+func (m *mapping) size(key string, fallback int64, in span[int64]) int64 {
+	e, ok := m.take(key)
+	if !ok {
+		return fallback
+	}
+	s, ok := m.scalar(e.value, e.path)
+	if !ok {
+		return fallback
+	}
+	v, ok := parseSize(s)
+	switch {
+	case !ok:
+		m.add(e.value, e.path, "%q must be a size with a unit, such as 64KiB or 16MiB", s)
+		return fallback
+	case v < in.least || v > in.most:
+		m.add(e.value, e.path, "%s must lie between %d B and %d B", s, in.least, in.most)
+		return fallback
+	}
+	return v
+}
+
+func parseSize(s string) (int64, bool) {
+	parts := sizePattern.FindStringSubmatch(s)
+	if parts == nil {
+		return 0, false
+	}
+	factor := map[string]int64{"B": 1, "KiB": kibibyte, "MiB": mebibyte, "GiB": gibibyte}[parts[2]]
+	v, err := strconv.ParseInt(parts[1], 10, 64)
+	if err != nil || v > (1<<62)/factor {
+		return 0, false
+	}
+	return v * factor, true
+}
+
+// integer returns the whole number below a key, or fallback when it is missing.
+func (m *mapping) integer(key string, fallback int, in span[int]) int {
+	e, ok := m.take(key)
+	if !ok {
+		return fallback
+	}
+	s, ok := m.scalar(e.value, e.path)
+	if !ok {
+		return fallback
+	}
+	v, err := strconv.Atoi(s)
+	switch {
+	case err != nil:
+		m.add(e.value, e.path, "%q must be a whole number", s)
+		return fallback
+	case v < in.least || v > in.most:
+		m.add(e.value, e.path, "%d must lie between %d and %d", v, in.least, in.most)
+		return fallback
+	}
+	return v
+}
+
+// needInteger is integer for a required key.
+func (m *mapping) needInteger(key string, in span[int]) int {
+	if _, ok := m.need(key); !ok {
+		return 0
+	}
+	return m.integer(key, 0, in)
+}
+
+// fraction returns the number from 0 to 1 below a key.
+func (m *mapping) fraction(key string, fallback float64) float64 {
+	e, ok := m.take(key)
+	if !ok {
+		return fallback
+	}
+	s, ok := m.scalar(e.value, e.path)
+	if !ok {
+		return fallback
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(v >= 0 && v <= 1) {
+		m.add(e.value, e.path, "%q must be a number from 0 to 1", s)
+		return fallback
+	}
+	return v
+}
+
+// list returns the entries of the list below a key.
+func (m *mapping) list(key string) []entry {
+	e, ok := m.take(key)
+	if !ok {
+		return nil
+	}
+	if e.value.Kind != yaml.SequenceNode {
+		m.add(e.value, e.path, "must be a list, is %s", kindName(e.value))
+		return nil
+	}
+	var out []entry
+	for i, n := range e.value.Content {
+		out = append(out, entry{key: n, value: n, path: e.path + "[" + strconv.Itoa(i) + "]"})
+	}
+	return out
+}
+
+// address returns the address by IP number below a required key. Only a
+// listener may have port 0.
+func (m *mapping) address(key string, listener bool) types.Address {
+	e, ok := m.need(key)
+	if !ok {
+		return ""
+	}
+	return m.addressValue(e.value, e.path, listener)
+}
+
+func (d *decoder) addressValue(n *yaml.Node, path string, listener bool) types.Address {
+	s, ok := d.scalar(n, path)
+	if !ok {
+		return ""
+	}
+	addr, err := netip.ParseAddrPort(s)
+	switch {
+	case err != nil:
+		d.add(n, path, "%q must be an IP number and a port, such as 10.0.0.1:7400", s)
+		return ""
+	case !listener && (addr.Port() == 0 || addr.Addr().IsUnspecified()):
+		d.add(n, path, "%q must be an address that other hosts can reach", s)
+		return ""
+	}
+	return types.Address(s)
+}
+
+// IsLoopback reports whether an address can be reached from its own host only.
+func IsLoopback(a types.Address) bool {
+	addr, err := netip.ParseAddrPort(string(a))
+	return err == nil && addr.Addr().IsLoopback()
+}
