--- /dev/null
+++ b/daemon/control.go
@@ -0,0 +1,160 @@
+// Package daemon assembles the processes of the system: it connects the
+// reducer's loops with the ports, the data folder and telemetry, and carries
+// their life from start to graceful stop in a kratos app.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/runtime"
+	"github.com/camphorpaddle/camphorpaddle/settings"
+	"github.com/camphorpaddle/camphorpaddle/storage"
+	"github.com/camphorpaddle/camphorpaddle/telemetry"
+	"github.com/camphorpaddle/camphorpaddle/wire"
+	"github.com/go-kratos/kratos/v2"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+)
+
+// closeTimeout is how long telemetry may take to write its last records.
+const closeTimeout = 3 * time.Second
+
+// Control is a control host.
+type Control struct {
+	settings *settings.Daemon
+	version  string
+	key      string
+	tls      tlsConfigs
+	log      *storage.Log
+	mesh     *wire.Mesh
+	recorder *telemetry.Recorder
+	host     *runtime.ControlHost
+	http     net.Listener
+	peers    net.Listener
+}
+
+// InitControl writes the data folder of the first control host of a new
+// cluster. The folder must be empty or missing.
+func InitControl(s *settings.Daemon) (types.HostID, error) {
+	voter, err := storage.Init(s.DataFolder, proto.Voter{
+		Host: s.Host, Address: s.Advertise, AvailabilityZone: s.AvailabilityZone,
+	})
+	return voter.Host, trace.Wrap(err, "setting up data folder %s", s.DataFolder)
+}
+
+// NewControl opens the data folder and the ports of a control host.
+func NewControl(s *settings.Daemon, version string) (*Control, error) {
+	c := &Control{settings: s, version: version}
+	if err := c.open(); err != nil {
+		c.release()
+		return nil, err
+	}
+	return c, nil
+}
+
+// open acquires what the control host needs, in an order that lets release
+// undo it.
+func (c *Control) open() (err error) {
+	s := c.settings
+	if c.key, err = readSecret(s.Security.KeyFile); err != nil {
+		return trace.Wrap(err, "reading the cluster key")
+	}
+	if c.tls, err = loadTLS(s.Security); err != nil {
+		return err
+	}
+	dialer, err := newTargetDialer(s, c.tls)
+	if err != nil {
+		return err
+	}
+	if c.log, err = storage.Open(s.DataFolder, string(s.Host)); err != nil {
+		return trace.Wrap(err, "opening data folder %s", s.DataFolder)
+	}
+	clock := runtime.NewClock()
+	if c.recorder, err = newRecorder(s, c.log.Host(), clock); err != nil {
+		return err
+	}
+	if c.http, err = listen(s.Listen.HTTP); err != nil {
+		return err
+	}
+	if c.peers, err = listen(s.Listen.Peers); err != nil {
+		return err
+	}
+	c.mesh = wire.NewMesh(wireOptions(s, c.log.Host(), c.key, c.tls))
+	self := proto.Voter{Host: c.log.Host(), Address: s.Advertise, AvailabilityZone: s.AvailabilityZone}
+	c.host = runtime.NewControlHost(runtime.ControlOptions{
+		Reducer: core.NewControlHost(self, c.log.Saved()),
+		Clock:   clock, Seed: rand.Uint64,
+		Peers: c.mesh, Proxies: c.mesh, Log: c.log, Targets: dialer, Recorder: c.recorder,
+	})
+	return nil
+}
+
+// Run serves until a signal, the end of ctx, or a failure of the data folder.
+func (c *Control) Run(ctx context.Context) error {
+	defer c.release()
+	klog.InfoS("starting", "role", "control", "host", c.log.Host(), "version", c.version,
+		"availability_zone", c.settings.AvailabilityZone,
+		"http", c.http.Addr(), "peers", c.peers.Addr(), "data_folder", c.settings.DataFolder)
+	httpServer := newHTTPServer(c.http, c.key, c.tls)
+	c.routes(httpServer)
+	c.mesh.Start(wire.Handlers{Message: c.host.PeerMessage, LeaseRequest: c.host.LeaseRequest})
+	app := kratos.New(
+		kratos.Name("paddle-control"), kratos.Version(c.version), kratos.ID(string(c.log.Host())),
+		kratos.Context(ctx), kratos.Logger(kratosLog{}), kratos.StopTimeout(c.settings.DrainLimit),
+		kratos.Server(
+			newLoopServer(c.host.Run),
+			newPeerServer(c.peers, c.tls, wire.Path, wire.NewServer(c.mesh)),
+			httpServer,
+		),
+		kratos.BeforeStop(func(context.Context) error {
+			klog.InfoS("stopping", "role", "control", "host", c.log.Host(), "reason", "asked to stop")
+			c.mesh.Close()
+			return nil
+		}),
+	)
+	return trace.Wrap(app.Run())
+}
+
+// release gives back what open acquired.
+func (c *Control) release() {
+	for _, lis := range []net.Listener{c.http, c.peers} {
+		if lis != nil {
+			_ = lis.Close() // closed already after a run
+		}
+	}
+	if c.recorder != nil {
+		closeRecorder(c.recorder)
+	}
+	if c.log != nil {
+		if err := c.log.Close(); err != nil {
+			klog.ErrorS(err, "data_folder_not_closed", "data_folder", c.settings.DataFolder)
+		}
+	}
+}
+
+func newRecorder(s *settings.Daemon, host types.HostID, clock runtime.Clock) (*telemetry.Recorder, error) {
+	return telemetry.New(telemetry.Options{
+		Role: s.Role.String(), Host: host, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
+		Clock: clock, TraceEndpoint: s.Trace.Endpoint, TraceSample: s.Trace.Sample,
+	})
+}
+
+func closeRecorder(r *telemetry.Recorder) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := r.Close(ctx); err != nil {
+		klog.ErrorS(err, "telemetry_not_closed")
+	}
+}
+
+func wireOptions(s *settings.Daemon, host types.HostID, key string, t tlsConfigs) wire.Options {
+	return wire.Options{
+		Host: host, Key: key, Addresses: s.Control, TLS: t.client, Seed: rand.Uint64(),
+	}
+}
--- /dev/null
+++ b/daemon/convert.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"errors"
+
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/daemon/api"
+	"github.com/camphorpaddle/camphorpaddle/settings"
+)
+
+// invalidConfig turns the findings about a file into the error of a call.
+func invalidConfig(err error) error {
+	out := &api.Error{Kind: api.ErrInvalid, Message: "the configuration is not valid"}
+	var invalid *settings.InvalidError
+	if errors.As(err, &invalid) {
+		out.Findings = invalid.Findings
+	}
+	return out
+}
+
+func changeResult(r *proto.ChangeResult) api.ChangeResult {
+	if r == nil {
+		return api.ChangeResult{}
+	}
+	return api.ChangeResult{
+		ChangeID: string(r.ID), Accepted: r.Accepted, Version: r.Version, Reason: r.Reason,
+	}
+}
+
+func historyOf(st *proto.Status) []api.ChangeResult {
+	out := make([]api.ChangeResult, 0, len(st.State.Changes))
+	for _, rec := range st.State.Changes {
+		r := changeResult(&rec.Result)
+		r.Author = rec.Author
+		out = append(out, r)
+	}
+	return out
+}
+
+func configVersion(st *proto.Status) uint64 {
+	if st.State.Config == nil {
+		return 0
+	}
+	return st.State.Config.Version
+}
+
+func statusOf(st *proto.Status) api.Status {
+	out := api.Status{
+		Host: string(st.Host), Leader: string(st.Leader), Leading: st.Host == st.Leader,
+		Term: uint64(st.Term), Commit: st.Commit, Applied: st.Applied,
+		ConfigVersion: configVersion(st),
+		Hosts:         []api.Host{}, Proxies: []api.Proxy{}, Services: []api.Service{},
+	}
+	for _, v := range st.Voters {
+		out.Hosts = append(out.Hosts, hostOf(v, st.Leader))
+	}
+	for _, p := range st.Proxies {
+		out.Proxies = append(out.Proxies, api.Proxy{
+			Host: string(p.Host), AvailabilityZone: string(p.AvailabilityZone),
+			LeaseLive: p.LeaseLive, Have: p.Have, Seen: p.Seen,
+		})
+	}
+	reports := make(map[types.TargetRef]proto.TargetReport)
+	for _, r := range st.Targets {
+		reports[r.Ref] = r
+	}
+	for _, g := range st.State.Groups {
+		out.Services = append(out.Services, serviceOf(g, st.State.Config, reports))
+	}
+	return out
+}
+
+func hostOf(v proto.Voter, leader types.HostID) api.Host {
+	role := "voter"
+	if v.Learner {
+		role = "spare"
+	}
+	return api.Host{
+		Host: string(v.Host), Address: string(v.Address),
+		AvailabilityZone: string(v.AvailabilityZone), Role: role, Leader: v.Host == leader,
+	}
+}
+
+var phaseNames = map[types.GroupPhase]string{
+	types.GroupForming:   "forming",
+	types.GroupQuiescing: "quiescing",
+	types.GroupFencing:   "fencing",
+	types.GroupServing:   "serving",
+}
+
+var stateNames = map[types.TargetState]string{
+	types.TargetActive:  "active",
+	types.TargetLeaving: "leaving",
+	types.TargetSilent:  "silent",
+}
+
+func serviceOf(
+	g *types.Group, cfg *types.Config, reports map[types.TargetRef]proto.TargetReport,
+) api.Service {
+	out := api.Service{
+		Name: string(g.Service), Phase: phaseNames[g.Phase], Term: uint64(g.Term),
+		Primary: string(g.Primary), Targets: []api.Target{},
+	}
+	if cfg != nil {
+		out.Members = cfg.Services[g.Service].Members
+	}
+	furthest := uint64(0)
+	for _, t := range g.Members {
+		r := reports[types.TargetRef{Service: g.Service, Name: t.Name}]
+		furthest = max(furthest, r.Status.Pos.Offset)
+	}
+	for _, t := range g.Members {
+		r, heard := reports[types.TargetRef{Service: g.Service, Name: t.Name}]
+		out.Targets = append(out.Targets, targetOf(g, t, r, heard, furthest))
+	}
+	return out
+}
+
+func targetOf(
+	g *types.Group, t types.Target, r proto.TargetReport, heard bool, furthest uint64,
+) api.Target {
+	out := api.Target{
+		Name: string(t.Name), Address: string(t.Address),
+		AvailabilityZone: string(t.AvailabilityZone), State: stateNames[t.State],
+		Role: "replica", Failing: r.Failing, HeardAgo: r.HeardAgo,
+	}
+	if t.Name == g.Primary {
+		out.Role = "primary"
+	}
+	if heard {
+		out.Term = uint64(r.Status.Term)
+		out.Position = r.Status.Pos.String()
+		out.Behind = furthest - r.Status.Pos.Offset
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/http.go
@@ -0,0 +1,179 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/daemon/api"
+	"github.com/camphorpaddle/camphorpaddle/settings"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+)
+
+// Bounds of the HTTP port.
+const (
+	httpTimeout       = 10 * time.Second
+	httpHeaderTimeout = 5 * time.Second
+	maxRequestBytes   = 4 << 20
+)
+
+var errorStatus = map[api.ErrorKind]int{
+	api.ErrNotLeader:    http.StatusMisdirectedRequest,
+	api.ErrConflict:     http.StatusConflict,
+	api.ErrNotFound:     http.StatusNotFound,
+	api.ErrRefused:      http.StatusUnprocessableEntity,
+	api.ErrUnknown:      http.StatusGatewayTimeout,
+	api.ErrInvalid:      http.StatusBadRequest,
+	api.ErrUnauthorized: http.StatusUnauthorized,
+	api.ErrInternal:     http.StatusInternalServerError,
+}
+
+// writeError answers a request with an error.
+func writeError(w http.ResponseWriter, e *api.Error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(errorStatus[e.Kind])
+	if err := json.NewEncoder(w).Encode(e); err != nil {
+		klog.V(1).InfoS("http_answer_lost", "err", err)
+	}
+}
+
+// encodeError is the error encoder of the HTTP servers.
+func encodeError(w http.ResponseWriter, _ *http.Request, err error) {
+	var refused *api.Error
+	if !errors.As(err, &refused) {
+		refused = &api.Error{Kind: api.ErrInternal, Message: trace.UserMessage(err)}
+	}
+	writeError(w, refused)
+}
+
+// decodeBody is the request decoder of the HTTP servers: JSON without unknown
+// fields, of bounded size.
+func decodeBody(r *http.Request, out any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxRequestBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(out); err != nil {
+		return &api.Error{Kind: api.ErrInvalid, Message: "not a valid request: " + err.Error()}
+	}
+	return nil
+}
+
+// encodeBody is the response encoder of the HTTP servers.
+func encodeBody(w http.ResponseWriter, _ *http.Request, v any) error {
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(v)
+}
+
+// listen opens a port.
+func listen(addr types.Address) (net.Listener, error) {
+	lis, err := net.Listen("tcp", string(addr))
+	return lis, trace.Wrap(err, "listening on %s", addr)
+}
+
+// newHTTPServer returns the kratos server of a daemon's HTTP port.
+func newHTTPServer(lis net.Listener, key string, t tlsConfigs) *khttp.Server {
+	srv := khttp.NewServer(
+		khttp.Listener(lis),
+		khttp.Endpoint(&url.URL{Scheme: "http", Host: lis.Addr().String()}),
+		khttp.TLSConfig(t.server),
+		khttp.Timeout(httpTimeout),
+		khttp.Filter(requireKey(key)),
+		khttp.RequestDecoder(decodeBody),
+		khttp.ResponseEncoder(encodeBody),
+		khttp.ErrorEncoder(encodeError),
+		khttp.NotFoundHandler(http.HandlerFunc(notFound)),
+		khttp.MethodNotAllowedHandler(http.HandlerFunc(notFound)),
+	)
+	srv.ReadHeaderTimeout = httpHeaderTimeout
+	return srv
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeError(w, &api.Error{Kind: api.ErrNotFound, Message: "no such call: " + r.Method + " " + r.URL.Path})
+}
+
+// newPeerServer returns the server of the port for other processes of the
+// system. Its connections stay open, so requests have no timeout.
+func newPeerServer(lis net.Listener, t tlsConfigs, path string, peers http.Handler) *khttp.Server {
+	srv := khttp.NewServer(
+		khttp.Listener(lis),
+		khttp.Endpoint(&url.URL{Scheme: "http", Host: lis.Addr().String()}),
+		khttp.TLSConfig(t.server),
+		khttp.Timeout(0),
+		khttp.NotFoundHandler(http.HandlerFunc(notFound)),
+		khttp.MethodNotAllowedHandler(http.HandlerFunc(notFound)),
+	)
+	srv.ReadHeaderTimeout = httpHeaderTimeout
+	srv.Handle(path, peers)
+	return srv
+}
+
+// health serves the endpoints that balancers and scrapers read.
+func health(srv *khttp.Server, ready func() bool, metrics http.Handler) {
+	srv.HandleFunc(api.PathHealth, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	srv.HandleFunc(api.PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	srv.Handle(api.PathMetrics, metrics)
+}
+
+// bindAnnouncement reads and checks what a target says of itself.
+func bindAnnouncement(ctx khttp.Context) (proto.Announcement, error) {
+	var in api.Announcement
+	if err := ctx.Bind(&in); err != nil {
+		return proto.Announcement{}, err
+	}
+	if err := settings.CheckAnnouncement(in.Service, in.Name, in.Address, in.AvailabilityZone); err != nil {
+		return proto.Announcement{}, &api.Error{Kind: api.ErrInvalid, Message: trace.UserMessage(err)}
+	}
+	return proto.Announcement{
+		Service:          types.ServiceName(in.Service),
+		Name:             types.TargetName(in.Name),
+		Address:          types.Address(in.Address),
+		AvailabilityZone: types.AvailabilityZone(in.AvailabilityZone),
+		Leaving:          in.Leaving,
+	}, nil
+}
+
+// loopServer carries a blocking function as a server of a kratos app.
+type loopServer struct {
+	run    func(ctx context.Context) error
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func newLoopServer(run func(ctx context.Context) error) *loopServer {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &loopServer{run: run, ctx: ctx, cancel: cancel, done: make(chan struct{})}
+}
+
+// Start runs the function until Stop.
+func (s *loopServer) Start(context.Context) error {
+	defer close(s.done)
+	return s.run(s.ctx)
+}
+
+// Stop ends the function and waits for it.
+func (s *loopServer) Stop(ctx context.Context) error {
+	s.cancel()
+	select {
+	case <-s.done:
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err(), "waiting for a loop to end")
+	}
+}
--- /dev/null
+++ b/daemon/proxy.go
@@ -0,0 +1,188 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+
+	"github.com/camphorpaddle/camphorpaddle/core"
+	"github.com/camphorpaddle/camphorpaddle/core/node"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/session"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/daemon/api"
+	"github.com/camphorpaddle/camphorpaddle/runtime"
+	"github.com/camphorpaddle/camphorpaddle/settings"
+	"github.com/camphorpaddle/camphorpaddle/telemetry"
+	"github.com/camphorpaddle/camphorpaddle/wire"
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+)
+
+// Proxy is a proxy process.
+type Proxy struct {
+	settings *settings.Daemon
+	version  string
+	key      string
+	tls      tlsConfigs
+	clock    runtime.Clock
+	link     *wire.Link
+	recorder *telemetry.Recorder
+	proxy    *runtime.Proxy
+	front    callerFront
+	http     net.Listener
+	callers  net.Listener
+	draining atomic.Bool
+}
+
+// NewProxy opens the ports of a proxy.
+func NewProxy(s *settings.Daemon, version string) (*Proxy, error) {
+	p := &Proxy{settings: s, version: version, clock: runtime.NewClock()}
+	if err := p.open(); err != nil {
+		p.release()
+		return nil, err
+	}
+	return p, nil
+}
+
+// open acquires what the proxy needs, in an order that lets release undo it.
+func (p *Proxy) open() (err error) {
+	s := p.settings
+	if p.key, err = readSecret(s.Security.KeyFile); err != nil {
+		return trace.Wrap(err, "reading the cluster key")
+	}
+	if p.tls, err = loadTLS(s.Security); err != nil {
+		return err
+	}
+	dialer, err := newTargetDialer(s, p.tls)
+	if err != nil {
+		return err
+	}
+	if p.recorder, err = newRecorder(s, s.Host, p.clock); err != nil {
+		return err
+	}
+	if p.http, err = listen(s.Listen.HTTP); err != nil {
+		return err
+	}
+	if p.callers, err = listen(s.Listen.Callers); err != nil {
+		return err
+	}
+	p.link = wire.NewLink(wireOptions(s, s.Host, p.key, p.tls))
+	p.proxy = runtime.NewProxy(runtime.ProxyOptions{
+		Control: core.NewProxy(node.Options{
+			Host: s.Host, AvailabilityZone: s.AvailabilityZone, Shards: s.Shards,
+		}),
+		Shard: p.newShard, Shards: s.Shards,
+		Clock: p.clock, Seed: rand.Uint64,
+		Link: p.link, Targets: dialer, Recorder: p.recorder,
+	})
+	p.front, err = newCallerFront(s, p.proxy)
+	return err
+}
+
+// newShard returns the reducer of one traffic shard.
+func (p *Proxy) newShard(index int) *core.Reducer {
+	return core.NewShard(session.Options{
+		Host: p.settings.Host, AvailabilityZone: p.settings.AvailabilityZone, Index: index,
+	})
+}
+
+// Run serves until a signal or the end of ctx. It stops gracefully: no new
+// sessions, and what is in flight finishes, up to the drain limit.
+func (p *Proxy) Run(ctx context.Context) error {
+	defer p.release()
+	s := p.settings
+	klog.InfoS("starting", "role", "proxy", "host", s.Host, "version", p.version,
+		"availability_zone", s.AvailabilityZone, "callers", p.callers.Addr(), "http", p.http.Addr())
+	httpServer := newHTTPServer(p.http, p.key, p.tls)
+	p.routes(httpServer)
+	p.link.Start(p.leaseGrant)
+	app := kratos.New(
+		kratos.Name("paddle-proxy"), kratos.Version(p.version), kratos.ID(string(s.Host)),
+		kratos.Context(ctx), kratos.Logger(kratosLog{}), kratos.StopTimeout(s.DrainLimit),
+		kratos.Server(
+			newLoopServer(func(ctx context.Context) error { p.proxy.Run(ctx); return nil }),
+			newLoopServer(func(ctx context.Context) error { return p.front.Serve(ctx, p.callers) }),
+			httpServer,
+		),
+		kratos.BeforeStop(func(context.Context) error { p.drain(); return nil }),
+	)
+	err := app.Run()
+	p.link.Close()
+	return trace.Wrap(err)
+}
+
+// leaseGrant hands over control's answer to a lease request.
+func (p *Proxy) leaseGrant(from types.HostID, g proto.LeaseGrant) {
+	p.recorder.LeaseAnswered(from, g, p.clock())
+	p.proxy.LeaseGrant(from, g)
+}
+
+// drain stops taking sessions and waits until the others have ended, or the
+// drain limit has passed. Another signal meanwhile changes nothing.
+func (p *Proxy) drain() {
+	p.draining.Store(true)
+	klog.InfoS("stopping", "role", "proxy", "host", p.settings.Host,
+		"drain_limit", p.settings.DrainLimit, "reason", "asked to stop")
+	p.proxy.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainLimit)
+	defer cancel()
+	if err := p.front.Shutdown(ctx); err != nil {
+		klog.ErrorS(err, "sessions_cut_off", "host", p.settings.Host,
+			"reason", "the drain limit has passed")
+		return
+	}
+	klog.InfoS("drained", "role", "proxy", "host", p.settings.Host)
+}
+
+// release gives back what open acquired.
+func (p *Proxy) release() {
+	for _, lis := range []net.Listener{p.http, p.callers} {
+		if lis != nil {
+			_ = lis.Close() // closed already after a run
+		}
+	}
+	if p.recorder != nil {
+		closeRecorder(p.recorder)
+	}
+}
+
+// routes serves the HTTP interface of a proxy.
+func (p *Proxy) routes(srv *khttp.Server) {
+	health(srv, p.ready, p.recorder.Metrics())
+	r := srv.Route("/")
+	r.POST(api.PathAnnounce, p.announce)
+	r.GET(api.PathStatus, func(ctx khttp.Context) error { return ctx.Result(200, p.status()) })
+}
+
+// ready reports whether the proxy may serve callers.
+func (p *Proxy) ready() bool {
+	st := p.status()
+	return st.LeaseLive && !st.Draining
+}
+
+func (p *Proxy) status() api.ProxyStatus {
+	view := p.proxy.View()
+	out := api.ProxyStatus{
+		Host: string(p.settings.Host), Draining: p.draining.Load(), LeaseLive: view.LeaseLive(p.clock()),
+	}
+	if view != nil && view.Cluster != nil {
+		out.ViewVersion = view.Cluster.Version
+		if view.Cluster.Config != nil {
+			out.ConfigVersion = view.Cluster.Config.Version
+		}
+	}
+	return out
+}
+
+func (p *Proxy) announce(ctx khttp.Context) error {
+	a, err := bindAnnouncement(ctx)
+	if err != nil {
+		return err
+	}
+	p.proxy.Announce(a)
+	return ctx.Result(200, struct{}{})
+}
--- a/settings/scalar.go
+++ b/settings/scalar.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/gravitational/trace"
 	"gopkg.in/yaml.v3"
 )
 
@@ -256,3 +257,18 @@
 	addr, err := netip.ParseAddrPort(string(a))
 	return err == nil && addr.Addr().IsLoopback()
 }
+
+// CheckAnnouncement checks what a target says of itself by the rules that hold
+// for the same values in files.
+func CheckAnnouncement(service, name, address, availabilityZone string) error {
+	for _, n := range []string{service, name, availabilityZone} {
+		if !namePattern.MatchString(n) {
+			return trace.BadParameter("%q %s", n, nameRule)
+		}
+	}
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() {
+		return trace.BadParameter("%q must be an IP number and a port that proxies can reach", address)
+	}
+	return nil
+}
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,152 @@
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"k8s.io/klog/v2"
+)
+
+// reportInterval is how often the metrics that a scraper reads are renewed.
+const reportInterval = time.Second
+
+// metricPrefix begins the name of each metric.
+const metricPrefix = "camphorpaddle"
+
+// latencyBuckets bounds the buckets of all durations.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 16)
+
+// metrics counts decisions and requests.
+type metrics struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+	dropped tally.Counter
+}
+
+func newMetrics(o Options) *metrics {
+	registry := prom.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry,
+		OnRegisterError: func(err error) {
+			klog.ErrorS(err, "metric_not_registered", "host", o.Host)
+		},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: metricPrefix,
+		Tags: map[string]string{
+			"role": o.Role, "host": string(o.Host),
+			"availability_zone": string(o.AvailabilityZone), "region": o.Region,
+		},
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &metrics{
+		scope: scope, closer: closer,
+		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		dropped: scope.Counter("records_dropped_total"),
+	}
+}
+
+func (m *metrics) decision(d *effect.Decide) {
+	m.scope.Tagged(map[string]string{
+		"kind": string(d.Kind), "service": string(d.Service),
+	}).Counter("decisions_total").Inc(1)
+	switch d.Kind {
+	case effect.DecideLeaseGained:
+		m.scope.Gauge("lease_live").Update(1)
+	case effect.DecideLeaseLost:
+		m.scope.Gauge("lease_live").Update(0)
+	case effect.DecideConfig:
+		m.scope.Gauge("config_version").Update(float64(d.Version))
+	case effect.DecideTermServing:
+		m.scope.Tagged(map[string]string{"service": string(d.Service)}).
+			Gauge("group_term").Update(float64(d.Term))
+	}
+}
+
+func (m *metrics) observation(o *effect.Observation) {
+	scope := m.scope.Tagged(map[string]string{
+		"service": string(o.Service), "profile": string(o.Profile), "class": className(o.Class),
+	})
+	scope.Tagged(map[string]string{"served_by": servedBy(o)}).Counter("requests_total").Inc(1)
+	if o.Refusal != 0 {
+		scope.Tagged(map[string]string{"code": refusalName(o.Refusal)}).Counter("refusals_total").Inc(1)
+	}
+	if o.Retries > 0 {
+		scope.Counter("retries_total").Inc(int64(o.Retries))
+	}
+	m.duration(scope, "request_seconds", o.Arrived, o.Done)
+	m.duration(scope, "position_wait_seconds", o.Arrived, o.Floored)
+	m.duration(scope, "connection_wait_seconds", o.Floored, o.Assigned)
+	m.duration(scope, "target_seconds", o.Assigned, o.Answered)
+	m.duration(scope, "confirm_seconds", o.Answered, o.Done)
+}
+
+// duration records the time from one instant to the next, if both were reached.
+func (m *metrics) duration(s tally.Scope, name string, from, to types.Instant) {
+	if from != 0 && to >= from {
+		s.Histogram(name, latencyBuckets).RecordDuration(to.Sub(from))
+	}
+}
+
+func (m *metrics) peerCall(c *peerCall) {
+	m.scope.Tagged(map[string]string{"peer": string(c.peer)}).
+		Histogram("lease_answer_seconds", latencyBuckets).RecordDuration(c.end.Sub(c.begin))
+}
+
+// servedBy says what kind of target answered a request.
+func servedBy(o *effect.Observation) string {
+	switch {
+	case o.Refusal != 0:
+		return "none"
+	case o.Replica:
+		return "replica"
+	}
+	return "primary"
+}
+
+func className(c types.Class) string {
+	if c == types.ClassRead {
+		return "read"
+	}
+	return "write"
+}
+
+var refusalNames = map[types.RefusalCode]string{
+	types.RefuseNoLease:        "no_lease",
+	types.RefuseNoPrimary:      "no_primary",
+	types.RefuseUnknownService: "unknown_service",
+	types.RefuseUnknownProfile: "unknown_profile",
+	types.RefuseOverloaded:     "overloaded",
+	types.RefuseTimeout:        "timeout",
+	types.RefuseConnLost:       "connection_lost",
+	types.RefuseReplaced:       "primary_replaced",
+	types.RefuseNotDurable:     "not_durable",
+	types.RefuseLostWrite:      "lost_write",
+	types.RefuseDraining:       "draining",
+	types.RefuseTooLarge:       "too_large",
+	types.RefuseNotClean:       "transaction_lost",
+}
+
+func refusalName(c types.RefusalCode) string {
+	if name, ok := refusalNames[c]; ok {
+		return name
+	}
+	return "code_" + strconv.Itoa(int(c))
+}
