shared: Add Status.ConfigSince

Operators wait until a change is in force on every proxy; proxies report the version of the view that they act on, which is not the configuration's.

--- a/core/proto/operator.go
+++ b/core/proto/operator.go
@@ -61,10 +61,13 @@
 	Term    ControlTerm
 	Commit  uint64
 	Applied uint64
-	Voters  []Voter
-	State   ClusterState
-	Proxies []ProxyStatus
-	Targets []TargetReport
+	// ConfigSince is the version of the view from which the configuration in
+	// State is part of it.
+	ConfigSince uint64
+	Voters      []Voter
+	State       ClusterState
+	Proxies     []ProxyStatus
+	Targets     []TargetReport
 }
 
 // ProxyStatus is what the leader knows of a proxy.
