--- /dev/null
+++ b/cmd/paddle-control/main.go
@@ -0,0 +1,72 @@
+// Command paddle-control is a control host: it keeps the replicated control
+// state, gives proxies their leases and orders promotions.
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/camphorpaddle/camphorpaddle/daemon"
+	"github.com/camphorpaddle/camphorpaddle/internal/cmdline"
+	"github.com/camphorpaddle/camphorpaddle/settings"
+	"github.com/urfave/cli/v3"
+)
+
+const description = `The first control host of a cluster is set up once with "init". Every other
+one is started with "run" on an empty data folder: it joins, receives the log,
+and becomes a voter when one is needed. Three hosts vote; a fourth is a spare.
+
+A host whose data folder was lost comes back under a new identity.
+
+Exit codes: 0 stopped as asked, 1 failure, 2 wrong use, 3 wrong settings,
+5 settings file missing.`
+
+func main() {
+	cmdline.Main(&cli.Command{
+		Name:        "paddle-control",
+		Usage:       "control host of camphorpaddle",
+		Description: description,
+		Commands: []*cli.Command{
+			{
+				Name: "init", Usage: "set up the data folder of the first control host of a new cluster",
+				Flags: []cli.Flag{cmdline.ConfigFlag()}, Action: initialize,
+			},
+			{Name: "run", Usage: "run the control host", Flags: []cli.Flag{cmdline.ConfigFlag()}, Action: run},
+			{Name: "check", Usage: "check the settings file and end", Flags: []cli.Flag{cmdline.ConfigFlag()}, Action: check},
+		},
+	})
+}
+
+func initialize(_ context.Context, cmd *cli.Command) error {
+	s, err := cmdline.DaemonSettings(cmd, settings.RoleControl)
+	if err != nil {
+		return err
+	}
+	host, err := daemon.InitControl(s)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.Root().Writer, "data folder %s set up for control host %s\n", s.DataFolder, host)
+	return err
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	s, err := cmdline.DaemonSettings(cmd, settings.RoleControl)
+	if err != nil {
+		return err
+	}
+	c, err := daemon.NewControl(s, cmd.Root().Version)
+	if err != nil {
+		return err
+	}
+	return c.Run(ctx)
+}
+
+func check(_ context.Context, cmd *cli.Command) error {
+	s, err := cmdline.DaemonSettings(cmd, settings.RoleControl)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.Root().Writer, "%s: valid settings of control host %s\n", cmd.String("config"), s.Host)
+	return err
+}
--- /dev/null
+++ b/cmd/paddlectl/status.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/daemon/api"
+	"github.com/urfave/cli/v3"
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "show hosts, proxies and services",
+		Description: "Without a leader it shows what the most advanced control host knows, which may\n" +
+			"be old, and says so.",
+		Action: online(showStatus),
+	}
+}
+
+// status returns the leader's status or, when none leads, that of the control
+// host which has applied most.
+func (s *session) status(ctx context.Context) (api.Status, error) {
+	var best api.Status
+	err := errors.New("no address is given")
+	answered := false
+	for _, addr := range s.Addresses {
+		var st api.Status
+		if askErr := s.Ask(ctx, addr, "GET", api.PathStatus, nil, &st); askErr != nil {
+			err = askErr
+			continue
+		}
+		if st.Leading {
+			return st, nil
+		}
+		if !answered || st.Applied > best.Applied {
+			best, answered = st, true
+		}
+	}
+	if answered {
+		return best, nil
+	}
+	return best, err
+}
+
+func showStatus(ctx context.Context, s *session, _ *cli.Command) error {
+	st, err := s.status(ctx)
+	if err != nil {
+		return err
+	}
+	summary := &table{header: []string{"CONTROL HOST", "LEADS", "TERM", "COMMITTED", "APPLIED", "CONFIG"}}
+	summary.add(st.Host, yes(st.Leading), st.Term, st.Commit, st.Applied, st.ConfigVersion)
+	return s.out.print(st, summary, hostTable(st.Hosts), proxyTable(st), serviceTable(st), targetTable(st, ""))
+}
+
+func hostTable(hosts []api.Host) *table {
+	t := &table{header: []string{"HOST", "ADDRESS", "AVAILABILITY ZONE", "ROLE", "LEADER"}}
+	for _, h := range hosts {
+		t.add(h.Host, h.Address, h.AvailabilityZone, h.Role, yes(h.Leader))
+	}
+	return t
+}
+
+func proxyTable(st api.Status) *table {
+	t := &table{header: []string{"PROXY", "AVAILABILITY ZONE", "LEASE", "HAS VIEW", "ACTS ON", "CONFIG IN FORCE"}}
+	for _, p := range st.Proxies {
+		t.add(p.Host, p.AvailabilityZone, leaseName(p.LeaseLive), p.Have, p.Seen, inForce(st, p))
+	}
+	return t
+}
+
+func leaseName(live bool) string {
+	if live {
+		return "live"
+	}
+	return "none"
+}
+
+// inForce says which configuration a proxy acts on.
+func inForce(st api.Status, p api.Proxy) string {
+	switch {
+	case !p.LeaseLive:
+		return "serves nothing"
+	case p.Seen >= st.ConfigSince:
+		return fmt.Sprint(st.ConfigVersion)
+	}
+	return fmt.Sprintf("older than %d", st.ConfigVersion)
+}
+
+// behindProxies lists the proxies that serve and do not act on a version of
+// the configuration yet. A version that was replaced meanwhile is in force
+// once its successor is.
+func behindProxies(st api.Status, version uint64) []string {
+	var out []string
+	for _, p := range st.Proxies {
+		if st.ConfigVersion < version || p.LeaseLive && p.Seen < st.ConfigSince {
+			out = append(out, p.Host)
+		}
+	}
+	return out
+}
+
+func serviceTable(st api.Status) *table {
+	t := &table{header: []string{"SERVICE", "PHASE", "TERM", "PRIMARY", "TARGETS"}}
+	for _, svc := range st.Services {
+		t.add(svc.Name, svc.Phase, svc.Term, svc.Primary, fmt.Sprintf("%d of %d", len(svc.Targets), svc.Members))
+	}
+	return t
+}
+
+func targetTable(st api.Status, service string) *table {
+	t := &table{header: []string{
+		"TARGET", "ADDRESS", "AVAILABILITY ZONE", "STATE", "ROLE", "TERM", "POSITION", "BEHIND", "FAILING", "HEARD AGO",
+	}}
+	for _, svc := range st.Services {
+		if service != "" && svc.Name != service {
+			continue
+		}
+		for _, tg := range svc.Targets {
+			t.add(svc.Name+"/"+tg.Name, tg.Address, tg.AvailabilityZone, tg.State, tg.Role, tg.Term,
+				tg.Position, tg.Behind, yes(tg.Failing), tg.HeardAgo.Round(time.Millisecond))
+		}
+	}
+	return t
+}
--- a/daemon/api/api.go
+++ b/daemon/api/api.go
@@ -80,6 +80,7 @@
 	Commit        uint64    `json:"commit"`
 	Applied       uint64    `json:"applied"`
 	ConfigVersion uint64    `json:"config_version"`
+	ConfigSince   uint64    `json:"config_since"` // view version that brought it
 	Hosts         []Host    `json:"hosts"`
 	Proxies       []Proxy   `json:"proxies"`
 	Services      []Service `json:"services"`
--- a/daemon/api/client.go
+++ b/daemon/api/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/settings"
 	"github.com/gravitational/trace"
 )
 
@@ -40,9 +41,22 @@
 	}
 }
 
+// NewSecureClient returns a client with the key and the certificates that the
+// settings name.
+func NewSecureClient(addresses []string, s settings.Security) (*Client, error) {
+	key, err := s.Key()
+	if err != nil {
+		return nil, err
+	}
+	configs, err := s.LoadTLS()
+	if err != nil {
+		return nil, err
+	}
+	return NewClient(addresses, key, configs.Client), nil
+}
+
 // Call sends a request to the leader and decodes its answer into out, unless
-// out is nil. Only calls that may be repeated are sent again after a lost
-// answer. The error is an *Error or a connection problem.
+// out is nil. The error is an *Error or a connection problem.
 func (c *Client) Call(ctx context.Context, method, path string, in, out any) error {
 	body, err := encode(in)
 	if err != nil {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -30,7 +30,7 @@
 	settings *settings.Daemon
 	version  string
 	key      string
-	tls      tlsConfigs
+	tls      settings.TLSConfigs
 	log      *storage.Log
 	mesh     *wire.Mesh
 	recorder *telemetry.Recorder
@@ -62,13 +62,13 @@
 // undo it.
 func (c *Control) open() (err error) {
 	s := c.settings
-	if c.key, err = readSecret(s.Security.KeyFile); err != nil {
-		return trace.Wrap(err, "reading the cluster key")
+	if c.key, err = s.Security.Key(); err != nil {
+		return err
 	}
-	if c.tls, err = loadTLS(s.Security); err != nil {
+	if c.tls, err = s.Security.LoadTLS(); err != nil {
 		return err
 	}
-	dialer, err := newTargetDialer(s, c.tls)
+	dialer, err := newTargetDialer(s)
 	if err != nil {
 		return err
 	}
@@ -153,8 +153,8 @@
 	}
 }
 
-func wireOptions(s *settings.Daemon, host types.HostID, key string, t tlsConfigs) wire.Options {
+func wireOptions(s *settings.Daemon, host types.HostID, key string, t settings.TLSConfigs) wire.Options {
 	return wire.Options{
-		Host: host, Key: key, Addresses: s.Control, TLS: t.client, Seed: rand.Uint64(),
+		Host: host, Key: key, Addresses: s.Control, TLS: t.Client, Seed: rand.Uint64(),
 	}
 }
--- a/daemon/convert.go
+++ b/daemon/convert.go
@@ -49,8 +49,8 @@
 	out := api.Status{
 		Host: string(st.Host), Leader: string(st.Leader), Leading: st.Host == st.Leader,
 		Term: uint64(st.Term), Commit: st.Commit, Applied: st.Applied,
-		ConfigVersion: configVersion(st),
-		Hosts:         []api.Host{}, Proxies: []api.Proxy{}, Services: []api.Service{},
+		ConfigVersion: configVersion(st), ConfigSince: st.ConfigSince,
+		Hosts: []api.Host{}, Proxies: []api.Proxy{}, Services: []api.Service{},
 	}
 	for _, v := range st.Voters {
 		out.Hosts = append(out.Hosts, hostOf(v, st.Leader))
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -78,11 +78,11 @@
 }
 
 // newHTTPServer returns the kratos server of a daemon's HTTP port.
-func newHTTPServer(lis net.Listener, key string, t tlsConfigs) *khttp.Server {
+func newHTTPServer(lis net.Listener, key string, t settings.TLSConfigs) *khttp.Server {
 	srv := khttp.NewServer(
 		khttp.Listener(lis),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: lis.Addr().String()}),
-		khttp.TLSConfig(t.server),
+		khttp.TLSConfig(t.Server),
 		khttp.Timeout(httpTimeout),
 		khttp.Filter(requireKey(key)),
 		khttp.RequestDecoder(decodeBody),
@@ -101,11 +101,11 @@
 
 // newPeerServer returns the server of the port for other processes of the
 // system. Its connections stay open, so requests have no timeout.
-func newPeerServer(lis net.Listener, t tlsConfigs, path string, peers http.Handler) *khttp.Server {
+func newPeerServer(lis net.Listener, t settings.TLSConfigs, path string, peers http.Handler) *khttp.Server {
 	srv := khttp.NewServer(
 		khttp.Listener(lis),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: lis.Addr().String()}),
-		khttp.TLSConfig(t.server),
+		khttp.TLSConfig(t.Server),
 		khttp.Timeout(0),
 		khttp.NotFoundHandler(http.HandlerFunc(notFound)),
 		khttp.MethodNotAllowedHandler(http.HandlerFunc(notFound)),
--- /dev/null
+++ b/daemon/postgres.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	front "github.com/camphorpaddle/camphorpaddle/front/pg"
+	"github.com/camphorpaddle/camphorpaddle/runtime"
+	"github.com/camphorpaddle/camphorpaddle/settings"
+	target "github.com/camphorpaddle/camphorpaddle/target/pg"
+	"github.com/gravitational/trace"
+)
+
+// newTargetDialer returns the dialer of a daemon's connections to targets.
+func newTargetDialer(s *settings.Daemon) (runtime.TargetDialer, error) {
+	password, err := settings.ReadSecret(s.Target.PasswordFile)
+	if err != nil {
+		return nil, trace.Wrap(err, "reading the targets' password")
+	}
+	return target.NewDialer(target.Config{
+		User: s.Target.User, Password: password, Database: s.Target.Database,
+		MaxReply: int(s.Limits.AnswerBytes),
+	}), nil
+}
+
+// newCallerFront returns the server for the proxy's callers.
+func newCallerFront(s *settings.Daemon, p *runtime.Proxy) *front.Server {
+	return front.New(front.Config{
+		MaxSessions:    s.Limits.Sessions,
+		MaxMessage:     int(s.Limits.MessageBytes),
+		StartupTimeout: s.Limits.StartupTime,
+	}, p)
+}
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/session"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/daemon/api"
+	front "github.com/camphorpaddle/camphorpaddle/front/pg"
 	"github.com/camphorpaddle/camphorpaddle/runtime"
 	"github.com/camphorpaddle/camphorpaddle/settings"
 	"github.com/camphorpaddle/camphorpaddle/telemetry"
@@ -27,12 +28,12 @@
 	settings *settings.Daemon
 	version  string
 	key      string
-	tls      tlsConfigs
+	tls      settings.TLSConfigs
 	clock    runtime.Clock
 	link     *wire.Link
 	recorder *telemetry.Recorder
 	proxy    *runtime.Proxy
-	front    callerFront
+	front    *front.Server
 	http     net.Listener
 	callers  net.Listener
 	draining atomic.Bool
@@ -51,13 +52,13 @@
 // open acquires what the proxy needs, in an order that lets release undo it.
 func (p *Proxy) open() (err error) {
 	s := p.settings
-	if p.key, err = readSecret(s.Security.KeyFile); err != nil {
-		return trace.Wrap(err, "reading the cluster key")
+	if p.key, err = s.Security.Key(); err != nil {
+		return err
 	}
-	if p.tls, err = loadTLS(s.Security); err != nil {
+	if p.tls, err = s.Security.LoadTLS(); err != nil {
 		return err
 	}
-	dialer, err := newTargetDialer(s, p.tls)
+	dialer, err := newTargetDialer(s)
 	if err != nil {
 		return err
 	}
@@ -79,8 +80,8 @@
 		Clock: p.clock, Seed: rand.Uint64,
 		Link: p.link, Targets: dialer, Recorder: p.recorder,
 	})
-	p.front, err = newCallerFront(s, p.proxy)
-	return err
+	p.front = newCallerFront(s, p.proxy)
+	return nil
 }
 
 // newShard returns the reducer of one traffic shard.
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -48,18 +48,6 @@
 	HTTP    types.Address // operators, announcements, health and metrics
 }
 
-// Security holds the key that all processes of a deployment share, and the
-// files of TLS.
-type Security struct {
-	KeyFile         string // file with the cluster key
-	CertificateFile string
-	PrivateKeyFile  string
-	AuthorityFile   string
-}
-
-// TLS reports whether the system's own ports use TLS.
-func (s Security) TLS() bool { return s.CertificateFile != "" }
-
 // Limits bounds what a caller may use of a proxy.
 type Limits struct {
 	MessageBytes int64
@@ -174,27 +162,6 @@
 	return out
 }
 
-func (m *mapping) security() Security {
-	s := m.sub("security")
-	out := Security{
-		KeyFile:         s.text("key_file", ""),
-		CertificateFile: s.text("certificate_file", ""),
-		PrivateKeyFile:  s.text("private_key_file", ""),
-		AuthorityFile:   s.text("authority_file", ""),
-	}
-	s.close()
-	given := 0
-	for _, f := range []string{out.CertificateFile, out.PrivateKeyFile, out.AuthorityFile} {
-		if f != "" {
-			given++
-		}
-	}
-	if given != 0 && given != 3 {
-		m.add(s.node, s.path, "TLS needs certificate_file, private_key_file and authority_file")
-	}
-	return out
-}
-
 func (m *mapping) limits() Limits {
 	l := m.sub("limits")
 	sizes := span[int64]{minMessageBytes, maxMessageBytes}
--- a/settings/operators.go
+++ b/settings/operators.go
@@ -178,3 +178,21 @@
 	m.add(m.at("default_profile"), join(m.path, "default_profile"),
 		"%q is not in the service's profiles", s.DefaultProfile)
 }
+
+// FreshnessName returns the word that files use for a freshness mode.
+func FreshnessName(m types.FreshnessMode) string { return wordOf(freshnessModes, m) }
+
+// IdempotenceName returns the word that files use for an idempotence.
+func IdempotenceName(i types.Idempotence) string { return wordOf(idempotences, i) }
+
+// DurabilityName returns the word that files use for a durability.
+func DurabilityName(d types.Durability) string { return wordOf(durabilities, d) }
+
+func wordOf[T comparable](words map[string]T, v T) string {
+	for word, value := range words {
+		if value == v {
+			return word
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/settings/security.go
@@ -0,0 +1,101 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Security holds the key that all processes of a deployment share, and the
+// files of TLS.
+type Security struct {
+	KeyFile         string // file with the cluster key
+	CertificateFile string
+	PrivateKeyFile  string
+	AuthorityFile   string
+}
+
+// security reads the settings of the system's own ports.
+func (m *mapping) security() Security {
+	s := m.sub("security")
+	out := Security{
+		KeyFile:         s.text("key_file", ""),
+		CertificateFile: s.text("certificate_file", ""),
+		PrivateKeyFile:  s.text("private_key_file", ""),
+		AuthorityFile:   s.text("authority_file", ""),
+	}
+	s.close()
+	given := 0
+	for _, f := range []string{out.CertificateFile, out.PrivateKeyFile, out.AuthorityFile} {
+		if f != "" {
+			given++
+		}
+	}
+	if given != 0 && given != 3 {
+		m.add(s.node, s.path, "TLS needs certificate_file, private_key_file and authority_file")
+	}
+	return out
+}
+
+// TLS reports whether the system's own ports use TLS.
+func (s Security) TLS() bool { return s.CertificateFile != "" }
+
+// Key returns the cluster key, or nothing when no file is named.
+func (s Security) Key() (string, error) {
+	key, err := ReadSecret(s.KeyFile)
+	return key, trace.Wrap(err, "reading the cluster key")
+}
+
+// TLSConfigs holds the two sides of TLS; both are nil when it is off.
+type TLSConfigs struct {
+	Server *tls.Config
+	Client *tls.Config
+}
+
+// LoadTLS reads the files of TLS. Both sides show a certificate and check the
+// other's against the authority.
+func (s Security) LoadTLS() (TLSConfigs, error) {
+	if !s.TLS() {
+		return TLSConfigs{}, nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.CertificateFile, s.PrivateKeyFile)
+	if err != nil {
+		return TLSConfigs{}, trace.Wrap(err, "reading the certificate %s", s.CertificateFile)
+	}
+	pem, err := os.ReadFile(s.AuthorityFile)
+	if err != nil {
+		return TLSConfigs{}, trace.ConvertSystemError(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return TLSConfigs{}, trace.BadParameter("file %s holds no certificate", s.AuthorityFile)
+	}
+	certs := []tls.Certificate{cert}
+	return TLSConfigs{
+		Server: &tls.Config{
+			MinVersion: tls.VersionTLS13, Certificates: certs,
+			ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+		},
+		Client: &tls.Config{MinVersion: tls.VersionTLS13, Certificates: certs, RootCAs: pool},
+	}, nil
+}
+
+// ReadSecret returns the content of a file without the space around it, or
+// nothing when no file is named.
+func ReadSecret(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	secret := strings.TrimSpace(string(data))
+	if secret == "" {
+		return "", trace.BadParameter("file %s is empty", file)
+	}
+	return secret, nil
+}
