--- a/front/pg/statement.go
+++ b/front/pg/statement.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/camphorpaddle/camphorpaddle/internal/sqltoken"
 )
 
 // statementKind says what the front does with a statement.
@@ -53,7 +55,7 @@
 
 // matchStatement recognises the statements that the front treats on its own.
 func matchStatement(sql string) statement {
-	first := firstWord(sql)
+	first := sqltoken.FirstWord(sql)
 	if slices.Contains(refusedCommands, first) {
 		return statement{kind: stmtRefused, name: strings.ToUpper(first)}
 	}
@@ -74,7 +76,7 @@
 }
 
 // matchBegin recognises BEGIN and START TRANSACTION with an access mode.
-func matchBegin(tokens []token) statement {
+func matchBegin(tokens []sqltoken.Token) statement {
 	words := lowered(tokens)
 	mode := stmtOther
 	for i := 1; i+1 < len(words); i++ {
@@ -92,7 +94,7 @@
 }
 
 // matchSet recognises SET of a setting of the session.
-func matchSet(tokens []token) statement {
+func matchSet(tokens []sqltoken.Token) statement {
 	words := lowered(tokens)
 	if len(words) < 2 || words[1] == "local" || words[1] == "transaction" || words[1] == "constraints" {
 		return statement{}
@@ -106,8 +108,8 @@
 	if words[1] == "session" {
 		tokens, words = tokens[1:], words[1:]
 	}
-	if len(words) == 4 && (words[2] == "=" || words[2] == "to") && !tokens[3].symbol && knownSetting(words[1]) {
-		return statement{kind: stmtLocal, name: words[1], value: tokens[3].text}
+	if len(words) == 4 && (words[2] == "=" || words[2] == "to") && tokens[3].Kind != sqltoken.Symbol && knownSetting(words[1]) {
+		return statement{kind: stmtLocal, name: words[1], value: tokens[3].Text}
 	}
 	if len(words) > 2 && slices.Contains(ignoredSettings, words[1]) && !slices.Contains(words, ";") {
 		return statement{kind: stmtLocal, name: words[1]}
@@ -116,7 +118,7 @@
 }
 
 // matchReset recognises RESET of a setting of the session.
-func matchReset(tokens []token) statement {
+func matchReset(tokens []sqltoken.Token) statement {
 	st := matchNamed(tokens, verbReset)
 	if st.kind != stmtLocal {
 		return statement{kind: stmtRefused, name: "RESET of a setting of the target"}
@@ -125,7 +127,7 @@
 }
 
 // matchNamed recognises a verb with the name of a setting.
-func matchNamed(tokens []token, v verb) statement {
+func matchNamed(tokens []sqltoken.Token, v verb) statement {
 	words := lowered(tokens)
 	if len(words) == 2 && knownSetting(words[1]) {
 		return statement{kind: stmtLocal, verb: v, name: words[1]}
@@ -142,3 +144,25 @@
 	_, ok := (&settings{}).show(name)
 	return ok
 }
+
+// scan splits a statement and drops the semicolons at its end.
+func scan(sql string) []sqltoken.Token {
+	tokens := sqltoken.Scan(sql)
+	for len(tokens) > 0 && tokens[len(tokens)-1].Is(";") {
+		tokens = tokens[:len(tokens)-1]
+	}
+	return tokens
+}
+
+// lowered returns the texts of tokens in lower case. A literal is never taken
+// for a word: it keeps its opening quote.
+func lowered(tokens []sqltoken.Token) []string {
+	words := make([]string, len(tokens))
+	for i, t := range tokens {
+		words[i] = strings.ToLower(t.Text)
+		if t.Kind == sqltoken.Literal {
+			words[i] = "'" + words[i]
+		}
+	}
+	return words
+}
--- /dev/null
+++ b/internal/sqltoken/sqltoken.go
@@ -0,0 +1,144 @@
+// Package sqltoken splits SQL text into words, string literals and symbols. It
+// knows no grammar.
+package sqltoken
+
+import "strings"
+
+// Kind is the kind of a token.
+type Kind uint8
+
+// The kinds of tokens.
+const (
+	Word    Kind = iota // a keyword, name, number or parameter
+	Literal             // a string literal, without its quotes
+	Symbol              // an operator or punctuation mark
+)
+
+// Token is one piece of a statement.
+type Token struct {
+	Kind Kind
+	Text string
+}
+
+// Is reports whether the token is the symbol s.
+func (t Token) Is(s string) bool { return t.Kind == Symbol && t.Text == s }
+
+// Word reports whether the token is the word w, in any case of letters. The
+// argument is in lower case.
+func (t Token) Word(w string) bool { return t.Kind == Word && strings.EqualFold(t.Text, w) }
+
+// pairs are the operators of two characters.
+var pairs = []string{"<=", ">=", "<>", "!="}
+
+// Scan splits text into tokens and drops comments. What it can't split becomes
+// a symbol of its own.
+func Scan(text string) []Token {
+	var tokens []Token
+	for {
+		text = skipBlank(text)
+		if text == "" {
+			return tokens
+		}
+		var t Token
+		t, text = next(text)
+		tokens = append(tokens, t)
+	}
+}
+
+// FirstWord returns the first word of text in lower case, behind comments and
+// empty statements.
+func FirstWord(text string) string {
+	for {
+		text = skipBlank(text)
+		if !strings.HasPrefix(text, ";") {
+			break
+		}
+		text = text[1:]
+	}
+	return strings.ToLower(text[:wordLen(text)])
+}
+
+func next(text string) (Token, string) {
+	switch text[0] {
+	case '\'':
+		return quoted(text, Literal)
+	case '"':
+		return quoted(text, Word)
+	}
+	if n := wordLen(text); n > 0 {
+		return Token{Kind: Word, Text: text[:n]}, text[n:]
+	}
+	for _, p := range pairs {
+		if strings.HasPrefix(text, p) {
+			return Token{Kind: Symbol, Text: p}, text[len(p):]
+		}
+	}
+	return Token{Kind: Symbol, Text: text[:1]}, text[1:]
+}
+
+// quoted reads a quoted text; a doubled quote stands for itself.
+func quoted(text string, kind Kind) (Token, string) {
+	quote := text[0]
+	var out strings.Builder
+	for i := 1; i < len(text); i++ {
+		if text[i] != quote {
+			out.WriteByte(text[i])
+			continue
+		}
+		if i+1 < len(text) && text[i+1] == quote {
+			out.WriteByte(quote)
+			i++
+			continue
+		}
+		return Token{Kind: kind, Text: out.String()}, text[i+1:]
+	}
+	return Token{Kind: Symbol, Text: text}, ""
+}
+
+// wordLen returns the length of the word at the front of text, in bytes.
+func wordLen(text string) int {
+	n := 0
+	for n < len(text) && isWordByte(text[n]) {
+		n++
+	}
+	return n
+}
+
+func isWordByte(b byte) bool {
+	return b == '_' || b == '.' || b == '$' || b >= 0x80 ||
+		'0' <= b && b <= '9' || 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z'
+}
+
+// skipBlank removes white space and comments from the front of text.
+func skipBlank(text string) string {
+	for {
+		text = strings.TrimLeft(text, " \t\r\n\f\v")
+		switch {
+		case strings.HasPrefix(text, "--"):
+			_, text, _ = strings.Cut(text, "\n")
+		case strings.HasPrefix(text, "/*"):
+			text = skipBlockComment(text)
+		default:
+			return text
+		}
+	}
+}
+
+// skipBlockComment removes a block comment, which may hold others.
+func skipBlockComment(text string) string {
+	depth := 0
+	for i := 0; i+1 < len(text); i++ {
+		switch text[i : i+2] {
+		case "/*":
+			depth++
+			i++
+		case "*/":
+			depth--
+			i++
+		}
+		if depth == 0 {
+			return text[i+1:]
+		}
+	}
+	return ""
+}
--- a/target/pg/answer.go
+++ b/target/pg/answer.go
@@ -15,6 +15,7 @@
 	reply  Reply
 	tx     types.TxStatus
 	err    *pgproto3.ErrorResponse
+	tag    string   // of the last statement
 	row    [][]byte // values of the first row; only of operations of ours
 	parses int      // Parse messages answered so far
 }
@@ -82,8 +83,8 @@
 		a.err = &pgproto3.ErrorResponse{}
 		return trace.Wrap(a.err.Decode(body))
 	case msgCommandComplete:
-		tag := strings.TrimSuffix(string(body), "\x00")
-		c.dirty = c.dirty || op.Kind == types.OpCaller && stateTags[tag]
+		a.tag = strings.TrimSuffix(string(body), "\x00")
+		c.dirty = c.dirty || op.Kind == types.OpCaller && stateTags[a.tag]
 	case msgNotification, msgParameterStatus:
 		a.drop(len(body))
 	case msgCopyIn, msgCopyOut, msgCopyBoth:
--- a/target/pg/operation.go
+++ b/target/pg/operation.go
@@ -23,6 +23,10 @@
 // roleOfPrimary is how a target names its role in its position.
 const roleOfPrimary = "primary"
 
+// tagCommit is the command tag of a commit. A target ends a failed transaction
+// with another one and no error.
+const tagCommit = "COMMIT"
+
 // positionColumns is the number of columns of the answer to SHOW
 // paddle.position: term, role, term of the last log entry, its offset.
 const positionColumns = 4
@@ -102,6 +106,8 @@
 // errorKind classes the target's error.
 func (a *answer) errorKind(kind types.OperationKind) types.TargetErrorKind {
 	switch {
+	case a.err == nil && kind == types.OpCommit && a.tag != tagCommit:
+		return types.TargetErrStatement
 	case a.err == nil:
 		return types.TargetErrNone
 	case kind == types.OpClaim && a.err.Code == codeUniqueViolation:
