--- a/cmd/paddlectl/config.go
+++ b/cmd/paddlectl/config.go
@@ -154,12 +154,12 @@
 // or has lost its lease and so serves nothing.
 func (s *session) waitInForce(ctx context.Context, version uint64) error {
 	for {
-		var st api.Status
-		if err := s.Call(ctx, "GET", api.PathStatus, nil, &st); err != nil {
+		st, err := s.LeaderStatus(ctx)
+		if err != nil {
 			return err
 		}
 		behind := behindProxies(st, version)
-		if len(behind) == 0 {
+		if st.Leading && len(behind) == 0 {
 			return nil
 		}
 		select {
--- a/cmd/paddlectl/status.go
+++ b/cmd/paddlectl/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -19,33 +18,8 @@
 	}
 }
 
-// status returns the leader's status or, when none leads, that of the control
-// host which has applied most.
-func (s *session) status(ctx context.Context) (api.Status, error) {
-	var best api.Status
-	err := errors.New("no address is given")
-	answered := false
-	for _, addr := range s.Addresses {
-		var st api.Status
-		if askErr := s.Ask(ctx, addr, "GET", api.PathStatus, nil, &st); askErr != nil {
-			err = askErr
-			continue
-		}
-		if st.Leading {
-			return st, nil
-		}
-		if !answered || st.Applied > best.Applied {
-			best, answered = st, true
-		}
-	}
-	if answered {
-		return best, nil
-	}
-	return best, err
-}
-
 func showStatus(ctx context.Context, s *session, _ *cli.Command) error {
-	st, err := s.status(ctx)
+	st, err := s.LeaderStatus(ctx)
 	if err != nil {
 		return err
 	}
--- a/cmd/paddlectl/targets.go
+++ b/cmd/paddlectl/targets.go
@@ -44,7 +44,7 @@
 }
 
 func listServices(ctx context.Context, s *session, _ *cli.Command) error {
-	st, err := s.status(ctx)
+	st, err := s.LeaderStatus(ctx)
 	if err != nil {
 		return err
 	}
@@ -52,7 +52,7 @@
 }
 
 func listTargets(ctx context.Context, s *session, cmd *cli.Command) error {
-	st, err := s.status(ctx)
+	st, err := s.LeaderStatus(ctx)
 	if err != nil {
 		return err
 	}
--- a/daemon/api/client.go
+++ b/daemon/api/client.go
@@ -89,6 +89,31 @@
 	return last
 }
 
+// LeaderStatus returns the status of the control host that leads or, when none
+// leads, of the one that has applied most.
+func (c *Client) LeaderStatus(ctx context.Context) (Status, error) {
+	var best Status
+	var err error = trace.ConnectionProblem(nil, "no address of a control host is known")
+	answered := false
+	for _, addr := range c.Addresses {
+		var st Status
+		if askErr := c.Ask(ctx, addr, http.MethodGet, PathStatus, nil, &st); askErr != nil {
+			err = askErr
+			continue
+		}
+		if st.Leading {
+			return st, nil
+		}
+		if !answered || st.Applied > best.Applied {
+			best, answered = st, true
+		}
+	}
+	if answered {
+		return best, nil
+	}
+	return best, err
+}
+
 // Ask sends a request to one address only.
 func (c *Client) Ask(ctx context.Context, addr, method, path string, in, out any) error {
 	body, err := encode(in)
--- /dev/null
+++ b/internal/lab/process.go
@@ -0,0 +1,127 @@
+package lab
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Process is one started program. Its output goes to a log file.
+type Process struct {
+	Name    string
+	LogFile string
+
+	path string
+	args []string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// start runs the program once more; an earlier run must have ended.
+func (p *Process) start() error {
+	log, err := os.OpenFile(p.LogFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer log.Close() // the program has its own copy
+	cmd := exec.Command(p.path, p.args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return trace.Wrap(err, "starting %s", p.Name)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait() // the state is read from cmd.ProcessState
+		close(done)
+	}()
+	return nil
+}
+
+// Pid returns the process id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error {
+	return trace.Wrap(p.cmd.Process.Signal(s), "sending %s to %s", s, p.Name)
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() error {
+	select {
+	case <-p.done:
+		return nil
+	default:
+	}
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
+
+// Freeze stops the process until Thaw.
+func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process run on.
+func (p *Process) Thaw() error { return p.Signal(syscall.SIGCONT) }
+
+// Terminate asks the process to end and waits for it. It returns the exit
+// code.
+func (p *Process) Terminate(ctx context.Context) (int, error) {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return 0, err
+	}
+	return p.Wait(ctx)
+}
+
+// Wait waits for the end of the process and returns its exit code.
+func (p *Process) Wait(ctx context.Context) (int, error) {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-ctx.Done():
+		return 0, trace.Wrap(ctx.Err(), "waiting for the end of %s", p.Name)
+	}
+}
+
+// Restart runs the program again after its end.
+func (p *Process) Restart() error {
+	<-p.done
+	return p.start()
+}
+
+// stop ends the process, by force after a while.
+func (p *Process) stop(patience time.Duration) {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT) // it may be frozen, or have ended
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if _, err := p.Terminate(ctx); err != nil {
+		_ = p.Kill() // an error means that it has ended
+	}
+}
+
+// newProcess describes a program whose log goes to the folder.
+func (l *Lab) newProcess(name, program string, args ...string) *Process {
+	return &Process{
+		Name: name, LogFile: filepath.Join(l.config.Dir, name+".log"),
+		path: filepath.Join(l.bin, program), args: args,
+	}
+}
+
+// launch starts a process that Stop ends.
+func (l *Lab) launch(p *Process) error {
+	if err := p.start(); err != nil {
+		return err
+	}
+	l.processes = append(l.processes, p)
+	return nil
+}
