--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,14 @@
 # Few targets; see README.md.
 
-.PHONY: build test lint ci
+.PHONY: build demo test lint ci bench fuzz
 
 build:
 	go build -o bin/ ./cmd/...
 
+# Starts a whole system on loopback and shows a write, a read and a failover.
+demo:
+	go run ./internal/demo
+
 test:
 	./scripts/test.sh
 
@@ -13,5 +17,11 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+fuzz:
+	./scripts/fuzz.sh
+
 ci:
 	.ci/run
