Let the test driver carry any event and run shards

Cause: a test of the whole system needs leases, probes and exchanges on the same virtual network as consensus. Conclusion: one driver serves consensus and the whole system.

--- a/core/coretest/cluster.go
+++ b/core/coretest/cluster.go
@@ -40,6 +40,9 @@
 	SyncTime time.Duration   // from a Persist until it is synced
 	Drift    float64         // of the clock: 0.01 runs one percent fast
 
+	// View returns the view that a traffic shard acts on.
+	View func() *types.NodeView
+
 	run     int // counts restarts; events of an earlier run are dropped
 	frozen  bool
 	waiting []event.Event // while frozen
@@ -164,6 +167,10 @@
 	if h.run != q.run {
 		return
 	}
+	if call, ok := q.event.(scheduled); ok {
+		call.do()
+		return
+	}
 	if d, ok := q.event.(synced); ok {
 		if err := h.Disk.Apply(d.write); err != nil {
 			panic(err)
@@ -186,6 +193,9 @@
 // Step gives a host an event now and carries out the effects.
 func (c *Cluster) Step(h *Host, ev event.Event) {
 	in := event.Input{Now: c.Local(h), Seed: c.random.Uint64(), Event: ev}
+	if h.View != nil {
+		in.View = h.View()
+	}
 	for _, eff := range h.Stepper.Step(in) {
 		c.Effect(h, eff)
 		c.execute(h, eff)
@@ -216,12 +226,12 @@
 func (c *Cluster) sendPeer(from *Host, m proto.Message) {
 	for _, id := range sortedHosts(c.Hosts) {
 		if id != from.ID && (m.To == "" || m.To == id) && !c.Network.cut[link{from.ID, id}] {
-			c.travel(c.Hosts[id], m)
+			c.travel(c.Hosts[id], event.PeerMessage{Message: m})
 		}
 	}
 }
 
-func (c *Cluster) travel(to *Host, m proto.Message) {
+func (c *Cluster) travel(to *Host, ev event.Event) {
 	copies := 1
 	if c.random.IntN(100) < c.Network.DropPercent {
 		copies--
@@ -230,11 +240,7 @@
 		copies++
 	}
 	for range copies {
-		delay := c.Network.DelayMin
-		if spread := c.Network.DelayMax - delay; spread > 0 {
-			delay += time.Duration(c.random.Int64N(int64(spread)))
-		}
-		c.after(delay, to, event.PeerMessage{Message: m})
+		c.after(c.Delay(), to, ev)
 	}
 }
 
