--- a/core/coretest/deliver.go
+++ b/core/coretest/deliver.go
@@ -47,3 +47,6 @@
 
 // Random returns random bits of the cluster's seed.
 func (c *Cluster) Random() uint64 { return c.random.Uint64() }
+
+// Frozen reports whether the host takes in no events.
+func (h *Host) Frozen() bool { return h.frozen }
