Test consensus under failures with an oracle

Focused tests: loss of a leader in five ways, a return after a cut, a second loss after repair, a lost disk, restarts after 300 and 1500 changes.

--- /dev/null
+++ b/core/consensus/failure_test.go
@@ -0,0 +1,277 @@
+package consensus_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/consensus"
+	"github.com/camphorpaddle/camphorpaddle/core/coretest"
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"gotest.tools/v3/assert"
+)
+
+// takeover bounds the time from the loss of a leader to the next one.
+const takeover = 3 * time.Second
+
+// TestLeaderIsReplaced loses a leader in several ways, each of which must end
+// with another one that commits.
+func TestLeaderIsReplaced(t *testing.T) {
+	others := func(o *oracle, id types.HostID, do func(types.HostID)) {
+		for other := range o.nodes {
+			if other != id {
+				do(other)
+			}
+		}
+	}
+	tests := []struct {
+		name string
+		lose func(o *oracle, id types.HostID)
+	}{
+		{"crash", func(o *oracle, id types.HostID) { o.cluster.Crash(id) }},
+		{"freeze", func(o *oracle, id types.HostID) { o.cluster.Freeze(id) }},
+		{"cut off", func(o *oracle, id types.HostID) { o.cluster.Isolate(id) }},
+		{"hears nobody", func(o *oracle, id types.HostID) {
+			others(o, id, func(other types.HostID) { o.cluster.Cut(other, id) })
+		}},
+		{"heard by nobody", func(o *oracle, id types.HostID) {
+			others(o, id, func(other types.HostID) { o.cluster.Cut(id, other) })
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				o := newOracle(t, seed, "a", "b", "c")
+				lost := o.awaitLeader(takeover)
+				tt.lose(o, lost.ID())
+				found := o.cluster.RunUntil(takeover, func() bool {
+					l := o.leader()
+					return l != nil && l != lost
+				})
+				assert.Assert(t, found, "seed %d: no new leader", seed)
+				o.awaitCommit(takeover, "after")
+			}
+		})
+	}
+}
+
+// TestReturningHostDoesNotDisturb cuts a host off for long and lets it return.
+func TestReturningHostDoesNotDisturb(t *testing.T) {
+	for _, cutLeader := range []bool{true, false} {
+		for seed := range uint64(10) {
+			o := newOracle(t, seed, "a", "b", "c")
+			first := o.awaitLeader(takeover)
+			lost := first
+			if !cutLeader {
+				lost = o.other(first)
+			}
+			o.cluster.Isolate(lost.ID())
+			o.cluster.Run(8 * time.Second)
+			assert.Equal(t, lost.LeadsUntil(), types.Instant(0))
+			now := o.awaitLeader(takeover)
+			term := now.Term()
+			o.cluster.Heal()
+			o.cluster.Run(5 * time.Second)
+			assert.Equal(t, now.Term(), term, "seed %d, leader cut: %v", seed, cutLeader)
+			assert.Equal(t, lost.Term(), term)
+			assert.Assert(t, o.leader() == now)
+		}
+	}
+}
+
+// other returns a host that is not h.
+func (o *oracle) other(h *host) *host {
+	for _, id := range []types.HostID{"a", "b"} {
+		if n := o.nodes[id]; n != h {
+			return n
+		}
+	}
+	return nil
+}
+
+// TestVotersStayWithLiveLeader keeps one follower from hearing a leader that
+// the other one hears.
+func TestVotersStayWithLiveLeader(t *testing.T) {
+	for seed := range uint64(10) {
+		o := newOracle(t, seed, "a", "b", "c")
+		l := o.awaitLeader(takeover)
+		term := l.Term()
+		o.cluster.Cut(l.ID(), o.other(l).ID())
+		o.cluster.Run(8 * time.Second)
+		assert.Equal(t, l.Term(), term)
+		assert.Assert(t, o.leader() == l)
+	}
+}
+
+// TestSecondLossAfterRepair loses a voter, lets the spare take its place, and
+// loses another voter.
+func TestSecondLossAfterRepair(t *testing.T) {
+	o := newOracle(t, 1, "a", "b", "c")
+	o.awaitLeader(takeover)
+	o.cluster.Hosts["d"] = &coretest.Host{ID: "d", SyncTime: time.Millisecond}
+	o.cluster.Start("d")
+	o.cluster.Run(5 * time.Second)
+	assert.Assert(t, learns(o.leader(), "d"))
+	o.cluster.Crash(o.other(o.leader()).ID())
+	o.cluster.Run(12 * time.Second)
+	l := o.awaitLeader(takeover)
+	assert.Assert(t, !learns(l, "d"))
+	assert.Equal(t, len(l.Voters()), 3)
+	o.cluster.Crash(l.ID())
+	o.awaitCommit(takeover, "after the second loss")
+}
+
+func learns(h *host, id types.HostID) bool {
+	for _, v := range h.Voters() {
+		if v.Host == id {
+			return v.Learner
+		}
+	}
+	return false
+}
+
+// TestLostDiskReturnsAsNewHost empties a voter's disk. It comes back as a
+// learner and replaces its former self.
+func TestLostDiskReturnsAsNewHost(t *testing.T) {
+	o := newOracle(t, 1, "a", "b", "c")
+	l := o.awaitLeader(takeover)
+	lost := o.other(l).ID()
+	o.cluster.Crash(lost)
+	o.cluster.Hosts["new"] = &coretest.Host{ID: "new"}
+	o.cluster.Start("new")
+	o.cluster.Run(15 * time.Second)
+	assert.Assert(t, strings.Contains(fmt.Sprint(l.Voters()), "new"))
+	assert.Assert(t, !strings.Contains(fmt.Sprint(l.Voters()), "{"+string(lost)+" "))
+	assert.Assert(t, !learns(l, "new"))
+}
+
+// TestRestartAfterManyChanges restarts hosts that missed changes: some that
+// the log still holds, and so many that only a snapshot brings them back.
+func TestRestartAfterManyChanges(t *testing.T) {
+	for _, tt := range []struct {
+		changes, restores int
+	}{{300, 0}, {1500, 1}} {
+		t.Run(fmt.Sprint(tt.changes), func(t *testing.T) {
+			o := newOracle(t, 1, "a", "b", "c")
+			l := o.awaitLeader(takeover)
+			down := o.other(l).ID()
+			o.cluster.Crash(down)
+			for i := range tt.changes {
+				o.awaitCommit(time.Second, fmt.Sprint("change ", i))
+			}
+			o.cluster.Start(down)
+			before := o.restores // the host's own snapshot was restored by Start
+			o.cluster.Run(2 * time.Second)
+			assert.Equal(t, o.nodes[down].state, o.leader().state)
+			assert.Equal(t, o.restores-before, tt.restores)
+		})
+	}
+}
+
+// TestRestartOfAll restarts every host at once; what was committed stays.
+func TestRestartOfAll(t *testing.T) {
+	o := newOracle(t, 1, "a", "b", "c")
+	o.awaitLeader(takeover)
+	for i := range 1200 {
+		o.awaitCommit(time.Second, fmt.Sprint("change ", i))
+	}
+	state, applied := o.leader().state, o.leader().applied
+	for _, id := range []types.HostID{"a", "b", "c"} {
+		o.cluster.Crash(id)
+	}
+	for _, id := range []types.HostID{"a", "b", "c"} {
+		o.cluster.Start(id)
+	}
+	o.awaitLeader(takeover)
+	assert.Equal(t, o.states[applied], state)
+	assert.Assert(t, o.leader().applied > applied)
+}
+
+// TestBadNetwork commits over a network that drops, repeats and reorders.
+func TestBadNetwork(t *testing.T) {
+	o := newOracle(t, 1, "a", "b", "c")
+	o.cluster.Network.DropPercent, o.cluster.Network.RepeatPercent = 10, 10
+	o.cluster.Network.DelayMax = 30 * time.Millisecond
+	for i := range 200 {
+		o.awaitCommit(10*time.Second, fmt.Sprint("change ", i))
+	}
+}
+
+// TestOneChangeOfVotersAtATime proposes what the leader must drop (thesis, 4.1).
+func TestOneChangeOfVotersAtATime(t *testing.T) {
+	o := newOracle(t, 1, "a", "b", "c")
+	l := o.awaitLeader(takeover)
+	set := func(names ...string) event.Proposed {
+		var vs []proto.Voter
+		for _, name := range names {
+			vs = append(vs, voter(name))
+		}
+		return event.Proposed{Command: proto.Command{Voters: &proto.SetVoters{Voters: vs}}}
+	}
+	o.cluster.Step(l.host, set("a", "b", "c", "d", "e")) // two hosts at once
+	assert.Equal(t, len(l.Voters()), 3)
+	o.cluster.Step(l.host, set()) // nobody
+	assert.Equal(t, len(l.Voters()), 3)
+	o.cluster.Step(l.host, set("a", "b", "c", "d"))
+	assert.Equal(t, len(l.Voters()), 4)
+	o.cluster.Step(l.host, set("a", "b", "c", "d", "e")) // the last is not committed
+	assert.Equal(t, len(l.Voters()), 4)
+}
+
+// TestRemovedLeaderStepsDown removes the leader (Raft, section 6).
+func TestRemovedLeaderStepsDown(t *testing.T) {
+	o := newOracle(t, 1, "a", "b", "c")
+	l := o.awaitLeader(takeover)
+	rest, ok := consensus.WithoutHost(l.Voters(), l.ID())
+	assert.Assert(t, ok)
+	o.cluster.Step(l.host, event.Proposed{Command: proto.Command{Voters: &proto.SetVoters{Voters: rest}}})
+	o.cluster.RunUntil(takeover, func() bool { return o.leader() != nil && o.leader() != l })
+	o.awaitCommit(takeover, "without the old leader")
+	assert.Equal(t, l.LeadsUntil(), types.Instant(0))
+}
+
+// TestNothingLeavesBeforeItIsSynced feeds one host by hand.
+func TestNothingLeavesBeforeItIsSynced(t *testing.T) {
+	first := &proto.Snapshot{Index: 1, Term: 1, Voters: []proto.Voter{voter("a"), voter("b"), voter("c")}}
+	tests := []struct {
+		name    string
+		message proto.Message
+		reply   proto.MessageKind
+	}{
+		{"vote", proto.Message{Kind: proto.MsgVote, From: "b", To: "a", Term: 2, LogIndex: 1, LogTerm: 1}, proto.MsgVoteReply},
+		{"append", proto.Message{
+			Kind: proto.MsgAppend, From: "b", To: "a", Term: 2, LogIndex: 1, LogTerm: 1,
+			Entries: []proto.Entry{{Index: 2, Term: 2}},
+		}, proto.MsgAppendReply},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := consensus.New(consensus.Options{
+				Self:  voter("a"),
+				Saved: consensus.Saved{HardState: proto.HardState{Term: 1, Commit: 1}, Snapshot: first},
+			})
+			n.Step(event.Input{Now: 1, Event: event.Start{}})
+			at := types.Instant(10 * time.Second)
+			var seq uint64
+			for _, eff := range n.Step(event.Input{Now: at, Event: event.PeerMessage{Message: tt.message}}) {
+				switch e := eff.(type) {
+				case effect.SendPeer:
+					t.Errorf("%v left before it was synced", e.Message)
+				case effect.Persist:
+					seq = e.Seq
+				}
+			}
+			var sent []proto.MessageKind
+			for _, eff := range n.Step(event.Input{Now: at, Event: event.Persisted{Seq: seq}}) {
+				if s, ok := eff.(effect.SendPeer); ok {
+					sent = append(sent, s.Message.Kind)
+				}
+			}
+			assert.DeepEqual(t, sent, []proto.MessageKind{tt.reply})
+		})
+	}
+}
--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -189,7 +189,7 @@
 		n.become(m.Term, "")
 		return
 	}
-	if n.role != leader || m.Term < n.term {
+	if n.role != leader || m.Term < n.term || !isMember(n.log.voters(), m.From) {
 		return
 	}
 	p := n.peer(m.From)
--- a/core/consensus/voters.go
+++ b/core/consensus/voters.go
@@ -50,6 +50,7 @@
 	}
 	joiner := *m.Joiner
 	joiner.Learner = true
+	delete(n.lead.peers, joiner.Host) // it may have been a member before
 	n.changeVoters(append(slices.Clone(n.log.voters()), joiner), joiner.Host, "a new host asked to join")
 }
 
@@ -182,3 +183,10 @@
 	}
 	return next
 }
+
+// WithoutHost returns the voters without a host, for an operator's removal. It
+// reports false when the host is unknown or is the last voter.
+func WithoutHost(voters []proto.Voter, h types.HostID) ([]proto.Voter, bool) {
+	rest := without(voters, h)
+	return rest, len(rest) < len(voters) && countVoters(rest) > 0
+}
--- a/core/coretest/cluster.go
+++ b/core/coretest/cluster.go
@@ -43,7 +43,7 @@
 	run     int // counts restarts; events of an earlier run are dropped
 	frozen  bool
 	waiting []event.Event // while frozen
-	timers  map[event.TimerID]types.Instant
+	timers  map[event.TimerID]timer
 	epoch   time.Duration // cluster time at which the clock was started
 
 	syncedAt time.Duration // when the disk is done with the writes so far
@@ -85,7 +85,7 @@
 	h.run++
 	h.epoch = c.now
 	h.frozen, h.waiting, h.syncedAt = false, nil, c.now
-	h.timers = make(map[event.TimerID]types.Instant)
+	h.timers = make(map[event.TimerID]timer)
 	h.Stepper = c.Build(h)
 	c.Step(h, event.Start{})
 	return h
@@ -107,7 +107,7 @@
 	events := h.waiting
 	h.frozen, h.waiting = false, nil
 	for _, ev := range events {
-		c.after(0, h, ev)
+		c.Step(h, ev)
 	}
 }
 
@@ -161,7 +161,8 @@
 // deliver hands an event to its host, if the host's run still lasts.
 func (c *Cluster) deliver(q queued) {
 	h := q.host
-	if h.run != q.run {
+	_, message := q.event.(event.PeerMessage) // outlives a restart of its receiver
+	if h.Stepper == nil || h.run != q.run && !message {
 		return
 	}
 	if d, ok := q.event.(synced); ok {
@@ -171,7 +172,12 @@
 		q.event = event.Persisted{Seq: d.write.Seq}
 	}
 	if t, ok := q.event.(event.TimerFired); ok {
-		if at, armed := h.timers[t.ID]; !armed || at > c.Local(h) {
+		armed := h.timers[t.ID]
+		if armed.queued != q.order {
+			return // it was stopped or armed again
+		}
+		if armed.at > c.Local(h) {
+			c.armTimer(h, t.ID, armed.at) // the clock was slowed down
 			return
 		}
 		delete(h.timers, t.ID)
@@ -195,8 +201,7 @@
 func (c *Cluster) execute(h *Host, eff effect.Effect) {
 	switch e := eff.(type) {
 	case effect.ArmTimer:
-		h.timers[e.ID] = e.At
-		c.after(max(0, c.Global(h, e.At)-c.now), h, event.TimerFired{ID: e.ID})
+		c.armTimer(h, e.ID, e.At)
 	case effect.StopTimer:
 		delete(h.timers, e.ID)
 	case effect.Persist:
@@ -207,6 +212,17 @@
 	}
 }
 
+func (c *Cluster) armTimer(h *Host, id event.TimerID, at types.Instant) {
+	c.after(max(0, c.Global(h, at)-c.now), h, event.TimerFired{ID: id})
+	h.timers[id] = timer{at: at, queued: c.order}
+}
+
+// timer is an armed timer and the number of the queued event that fires it.
+type timer struct {
+	at     types.Instant
+	queued uint64
+}
+
 // synced is the event that applies a write to the disk.
 type synced struct {
 	event.Event
