Write large batches to a target while reading its answers

Cause: a target that answers early stops reading once nobody takes its answers, so that a batch larger than the buffers blocked both ends. Change: a batch above 16 KiB is written on a goroutine of its own. Tests of the adapter: control orders, ids claimed once, statement errors, bounds, dirty connections, cancel, malformed answers, failed dials.

--- a/target/pg/conn.go
+++ b/target/pg/conn.go
@@ -33,6 +33,9 @@
 // maxMessage bounds one message of a target, in bytes.
 const maxMessage = DefaultMaxReply
 
+// maxBlindWrite is the most that is written before anything is read, in bytes.
+const maxBlindWrite = 16 << 10
+
 // Conn is a connection to a target.
 type Conn struct {
 	conn     net.Conn
@@ -75,6 +78,9 @@
 			return nil, false, trace.Wrap(err)
 		}
 	}
+	if len(out) > maxBlindWrite {
+		return c.sendWhileReading(out, ops)
+	}
 	if n, err := c.conn.Write(out); err != nil {
 		return nil, n > 0, trace.Wrap(err, "sending to the target")
 	}
@@ -82,6 +88,32 @@
 	return results, true, trace.Wrap(err)
 }
 
+// sendWhileReading writes on a goroutine of its own. A target that answers
+// early stops reading once its answers are not taken.
+func (c *Conn) sendWhileReading(out []byte, ops []types.Operation) ([]types.Result, bool, error) {
+	type written struct {
+		n   int
+		err error
+	}
+	done := make(chan written, 1)
+	go func() {
+		n, err := c.conn.Write(out)
+		if err != nil {
+			c.Close()
+		}
+		done <- written{n, err}
+	}()
+	results, err := c.readResults(ops)
+	if err != nil {
+		c.Close()
+	}
+	w := <-done
+	if w.err != nil {
+		return nil, w.n > 0, trace.Wrap(w.err, "sending to the target")
+	}
+	return results, true, trace.Wrap(err)
+}
+
 func (c *Conn) readResults(ops []types.Operation) ([]types.Result, error) {
 	results := make([]types.Result, 0, len(ops))
 	budget := c.maxReply
--- /dev/null
+++ b/target/pg/conn_test.go
@@ -0,0 +1,232 @@
+package pg
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/runtime"
+	"github.com/camphorpaddle/camphorpaddle/standin"
+)
+
+var testRef = types.TargetRef{Service: "spares", Name: "a"}
+
+func startMember(t testing.TB) *standin.Member {
+	t.Helper()
+	m, err := standin.Start(standin.Config{})
+	assert.NilError(t, err)
+	t.Cleanup(m.Close)
+	return m
+}
+
+func dial(t testing.TB, c Config, address string) runtime.TargetConn {
+	t.Helper()
+	conn, err := NewDialer(c).Dial(t.Context(), testRef, types.Address(address))
+	assert.NilError(t, err)
+	t.Cleanup(conn.Close)
+	return conn
+}
+
+func query(t testing.TB, sql string) types.Operation {
+	t.Helper()
+	messages, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	assert.NilError(t, err)
+	return types.Operation{Kind: types.OpCaller, Payload: &Batch{Messages: messages}}
+}
+
+// exchange runs operations that must reach the target.
+func exchange(t testing.TB, conn runtime.TargetConn, ops ...types.Operation) []types.Result {
+	t.Helper()
+	results, _, err := conn.Exchange(t.Context(), ops)
+	assert.NilError(t, err)
+	assert.Equal(t, len(results), len(ops))
+	return results
+}
+
+func promoted(t testing.TB, conn runtime.TargetConn) {
+	t.Helper()
+	r := exchange(t, conn, types.Operation{Kind: types.OpPromote, Term: 1}, query(t, "CREATE TABLE stock (id BIGINT PRIMARY KEY, part TEXT)"))
+	assert.Equal(t, r[0].Status, types.TargetStatus{Term: 1, Primary: true})
+	assert.Equal(t, r[1].Err, types.TargetErrNone)
+}
+
+func TestControlOperations(t *testing.T) {
+	leader, follower := startMember(t), startMember(t)
+	conn := dial(t, Config{}, leader.Address())
+	promoted(t, conn)
+	r := exchange(t, conn, types.Operation{Kind: types.OpPromote}, types.Operation{Kind: types.OpPosition})
+	assert.Equal(t, r[0].Err, types.TargetErrStaleTerm)
+	assert.Equal(t, r[1].Status, types.TargetStatus{Term: 1, Primary: true, Pos: types.LogPos{Term: 1, Offset: 1}})
+
+	other := dial(t, Config{}, follower.Address())
+	r = exchange(t, other, types.Operation{
+		Kind: types.OpFollow, Term: 1, Leader: types.Target{Name: "o'leader", Address: types.Address(leader.Address())},
+	}, query(t, "CREATE TABLE t (id BIGINT)"))
+	assert.Equal(t, r[0].Status.Term, types.Term(1))
+	assert.Assert(t, !r[0].Status.Primary)
+	assert.Equal(t, r[1].Err, types.TargetErrReadOnly)
+}
+
+// TestRequestIsClaimedOnce runs a request with an id, and again.
+func TestRequestIsClaimedOnce(t *testing.T) {
+	conn := dial(t, Config{}, startMember(t).Address())
+	promoted(t, conn)
+	id := types.RequestID("order '7'")
+	begin, commit := types.Operation{Kind: types.OpBegin}, types.Operation{Kind: types.OpCommit}
+	claim := types.Operation{Kind: types.OpClaim, RequestID: id}
+	lookup := types.Operation{Kind: types.OpLookup, RequestID: id}
+
+	r := exchange(t, conn, lookup)
+	assert.Assert(t, !r[0].Found)
+	r = exchange(t, conn, begin, claim, query(t, "INSERT INTO stock (id) VALUES (1)"))
+	assert.Equal(t, r[2].Tx, types.TxOpen)
+	answer := r[2].Payload
+	r = exchange(t, conn, types.Operation{Kind: types.OpRecordAnswer, RequestID: id, Payload: answer}, commit)
+	assert.Equal(t, r[1].Err, types.TargetErrNone)
+	assert.Equal(t, r[1].Tx, types.TxIdle)
+
+	r = exchange(t, conn, begin, claim)
+	assert.Equal(t, r[1].Err, types.TargetErrDuplicate)
+	assert.Equal(t, r[1].Tx, types.TxFailed)
+	r = exchange(t, conn, commit, lookup)
+	assert.Equal(t, r[0].Err, types.TargetErrStatement, "the commit of a failed transaction was taken for one")
+	assert.Assert(t, r[1].Found)
+	assert.DeepEqual(t, r[1].Payload, answer)
+}
+
+func TestStatementErrorIsAnAnswer(t *testing.T) {
+	conn := dial(t, Config{}, startMember(t).Address())
+	r := exchange(t, conn, query(t, "SELEC"), types.Operation{Kind: types.OpPosition})
+	assert.Equal(t, r[0].Err, types.TargetErrStatement)
+	reply := r[0].Payload.(*Reply)
+	assert.Assert(t, reply.Failed)
+	assert.Assert(t, strings.Contains(string(reply.Messages), "42601"))
+	assert.Equal(t, r[1].Err, types.TargetErrNone)
+}
+
+// TestLargeBatchDoesNotBlock sends more than the buffers of both ends hold
+// while the target answers with as much.
+func TestLargeBatchDoesNotBlock(t *testing.T) {
+	conn := dial(t, Config{}, startMember(t).Address())
+	promoted(t, conn)
+	exchange(t, conn, query(t, "INSERT INTO stock (id, part) VALUES (1, '"+strings.Repeat("x", 10_000)+"')"))
+	var messages []byte
+	for range 2_000 {
+		var err error
+		sql := "SELECT part FROM stock --" + strings.Repeat("y", 10_000)
+		messages, err = (&pgproto3.Parse{Query: sql}).Encode(messages)
+		assert.NilError(t, err)
+		messages, err = (&pgproto3.Bind{}).Encode(messages)
+		assert.NilError(t, err)
+		messages, err = (&pgproto3.Execute{}).Encode(messages)
+		assert.NilError(t, err)
+	}
+	messages, err := (&pgproto3.Sync{}).Encode(messages)
+	assert.NilError(t, err)
+	r := exchange(t, conn, types.Operation{Kind: types.OpCaller, Payload: &Batch{Messages: messages}})
+	assert.Assert(t, len(r[0].Payload.(*Reply).Messages) > 2_000*10_000)
+}
+
+func TestAnswerIsBounded(t *testing.T) {
+	conn := dial(t, Config{MaxReply: 1000}, startMember(t).Address())
+	promoted(t, conn)
+	exchange(t, conn, query(t, "INSERT INTO stock (id, part) VALUES (1, '"+strings.Repeat("x", 2000)+"')"))
+	_, sent, err := conn.Exchange(t.Context(), []types.Operation{query(t, "SELECT part FROM stock")})
+	assert.ErrorContains(t, err, "larger than 1000 bytes")
+	assert.Assert(t, sent)
+}
+
+// TestDirtyConnectionTakesNoMore changes a setting of the connection, which
+// the next session must not see.
+func TestDirtyConnectionTakesNoMore(t *testing.T) {
+	conn := dial(t, Config{}, startMember(t).Address())
+	r := exchange(t, conn, query(t, "BEGIN"), query(t, "SET x = 1"))
+	assert.Equal(t, r[1].Tx, types.TxOpen)
+	r = exchange(t, conn, query(t, "COMMIT"))
+	assert.Equal(t, r[0].Tx, types.TxIdle)
+	_, sent, err := conn.Exchange(t.Context(), []types.Operation{query(t, "SELECT 1")})
+	assert.ErrorContains(t, err, "changed the state")
+	assert.Assert(t, !sent)
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	conn := dial(t, Config{}, startMember(t).Address())
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	_, sent, err := conn.Exchange(ctx, []types.Operation{query(t, "SELECT pg_sleep(60)")})
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Assert(t, sent)
+	_, sent, err = conn.Exchange(t.Context(), []types.Operation{query(t, "SELECT 1")})
+	assert.Assert(t, err != nil)
+	assert.Assert(t, !sent)
+}
+
+// answeringTarget accepts one connection and answers the first statement with
+// the given bytes.
+func answeringTarget(t testing.TB, answer []byte) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		backend := pgproto3.NewBackend(conn, conn)
+		if _, err := backend.ReceiveStartupMessage(); err != nil {
+			return
+		}
+		backend.Send(&pgproto3.AuthenticationOk{})
+		backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		backend.Flush()
+		backend.Receive()
+		conn.Write(answer)
+		backend.Receive()
+	}()
+	return l.Addr().String()
+}
+
+// TestMalformedAnswers answers with bytes that are no answer to a statement.
+func TestMalformedAnswers(t *testing.T) {
+	for name, answer := range map[string][]byte{
+		"length below header": {'C', 0, 0, 0, 3},
+		"too large":           {'D', 0x7f, 0xff, 0xff, 0xff},
+		"cut off":             {'C', 0, 0, 0, 9, 'a'},
+		"no status":           {'Z', 0, 0, 0, 4},
+		"unknown status":      {'Z', 0, 0, 0, 5, 'x'},
+		"bad error":           {'E', 0, 0, 0, 5, 'M'},
+		"copy":                {'G', 0, 0, 0, 7, 0, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := dial(t, Config{}, answeringTarget(t, answer))
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, sent, err := conn.Exchange(ctx, []types.Operation{query(t, "SELECT 1")})
+			assert.Assert(t, err != nil)
+			assert.Assert(t, sent)
+		})
+	}
+}
+
+func TestDialFailures(t *testing.T) {
+	m, err := standin.Start(standin.Config{MaxConnections: 1})
+	assert.NilError(t, err)
+	t.Cleanup(m.Close)
+	dial(t, Config{}, m.Address())
+	_, err = NewDialer(Config{}).Dial(t.Context(), testRef, types.Address(m.Address()))
+	assert.ErrorContains(t, err, "53300")
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	_, err = NewDialer(Config{DialTimeout: 20 * time.Millisecond}).Dial(t.Context(), testRef, types.Address(l.Addr().String()))
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
