Show the blocked large batch with a target that writes first

Cause: the stand-in gathers its answers up to the Sync, so that the test of the large batch passed with the mechanism off. Change: a fake target writes 32 MiB before it reads.

--- a/target/pg/conn_test.go
+++ b/target/pg/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -110,27 +111,20 @@
 	assert.Equal(t, r[1].Err, types.TargetErrNone)
 }
 
-// TestLargeBatchDoesNotBlock sends more than the buffers of both ends hold
-// while the target answers with as much.
+// TestLargeBatchDoesNotBlock sends more than the buffers of both ends hold to a
+// target that reads nothing before it has written as much.
 func TestLargeBatchDoesNotBlock(t *testing.T) {
-	conn := dial(t, Config{}, startMember(t).Address())
-	promoted(t, conn)
-	exchange(t, conn, query(t, "INSERT INTO stock (id, part) VALUES (1, '"+strings.Repeat("x", 10_000)+"')"))
-	var messages []byte
-	for range 2_000 {
-		var err error
-		sql := "SELECT part FROM stock --" + strings.Repeat("y", 10_000)
-		messages, err = (&pgproto3.Parse{Query: sql}).Encode(messages)
-		assert.NilError(t, err)
-		messages, err = (&pgproto3.Bind{}).Encode(messages)
-		assert.NilError(t, err)
-		messages, err = (&pgproto3.Execute{}).Encode(messages)
-		assert.NilError(t, err)
-	}
-	messages, err := (&pgproto3.Sync{}).Encode(messages)
+	const size = 32 << 20 // bytes
+	answer, err := (&pgproto3.DataRow{Values: [][]byte{make([]byte, size)}}).Encode(nil)
+	assert.NilError(t, err)
+	answer, err = (&pgproto3.ReadyForQuery{TxStatus: 'I'}).Encode(answer)
+	assert.NilError(t, err)
+	conn := dial(t, Config{}, answeringTarget(t, answer))
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	results, _, err := conn.Exchange(ctx, []types.Operation{query(t, strings.Repeat("x", size))})
 	assert.NilError(t, err)
-	r := exchange(t, conn, types.Operation{Kind: types.OpCaller, Payload: &Batch{Messages: messages}})
-	assert.Assert(t, len(r[0].Payload.(*Reply).Messages) > 2_000*10_000)
+	assert.Assert(t, len(results[0].Payload.(*Reply).Messages) > size)
 }
 
 func TestAnswerIsBounded(t *testing.T) {
@@ -167,8 +161,8 @@
 	assert.Assert(t, !sent)
 }
 
-// answeringTarget accepts one connection and answers the first statement with
-// the given bytes.
+// answeringTarget accepts one connection and writes the given bytes once a
+// statement comes.
 func answeringTarget(t testing.TB, answer []byte) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -187,9 +181,9 @@
 		backend.Send(&pgproto3.AuthenticationOk{})
 		backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 		backend.Flush()
-		backend.Receive()
+		conn.Read(make([]byte, 1))
 		conn.Write(answer)
-		backend.Receive()
+		io.Copy(io.Discard, conn)
 	}()
 	return l.Addr().String()
 }
