Keep the prepared statements of a session as the target answered them

Cause: a Parse or Close that the target refused or skipped still changed what the session had prepared. Change: the reply says how many messages were answered in full, and the front takes back what the others did. A property test sends the same messages to a target and through the front and compares all answers.

--- a/front/pg/batcher.go
+++ b/front/pg/batcher.go
@@ -1,6 +1,8 @@
 package pg
 
 import (
+	"slices"
+
 	"github.com/gravitational/trace"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -32,15 +34,24 @@
 	statement statement // the statement if there is only one
 	local     bool      // all statements are of the front itself
 	executes  bool
-	closes    []string // statements that the caller closed
-	steps     []step   // the messages of a local batch
+	undo      []undo // what the batch did to the statements of the session
+	steps     []step // the messages of a local batch
 
 	current *prepared // what the unnamed statement on the target is
 	parsed  int       // statements that were parsed or bound
+	sent    int       // messages that the target gets
+}
+
+// undo takes back what a message did to the statements of a session.
+type undo struct {
+	message  int // its number in the batch, as the target gets it
+	name     string
+	previous *prepared // nil when there was none
 }
 
 // step is one message of a local batch with the statement that it is about.
 type step struct {
+	number   int // of the message in the batch, as the target gets it
 	message  pgproto3.FrontendMessage
 	prepared *prepared
 }
@@ -68,10 +79,27 @@
 	return false
 }
 
-// forget removes closed statements.
-func (b *batcher) forget(names []string) {
-	for _, name := range names {
+// change sets or, with nil, removes a statement of the session.
+func (b *batcher) change(out *batch, name string, p *prepared) {
+	out.undo = append(out.undo, undo{message: out.sent, name: name, previous: b.statements[name]})
+	b.restore(name, p)
+}
+
+func (b *batcher) restore(name string, p *prepared) {
+	if p == nil {
 		delete(b.statements, name)
+		return
+	}
+	b.statements[name] = p
+}
+
+// takeBack undoes what the messages of a batch did that the target did not
+// answer; done is how many it answered.
+func (b *batcher) takeBack(out *batch, done int) {
+	for _, u := range slices.Backward(out.undo) {
+		if u.message >= done {
+			b.restore(u.name, u.previous)
+		}
 	}
 }
 
@@ -124,6 +152,7 @@
 	out := &batch{}
 	for _, msg := range messages {
 		if err := b.append(out, msg); err != nil {
+			b.takeBack(out, 0)
 			return nil, trace.Wrap(err)
 		}
 	}
@@ -131,6 +160,7 @@
 		return out, nil
 	}
 	if err := out.checkLocal(); err != nil {
+		b.takeBack(out, 0)
 		return nil, trace.Wrap(err)
 	}
 	var err error
@@ -184,7 +214,7 @@
 	if _, ok := b.statements[m.Name]; !ok && len(b.statements) >= b.maxStmts {
 		return trace.LimitExceeded("the session has %d prepared statements", len(b.statements))
 	}
-	b.statements[m.Name] = p
+	b.change(out, m.Name, p)
 	return out.parse(p, false)
 }
 
@@ -195,6 +225,8 @@
 			return trace.Wrap(err)
 		}
 		m.PreparedStatement = ""
+	} else {
+		m.PreparedStatement = out.unknownName(m.PreparedStatement)
 	}
 	if len(b.portals) >= b.maxStmts {
 		return trace.LimitExceeded("the session has %d open portals", len(b.portals))
@@ -213,6 +245,8 @@
 			return trace.Wrap(err)
 		}
 		m.Name = ""
+	} else {
+		m.Name = out.unknownName(m.Name)
 	}
 	return out.encode(m, p)
 }
@@ -221,7 +255,7 @@
 	var p *prepared
 	if m.ObjectType == 'S' {
 		p = b.statements[m.Name]
-		out.closes = append(out.closes, m.Name)
+		b.change(out, m.Name, nil)
 		if m.Name == "" {
 			out.current = nil
 		}
@@ -238,6 +272,18 @@
 	return b.parse(p, true)
 }
 
+// noStatement is a name under which the target never has a statement.
+const noStatement = "paddle_no_statement"
+
+// unknownName returns the name to send for a statement that the session does
+// not have. The target then answers with the error that the caller must see.
+func (b *batch) unknownName(name string) string {
+	if name == "" {
+		return noStatement
+	}
+	return name
+}
+
 // parse adds the Parse of p as the unnamed statement.
 func (b *batch) parse(p *prepared, hidden bool) error {
 	b.current = p
@@ -248,6 +294,7 @@
 	b.payload.HiddenParses = append(b.payload.HiddenParses, hidden)
 	message := &pgproto3.Parse{Query: p.query, ParameterOIDs: p.types}
 	if hidden {
+		b.sent++
 		var err error
 		b.payload.Messages, err = message.Encode(b.payload.Messages)
 		return trace.Wrap(err)
@@ -257,7 +304,8 @@
 
 // encode adds a message that is about p; p is nil when nothing is known of it.
 func (b *batch) encode(m pgproto3.FrontendMessage, p *prepared) error {
-	b.steps = append(b.steps, step{message: m, prepared: p})
+	b.steps = append(b.steps, step{number: b.sent, message: m, prepared: p})
+	b.sent++
 	var err error
 	b.payload.Messages, err = m.Encode(b.payload.Messages)
 	return trace.Wrap(err)
--- a/front/pg/caller.go
+++ b/front/pg/caller.go
@@ -173,7 +173,7 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		return c.request(&targetpg.Batch{Messages: messages}, st, true, nil)
+		return c.request(&batch{payload: targetpg.Batch{Messages: messages}, statement: st, executes: true})
 	}
 }
 
@@ -194,7 +194,7 @@
 		c.endPortals()
 		return c.reply(out)
 	}
-	return c.request(&batch.payload, batch.statement, batch.executes, batch.closes)
+	return c.request(batch)
 }
 
 // flush answers what came so far when it changes no data. Anything else must
@@ -210,12 +210,12 @@
 }
 
 // request sends a batch to the reducer and writes what comes of it.
-func (c *caller) request(payload *targetpg.Batch, st statement, executes bool, closes []string) error {
+func (c *caller) request(b *batch) error {
 	c.seq++
-	request := c.settings.request(st, executes)
+	request := c.settings.request(b.statement, b.executes)
 	request.Seq = c.seq
-	request.Payload = payload
-	request.Bytes = len(payload.Messages)
+	request.Payload = &b.payload
+	request.Bytes = len(b.payload.Messages)
 	if c.tx != types.TxIdle {
 		request.Class = c.txClass
 	}
@@ -223,6 +223,7 @@
 	var refusal *types.Refusal
 	switch {
 	case errors.As(err, &refusal):
+		c.batch.takeBack(b, 0)
 		return c.refused(refusal)
 	case err != nil:
 		return c.fatal(newError(codeOutcomeUnknown, "outcome unknown: %v", err))
@@ -232,8 +233,8 @@
 		return c.fatal(newError(codeInternal, "outcome unknown: the answer is of another protocol"))
 	}
 	c.answered(answer, request.Class)
-	if !reply.Failed {
-		c.batch.forget(closes)
+	if reply.Failed {
+		c.batch.takeBack(b, reply.Done)
 	}
 	return c.reply(reply.Messages)
 }
--- a/front/pg/fake_test.go
+++ b/front/pg/fake_test.go
@@ -61,6 +61,7 @@
 		f.record(func() { f.params = append(f.params, e.Params) })
 	case event.SessionClosed:
 		delete(f.sessions, e.Session)
+		return closeConns(e.Session)
 	case event.RequestArrived:
 		f.record(func() { f.requests = append(f.requests, e.Request) })
 		return f.arrive(e)
@@ -126,6 +127,15 @@
 	return append(out, f.endIdle()...)
 }
 
+// closeConns closes the target connections of a session.
+func closeConns(id types.SessionID) []effect.Effect {
+	var out []effect.Effect
+	for turn := range types.ConnID(connsPerSession) {
+		out = append(out, effect.CloseTarget{Conn: types.ConnID(id)*connsPerSession + turn})
+	}
+	return out
+}
+
 // endIdle ends the sessions without anything under way while draining.
 func (f *fakeShard) endIdle() []effect.Effect {
 	var out []effect.Effect
--- a/front/pg/local.go
+++ b/front/pg/local.go
@@ -90,10 +90,10 @@
 		}
 		out = next
 		if failed {
+			c.batch.takeBack(b, s.number)
 			return out, nil
 		}
 	}
-	c.batch.forget(b.closes)
 	return out, nil
 }
 
--- a/target/pg/answer.go
+++ b/target/pg/answer.go
@@ -28,6 +28,14 @@
 	"DISCARD ALL": true, "DISCARD": true, "LOAD": true, "DECLARE CURSOR": true,
 }
 
+// completions are the messages of which each ends the answer to one message of
+// the extended protocol.
+var completions = map[byte]bool{
+	msgParseComplete: true, msgBindComplete: true, msgCloseComplete: true,
+	msgRowDescription: true, msgNoData: true,
+	msgCommandComplete: true, msgEmptyQuery: true, msgPortalSuspended: true,
+}
+
 // readAnswer reads the messages up to ReadyForQuery.
 func (c *Conn) readAnswer(op types.Operation, budget int) (*answer, error) {
 	a := &answer{}
@@ -72,6 +80,9 @@
 
 // inspect notes what a message says and drops those that callers must not see.
 func (c *Conn) inspect(a *answer, op types.Operation, kind byte, body []byte) error {
+	if completions[kind] {
+		a.reply.Done++
+	}
 	switch kind {
 	case msgParseComplete:
 		if a.hidden(op) {
--- a/target/pg/batch.go
+++ b/target/pg/batch.go
@@ -16,6 +16,9 @@
 type Reply struct {
 	// Messages are the encoded messages.
 	Messages []byte
+	// Done is how many messages of the batch were answered in full. After an
+	// error the target skips the rest up to the Sync.
+	Done int
 	// Failed reports that the messages hold an ErrorResponse.
 	Failed bool
 }
--- a/target/pg/conn.go
+++ b/target/pg/conn.go
@@ -15,16 +15,22 @@
 // Types of the target's messages.
 const (
 	msgAuthentication  = 'R'
+	msgBindComplete    = '2'
+	msgCloseComplete   = '3'
 	msgCommandComplete = 'C'
 	msgCopyBoth        = 'W'
 	msgCopyIn          = 'G'
 	msgCopyOut         = 'H'
 	msgDataRow         = 'D'
+	msgEmptyQuery      = 'I'
 	msgErrorResponse   = 'E'
+	msgNoData          = 'n'
 	msgNotification    = 'A'
 	msgParseComplete   = '1'
 	msgParameterStatus = 'S'
+	msgPortalSuspended = 's'
 	msgReadyForQuery   = 'Z'
+	msgRowDescription  = 'T'
 )
 
 // headerSize is the size of a message's type and length, in bytes.
