Refuse Bind and Describe in a failed transaction on the stand-in

In a failed transaction the stand-in described a statement that was prepared earlier, which PostgreSQL refuses for statements with rows with 25P02; through the front, which parses again, it was refused. Change: the stand-in answers 25P02.

--- a/front/pg/equal_test.go
+++ b/front/pg/equal_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	_ "github.com/camphorpaddle/camphorpaddle/internal/testseed"
 	"github.com/camphorpaddle/camphorpaddle/standin"
 )
 
--- a/standin/errors.go
+++ b/standin/errors.go
@@ -38,3 +38,7 @@
 
 // errReplaced is the error of a transaction whose member was replaced.
 var errReplaced = errorf(codeReadOnly, "the member is no longer the primary")
+
+// errFailed is the error of a statement in a failed transaction.
+var errFailed = errorf(codeFailedTransaction,
+	"current transaction is aborted, commands ignored until end of transaction block")
--- a/standin/extended.go
+++ b/standin/extended.go
@@ -110,6 +110,9 @@
 	if !ok {
 		return errorf(codeUnknownStatement, "prepared statement %q does not exist", m.PreparedStatement)
 	}
+	if err := c.checkFailed(p); err != nil {
+		return err
+	}
 	if len(m.Parameters) != len(p.oids) {
 		return errorf(codeProtocol, "bind message supplies %d parameters, but the statement requires %d",
 			len(m.Parameters), len(p.oids))
@@ -129,12 +132,23 @@
 	return nil
 }
 
+// checkFailed refuses the use of a statement in a failed transaction.
+func (c *serverConn) checkFailed(p *preparedStatement) *sqlError {
+	if c.status == 'E' && !allowedInFailed(p.st) {
+		return errFailed
+	}
+	return nil
+}
+
 func (c *serverConn) describe(m *pgproto3.Describe) *sqlError {
 	if m.ObjectType == 'S' {
 		p, ok := c.prepared[m.Name]
 		if !ok {
 			return errorf(codeUnknownStatement, "prepared statement %q does not exist", m.Name)
 		}
+		if err := c.checkFailed(p); err != nil {
+			return err
+		}
 		c.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: p.oids})
 		c.sendColumns(p, nil)
 		return nil
