--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -33,8 +33,8 @@
 // Timing of the demo.
 const (
 	demoTimeout  = 2 * time.Minute
-	writeTimeout = 500 * time.Millisecond // of one attempt during the failover
-	writePause   = 10 * time.Millisecond  // between attempts
+	writeTimeout = 3 * time.Second       // of one attempt during the failover
+	writePause   = 10 * time.Millisecond // between attempts
 )
 
 func main() {
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"strings"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -58,9 +59,12 @@
 		out = append(out, "suppressed_before", l.suppressed)
 		l.suppressed = 0
 	}
-	return append(out, "reason", d.Reason)
+	return append(out, "reason", oneLine(d.Reason))
 }
 
+// oneLine replaces line breaks, so that an event stays on its line.
+func oneLine(s string) string { return strings.Join(strings.Fields(s), " ") }
+
 // aboutRequest reports whether decisions of a kind come with single requests.
 func aboutRequest(k effect.Decision) bool {
 	return k == effect.DecideRefuse || k == effect.DecideRetry
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -53,7 +53,7 @@
 		},
 		CachedReporter:         reporter,
 		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &metrics{
@@ -63,6 +63,17 @@
 	}
 }
 
+// sanitizer returns the rules for names and tags. Values of tags keep the
+// characters that names of hosts and services may have.
+func sanitizer() *tally.SanitizeOptions {
+	out := prometheus.DefaultSanitizerOpts
+	out.ValueCharacters = tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: []rune{'_', '-', '.'},
+	}
+	return &out
+}
+
 func (m *metrics) decision(d *effect.Decide) {
 	m.scope.Tagged(map[string]string{
 		"kind": string(d.Kind), "service": string(d.Service),
