Test the HTTP interface of a control host

With the key filter off TestClusterKeyIsRequired failed (a call without a key passed); without the size bound and the check of unknown fields, two cases of TestRefusedCalls failed.

--- /dev/null
+++ b/daemon/control_test.go
@@ -0,0 +1,177 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/daemon/api"
+	"github.com/camphorpaddle/camphorpaddle/settings"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	testKey     = "correct horse"
+	testTimeout = 20 * time.Second
+)
+
+const firstConfig = `
+profiles:
+  strict: {freshness: primary}
+services:
+  ledger: {members: 3, slots: 3, connections: 20, default_profile: strict, profiles: [strict]}
+`
+
+// startControl runs a cluster of one control host and returns its client.
+func startControl(t *testing.T) *api.Client {
+	t.Helper()
+	dir := t.TempDir()
+	keyFile := filepath.Join(dir, "key")
+	assert.NilError(t, os.WriteFile(keyFile, []byte(testKey+"\n"), 0o600))
+	s := &settings.Daemon{
+		Role: settings.RoleControl, Host: "control-1", AvailabilityZone: "az-1", Region: "north",
+		Listen:    settings.Listen{Peers: "127.0.0.1:0", HTTP: "127.0.0.1:0"},
+		Advertise: "127.0.0.1:1", Control: []types.Address{"127.0.0.1:1"},
+		DataFolder: filepath.Join(dir, "data"),
+		Security:   settings.Security{KeyFile: keyFile}, DrainLimit: time.Second,
+	}
+	_, err := InitControl(s)
+	assert.NilError(t, err)
+	c, err := NewControl(s, "test")
+	assert.NilError(t, err)
+	addr := c.http.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+	return api.NewClient([]string{addr}, testKey, nil)
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// kindOf returns the kind of a refused call.
+func kindOf(err error) api.ErrorKind {
+	var refused *api.Error
+	if errors.As(err, &refused) {
+		return refused.Kind
+	}
+	return ""
+}
+
+func put(ctx context.Context, c *api.Client, id string, base uint64, source string) (api.ChangeResult, error) {
+	var out api.ChangeResult
+	err := c.Call(ctx, http.MethodPut, api.PathConfig,
+		api.ConfigChange{ChangeID: id, Base: base, File: "f", Source: source}, &out)
+	return out, err
+}
+
+func TestChangesOfConfiguration(t *testing.T) {
+	c, ctx := startControl(t), testContext(t)
+	first, err := put(ctx, c, "a", 0, firstConfig)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Version, uint64(1))
+
+	again, err := put(ctx, c, "a", 0, firstConfig)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, first)
+
+	_, err = put(ctx, c, "b", 0, strings.ReplaceAll(firstConfig, "slots: 3", "slots: 4"))
+	assert.Equal(t, kindOf(err), api.ErrConflict, "%v", err)
+
+	_, err = put(ctx, c, "c", 1, "services: 3")
+	assert.Equal(t, kindOf(err), api.ErrInvalid)
+	var refused *api.Error
+	assert.Assert(t, errors.As(err, &refused))
+	assert.Equal(t, len(refused.Findings), 2)
+
+	var cfg api.Config
+	assert.NilError(t, c.Call(ctx, http.MethodGet, api.PathConfig, nil, &cfg))
+	assert.DeepEqual(t, cfg, api.Config{Version: 1, Source: firstConfig})
+	var history []api.ChangeResult
+	assert.NilError(t, c.Call(ctx, http.MethodGet, api.PathHistory, nil, &history))
+	assert.Equal(t, history[0], first)
+}
+
+func TestRefusedCalls(t *testing.T) {
+	c, ctx := startControl(t), testContext(t)
+	_, err := put(ctx, c, "a", 0, firstConfig)
+	assert.NilError(t, err)
+	tests := []struct {
+		name, method, path string
+		in                 any
+		want               api.ErrorKind
+	}{
+		{"no such path", "GET", "/v1/nothing", nil, api.ErrNotFound},
+		{"no such method", "POST", api.PathConfig, nil, api.ErrNotFound},
+		{"unknown field", "POST", api.PathPromote, map[string]string{"servize": "x"}, api.ErrInvalid},
+		{"not an object", "POST", api.PathAnnounce, 3, api.ErrInvalid},
+		{"no change id", "PUT", api.PathConfig, api.ConfigChange{Source: firstConfig}, api.ErrInvalid},
+		{"a body that is too large", "PUT", api.PathConfig, strings.Repeat("x", maxRequestBytes+1), api.ErrInvalid},
+		{"address without port", "POST", api.PathAnnounce,
+			api.Announcement{Service: "ledger", Name: "a", Address: "10.0.0.1", AvailabilityZone: "z"}, api.ErrInvalid},
+		{"unknown service", "POST", api.PathPromote, api.Promote{Service: "absent"}, api.ErrNotFound},
+		{"unknown target", "PUT", api.DrainPath("ledger", "absent"), nil, api.ErrNotFound},
+		{"unknown host", "DELETE", api.HostPath("absent"), nil, api.ErrNotFound},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			err := c.Call(ctx, tt.method, tt.path, tt.in, nil)
+			assert.Equal(t, kindOf(err), tt.want, "%v", err)
+		})
+	}
+}
+
+func TestClusterKeyIsRequired(t *testing.T) {
+	c, ctx := startControl(t), testContext(t)
+	for _, key := range []string{"", "wrong", testKey + "x"} {
+		other := api.NewClient(c.Addresses, key, nil)
+		err := other.Call(ctx, http.MethodGet, api.PathStatus, nil, nil)
+		assert.Equal(t, kindOf(err), api.ErrUnauthorized, "key %q", key)
+	}
+	for _, path := range []string{api.PathHealth, api.PathMetrics} {
+		res, err := http.Get("http://" + c.Addresses[0] + path)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, res.Body)
+		assert.NilError(t, res.Body.Close())
+		assert.Equal(t, res.StatusCode, http.StatusOK, path)
+	}
+}
+
+func TestReplyErrors(t *testing.T) {
+	tests := []struct {
+		reply proto.OperatorReply
+		want  api.Error
+	}{
+		{
+			proto.OperatorReply{Err: proto.OpErrNotLeader, Leader: "control-2"},
+			api.Error{Kind: api.ErrNotLeader, Leader: "control-2", Message: "this control host does not lead; the leader is control-2"},
+		},
+		{
+			proto.OperatorReply{Err: proto.OpErrConflict, Reason: "version 4", Change: &proto.ChangeResult{Version: 4}},
+			api.Error{Kind: api.ErrConflict, Version: 4, Message: "version 4"},
+		},
+		{proto.OperatorReply{Err: proto.OpErrUnknown}, api.Error{Kind: api.ErrUnknown}},
+	}
+	for _, tt := range tests {
+		var got *api.Error
+		assert.Assert(t, errors.As(replyError(tt.reply), &got))
+		assert.DeepEqual(t, *got, tt.want)
+		assert.Assert(t, errorStatus[got.Kind] != 0)
+	}
+	assert.NilError(t, replyError(proto.OperatorReply{}))
+}
