--- a/daemon/control_test.go
+++ b/daemon/control_test.go
@@ -121,7 +121,9 @@
 		{"unknown field", "POST", api.PathPromote, map[string]string{"servize": "x"}, api.ErrInvalid},
 		{"not an object", "POST", api.PathAnnounce, 3, api.ErrInvalid},
 		{"no change id", "PUT", api.PathConfig, api.ConfigChange{Source: firstConfig}, api.ErrInvalid},
-		{"a body that is too large", "PUT", api.PathConfig, strings.Repeat("x", maxRequestBytes+1), api.ErrInvalid},
+		{"a body that is too large", "PUT", api.PathConfig, api.ConfigChange{
+			ChangeID: "large", Base: 1, Source: firstConfig + "#" + strings.Repeat("x", maxRequestBytes),
+		}, api.ErrInvalid},
 		{"address without port", "POST", api.PathAnnounce,
 			api.Announcement{Service: "ledger", Name: "a", Address: "10.0.0.1", AvailabilityZone: "z"}, api.ErrInvalid},
 		{"unknown service", "POST", api.PathPromote, api.Promote{Service: "absent"}, api.ErrNotFound},
