--- a/daemon/postgres.go
+++ b/daemon/postgres.go
@@ -20,11 +20,20 @@
 	}), nil
 }
 
+// batchMessages is how many messages of the largest size a batch may hold.
+const batchMessages = 2
+
 // newCallerFront returns the server for the proxy's callers.
-func newCallerFront(s *settings.Daemon, p *runtime.Proxy) *front.Server {
+func newCallerFront(s *settings.Daemon, p *runtime.Proxy) (*front.Server, error) {
+	callers, err := s.CallersTLS.Load()
+	if err != nil {
+		return nil, err
+	}
 	return front.New(front.Config{
+		TLS:            callers,
 		MaxSessions:    s.Limits.Sessions,
 		MaxMessage:     int(s.Limits.MessageBytes),
+		MaxBatch:       int(s.Limits.MessageBytes) * batchMessages,
 		StartupTimeout: s.Limits.StartupTime,
-	}, p)
+	}, p), nil
 }
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -80,8 +80,8 @@
 		Clock: p.clock, Seed: rand.Uint64,
 		Link: p.link, Targets: dialer, Recorder: p.recorder,
 	})
-	p.front = newCallerFront(s, p.proxy)
-	return nil
+	p.front, err = newCallerFront(s, p.proxy)
+	return err
 }
 
 // newShard returns the reducer of one traffic shard.
--- a/internal/lab/start.go
+++ b/internal/lab/start.go
@@ -9,64 +9,46 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"text/template"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/daemon/api"
 	"github.com/camphorpaddle/camphorpaddle/settings"
 	"github.com/gravitational/trace"
 )
 
-// settingsFile is the settings file of a daemon on loopback.
-var settingsFile = template.Must(template.New("settings").Parse(`host: {{.Host}}
-availability_zone: {{.AvailabilityZone}}
-region: lab
-control: [{{.Control}}]
-listen:
-  http: {{.HTTP}}
-{{- if .Peers}}
-  peers: {{.Peers}}
-advertise: {{.Peers}}
-data_folder: {{.DataFolder}}
-{{- else}}
-  callers: {{.Callers}}
-shards: 2
-{{- end}}
-drain_limit: 10s
-`))
-
-// daemonSettings fills in settingsFile.
-type daemonSettings struct {
-	Host, AvailabilityZone, Control string
-	HTTP, Peers, Callers            string
-	DataFolder                      string
-}
+// Settings of all daemons of a lab.
+const (
+	labShards     = 2
+	labDrainLimit = 10 * time.Second
+)
 
-// writeSettings writes the settings file of a daemon and returns its name.
-func (l *Lab) writeSettings(s daemonSettings) (string, error) {
-	var peers []string
+// writeSettings completes the settings of the i-th daemon of a kind, writes
+// their file and returns its name.
+func (l *Lab) writeSettings(i int, d settings.Daemon) (string, error) {
 	for _, c := range l.Controls {
-		peers = append(peers, strconv.Quote(c.PeerAddress))
+		d.Control = append(d.Control, types.Address(c.PeerAddress))
 	}
-	s.Control = strings.Join(peers, ", ")
-	name := filepath.Join(l.config.Dir, s.Host+".yaml")
-	f, err := os.Create(name)
+	d.Host = types.HostID(fmt.Sprintf("%s-%d", d.Role, i+1))
+	d.AvailabilityZone = types.AvailabilityZone(l.availabilityZone(i))
+	d.Region = "lab"
+	d.DrainLimit = labDrainLimit
+	data, err := d.YAML()
 	if err != nil {
-		return "", trace.ConvertSystemError(err)
+		return "", err
 	}
-	if err := settingsFile.Execute(f, s); err != nil {
-		_ = f.Close()
-		return "", trace.Wrap(err, "writing %s", name)
-	}
-	return name, trace.ConvertSystemError(f.Close())
+	name := filepath.Join(l.config.Dir, string(d.Host)+".yaml")
+	return name, trace.ConvertSystemError(os.WriteFile(name, data, 0o644))
 }
 
 func (l *Lab) startControls(ctx context.Context) error {
 	for i, c := range l.Controls {
-		host := fmt.Sprintf("control-%d", i+1)
-		file, err := l.writeSettings(daemonSettings{
-			Host: host, AvailabilityZone: l.availabilityZone(i),
-			HTTP: c.HTTPAddress, Peers: c.PeerAddress, DataFolder: c.DataFolder,
+		file, err := l.writeSettings(i, settings.Daemon{
+			Role:       settings.RoleControl,
+			Listen:     settings.Listen{HTTP: types.Address(c.HTTPAddress), Peers: types.Address(c.PeerAddress)},
+			Advertise:  types.Address(c.PeerAddress),
+			DataFolder: c.DataFolder,
+			Target:     settings.DefaultTarget(),
 		})
 		if err != nil {
 			return err
@@ -76,7 +58,7 @@
 				return err
 			}
 		}
-		c.Process = l.newProcess(host, "paddle-control", "run", "--config", file)
+		c.Process = l.newProcess(processName(file), "paddle-control", "run", "--config", file)
 		if err := l.launch(c.Process); err != nil {
 			return err
 		}
@@ -89,6 +71,9 @@
 	return nil
 }
 
+// processName returns the name of the process with a settings file.
+func processName(file string) string { return strings.TrimSuffix(filepath.Base(file), ".yaml") }
+
 // initCluster sets up the data folder of the first control host.
 func (l *Lab) initCluster(ctx context.Context, file string) error {
 	p := l.newProcess("control-init", "paddle-control", "init", "--config", file)
@@ -104,15 +89,17 @@
 
 func (l *Lab) startProxies(ctx context.Context) error {
 	for i, p := range l.Proxies {
-		host := fmt.Sprintf("proxy-%d", i+1)
-		file, err := l.writeSettings(daemonSettings{
-			Host: host, AvailabilityZone: l.availabilityZone(i),
-			HTTP: p.HTTPAddress, Callers: p.CallerAddress,
+		file, err := l.writeSettings(i, settings.Daemon{
+			Role:   settings.RoleProxy,
+			Listen: settings.Listen{HTTP: types.Address(p.HTTPAddress), Callers: types.Address(p.CallerAddress)},
+			Limits: settings.DefaultLimits(),
+			Target: settings.DefaultTarget(),
+			Shards: labShards,
 		})
 		if err != nil {
 			return err
 		}
-		p.Process = l.newProcess(host, "paddle-proxy", "run", "--config", file)
+		p.Process = l.newProcess(processName(file), "paddle-proxy", "run", "--config", file)
 		if err := l.launch(p.Process); err != nil {
 			return err
 		}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -34,6 +34,7 @@
 	Control          []types.Address // peer addresses of the control hosts
 	DataFolder       string          // control only
 	Security         Security
+	CallersTLS       CallersTLS // proxy only
 	Limits           Limits
 	Target           Target
 	Shards           int           // proxy only
@@ -48,6 +49,13 @@
 	HTTP    types.Address // operators, announcements, health and metrics
 }
 
+// CallersTLS names the files of the TLS that callers are offered; both are
+// empty when it is off.
+type CallersTLS struct {
+	CertificateFile string
+	PrivateKeyFile  string
+}
+
 // Limits bounds what a caller may use of a proxy.
 type Limits struct {
 	MessageBytes int64
@@ -110,6 +118,7 @@
 	out.Trace = root.trace()
 	if role == RoleProxy {
 		out.Limits = root.limits()
+		out.CallersTLS = root.callersTLS()
 		out.Shards = root.integer("shards", defaultShards, span[int]{1, maxShards})
 	} else {
 		out.Advertise = root.address("advertise", false)
@@ -162,27 +171,49 @@
 	return out
 }
 
+func (m *mapping) callersTLS() CallersTLS {
+	c := m.sub("callers_tls")
+	out := CallersTLS{
+		CertificateFile: c.text("certificate_file", ""),
+		PrivateKeyFile:  c.text("private_key_file", ""),
+	}
+	c.close()
+	if (out.CertificateFile == "") != (out.PrivateKeyFile == "") {
+		m.add(c.node, c.path, "TLS for callers needs certificate_file and private_key_file")
+	}
+	return out
+}
+
+// DefaultLimits returns the limits of a file that gives none.
+func DefaultLimits() Limits {
+	return Limits{
+		MessageBytes: defaultMessageBytes, AnswerBytes: defaultAnswerBytes,
+		Sessions: defaultSessions, StartupTime: defaultStartupTime,
+	}
+}
+
 func (m *mapping) limits() Limits {
 	l := m.sub("limits")
 	sizes := span[int64]{minMessageBytes, maxMessageBytes}
-	out := Limits{
-		MessageBytes: l.size("message_size", defaultMessageBytes, sizes),
-		AnswerBytes:  l.size("answer_size", defaultAnswerBytes, sizes),
-		Sessions:     l.integer("sessions", defaultSessions, span[int]{1, maxSessions}),
-		StartupTime: l.duration("startup_time", defaultStartupTime,
-			span[time.Duration]{time.Millisecond, maxStartupTime}),
-	}
+	out := DefaultLimits()
+	out.MessageBytes = l.size("message_size", out.MessageBytes, sizes)
+	out.AnswerBytes = l.size("answer_size", out.AnswerBytes, sizes)
+	out.Sessions = l.integer("sessions", out.Sessions, span[int]{1, maxSessions})
+	out.StartupTime = l.duration("startup_time", out.StartupTime,
+		span[time.Duration]{time.Millisecond, maxStartupTime})
 	l.close()
 	return out
 }
 
+// DefaultTarget returns the login to targets of a file that gives none.
+func DefaultTarget() Target { return Target{User: defaultUser} }
+
 func (m *mapping) target() Target {
 	t := m.sub("target")
-	out := Target{
-		User:         t.text("user", defaultUser),
-		Database:     t.text("database", ""),
-		PasswordFile: t.text("password_file", ""),
-	}
+	out := DefaultTarget()
+	out.User = t.text("user", out.User)
+	out.Database = t.text("database", "")
+	out.PasswordFile = t.text("password_file", "")
 	t.close()
 	return out
 }
--- a/settings/security.go
+++ b/settings/security.go
@@ -83,6 +83,18 @@
 	}, nil
 }
 
+// Load reads the files and returns the server side, or nil when it is off.
+func (c CallersTLS) Load() (*tls.Config, error) {
+	if c == (CallersTLS{}) {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(c.CertificateFile, c.PrivateKeyFile)
+	if err != nil {
+		return nil, trace.Wrap(err, "reading the certificate %s", c.CertificateFile)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}}, nil
+}
+
 // ReadSecret returns the content of a file without the space around it, or
 // nothing when no file is named.
 func ReadSecret(file string) (string, error) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -165,6 +165,11 @@
 					d, err := ParseDaemon(name, readExample(t, tt.folder, name), role)
 					assert.NilError(t, err)
 					assert.Equal(t, d.AvailabilityZone, types.AvailabilityZone(az))
+					text, err := d.YAML()
+					assert.NilError(t, err)
+					again, err := ParseDaemon(name, text, role)
+					assert.NilError(t, err)
+					assert.DeepEqual(t, again, d)
 				}
 			}
 		})
