--- a/cmd/paddlectl/hosts.go
+++ b/cmd/paddlectl/hosts.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 
+	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/daemon/api"
 	"github.com/camphorpaddle/camphorpaddle/internal/cmdline"
+	"github.com/camphorpaddle/camphorpaddle/settings"
 	"github.com/urfave/cli/v3"
 )
 
@@ -13,6 +16,7 @@
 		Name: "host", Usage: "the control hosts",
 		Commands: []*cli.Command{
 			{Name: "list", Usage: "list the control hosts", Action: online(listHosts)},
+			addHostCommand(),
 			{
 				Name: "remove", Usage: "take a control host out of the cluster", ArgsUsage: "HOST",
 				Description: "Its identity never votes again. A spare that has caught up takes its place.",
@@ -22,6 +26,69 @@
 	}
 }
 
+func addHostCommand() *cli.Command {
+	return &cli.Command{
+		Name: "add", Usage: "write the settings file of a control host that joins", ArgsUsage: "NAME",
+		Description: "Start the new host with \"paddle-control run\" on an empty data folder. It joins as\n" +
+			"a spare and becomes a voter when one is needed. Nothing changes before it joins.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "availability-zone", Required: true, Usage: "availability `ZONE` of the host"},
+			&cli.StringFlag{Name: "region", Required: true, Usage: "`REGION` of the host"},
+			&cli.StringFlag{Name: "peers", Required: true, Usage: "`ADDRESS` for the other hosts and the proxies"},
+			&cli.StringFlag{Name: "http", Required: true, Usage: "`ADDRESS` of the HTTP port"},
+			&cli.StringFlag{Name: "data-folder", Required: true, Usage: "data `FOLDER`, empty or missing"},
+			&cli.StringFlag{Name: "cluster-key-file", Usage: "`FILE` with the cluster key on the new host"},
+		},
+		Action: online(addHost),
+	}
+}
+
+func addHost(ctx context.Context, s *session, cmd *cli.Command) error {
+	args, err := cmdline.Args(cmd, "NAME")
+	if err != nil {
+		return err
+	}
+	var hosts []api.Host
+	if err := s.Call(ctx, "GET", api.PathHosts, nil, &hosts); err != nil {
+		return err
+	}
+	text, err := joiner(cmd, args[0], hosts).YAML()
+	if err != nil {
+		return err
+	}
+	if _, err := settings.ParseDaemon("new host", text, settings.RoleControl); err != nil {
+		return err
+	}
+	file := struct {
+		Settings string `json:"settings"`
+	}{string(text)}
+	return s.out.line(file, "%s", text)
+}
+
+// joiner returns the settings of a control host that joins others.
+func joiner(cmd *cli.Command, name string, hosts []api.Host) *settings.Daemon {
+	d := &settings.Daemon{
+		Role: settings.RoleControl, Host: types.HostID(name),
+		AvailabilityZone: types.AvailabilityZone(cmd.String("availability-zone")),
+		Region:           cmd.String("region"),
+		Listen: settings.Listen{
+			Peers: types.Address(cmd.String("peers")), HTTP: types.Address(cmd.String("http")),
+		},
+		Advertise:  types.Address(cmd.String("peers")),
+		DataFolder: cmd.String("data-folder"),
+		Security:   settings.Security{KeyFile: cmd.String("cluster-key-file")},
+		Target:     settings.DefaultTarget(),
+		DrainLimit: settings.DefaultDrainLimit,
+	}
+	for _, h := range hosts {
+		d.Control = append(d.Control, types.Address(h.Address))
+	}
+	if !slices.Contains(d.Control, d.Advertise) {
+		d.Control = append(d.Control, d.Advertise)
+	}
+	return d
+}
+
 func listHosts(ctx context.Context, s *session, _ *cli.Command) error {
 	var hosts []api.Host
 	if err := s.Call(ctx, "GET", api.PathHosts, nil, &hosts); err != nil {
--- /dev/null
+++ b/cmd/paddlectl/main_test.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/camphorpaddle/camphorpaddle/daemon/api"
+	"github.com/camphorpaddle/camphorpaddle/internal/cmdline"
+	"gotest.tools/v3/assert"
+)
+
+const validConfig = `
+profiles:
+  strict: {freshness: primary}
+services:
+  ledger: {members: 3, slots: 3, connections: 20, default_profile: strict, profiles: [strict]}
+`
+
+// fakeControl answers as a control host would and counts the changes that it
+// was sent.
+type fakeControl struct {
+	refusal *api.Error // answer to every call when set
+	changes []api.ConfigChange
+	status  api.Status
+}
+
+func (f *fakeControl) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case f.refusal != nil:
+		w.WriteHeader(http.StatusConflict)
+		f.answer(w, f.refusal)
+	case r.Method == http.MethodPut && r.URL.Path == api.PathConfig:
+		var c api.ConfigChange
+		_ = json.NewDecoder(r.Body).Decode(&c)
+		f.changes = append(f.changes, c)
+		f.answer(w, api.ChangeResult{ChangeID: c.ChangeID, Accepted: true, Version: c.Base + 1})
+	case r.URL.Path == api.PathConfig:
+		f.answer(w, api.Config{Version: 4, Source: validConfig})
+	case r.URL.Path == api.PathStatus:
+		f.answer(w, f.status)
+	default:
+		f.answer(w, struct{}{})
+	}
+}
+
+func (f *fakeControl) answer(w http.ResponseWriter, v any) { _ = json.NewEncoder(w).Encode(v) }
+
+// ctl runs paddlectl against the fake and returns its output and exit code.
+func ctl(t *testing.T, f *fakeControl, args ...string) (string, int) {
+	t.Helper()
+	srv := httptest.NewServer(f)
+	defer srv.Close()
+	var out bytes.Buffer
+	cmd := newCommand()
+	cmd.Writer = &out
+	full := []string{"paddlectl", "--timeout", "300ms", "--control", strings.TrimPrefix(srv.URL, "http://")}
+	err := cmdline.Run(context.Background(), cmd, append(full, args...))
+	return out.String(), cmdline.Code(err)
+}
+
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "config.yaml")
+	assert.NilError(t, os.WriteFile(name, []byte(text), 0o600))
+	return name
+}
+
+func TestExitCodes(t *testing.T) {
+	good, bad := writeFile(t, validConfig), writeFile(t, "profiles: 3")
+	refuse := func(k api.ErrorKind) *fakeControl { return &fakeControl{refusal: &api.Error{Kind: k}} }
+	tests := []struct {
+		name string
+		fake *fakeControl
+		args []string
+		want int
+	}{
+		{"done", &fakeControl{}, []string{"config", "apply", good}, 0},
+		{"unknown command", &fakeControl{}, []string{"config", "aply", good}, cmdline.ExitUsage},
+		{"unknown flag", &fakeControl{}, []string{"status", "--colour"}, cmdline.ExitUsage},
+		{"missing argument", &fakeControl{}, []string{"config", "apply"}, cmdline.ExitUsage},
+		{"wrong format", &fakeControl{}, []string{"-o", "xml", "status"}, cmdline.ExitUsage},
+		{"wrong file", &fakeControl{}, []string{"config", "apply", bad}, cmdline.ExitSettings},
+		{"missing file", &fakeControl{}, []string{"config", "check", good + "x"}, cmdline.ExitNotFound},
+		{"conflict", refuse(api.ErrConflict), []string{"config", "apply", "--base", "1", good}, cmdline.ExitConflict},
+		{"not found", refuse(api.ErrNotFound), []string{"promote", "absent"}, cmdline.ExitNotFound},
+		{"no leader", refuse(api.ErrNotLeader), []string{"config", "show"}, cmdline.ExitUnreachable},
+		{"refused", refuse(api.ErrRefused), []string{"promote", "ledger"}, cmdline.ExitRefused},
+		{"no key", refuse(api.ErrUnauthorized), []string{"status"}, cmdline.ExitUnauthorized},
+		{"outcome unknown", refuse(api.ErrUnknown), []string{"promote", "ledger"}, cmdline.ExitUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, code := ctl(t, tt.fake, tt.args...)
+			assert.Equal(t, code, tt.want)
+		})
+	}
+}
+
+func TestWrongFileChangesNothing(t *testing.T) {
+	f := &fakeControl{}
+	_, code := ctl(t, f, "config", "apply", writeFile(t, validConfig+"more: 1\n"))
+	assert.Equal(t, code, cmdline.ExitSettings)
+	assert.Equal(t, len(f.changes), 0)
+}
+
+func TestResentChangeIsTheSameChange(t *testing.T) {
+	f, file := &fakeControl{}, writeFile(t, validConfig)
+	for range 2 {
+		_, code := ctl(t, f, "config", "apply", "--base", "4", file)
+		assert.Equal(t, code, 0)
+	}
+	_, code := ctl(t, f, "config", "apply", "--base", "5", file)
+	assert.Equal(t, code, 0)
+	assert.Equal(t, f.changes[0].ChangeID, f.changes[1].ChangeID)
+	assert.Assert(t, f.changes[0].ChangeID != f.changes[2].ChangeID)
+}
+
+func TestApplyWaits(t *testing.T) {
+	proxies := []api.Proxy{
+		{Host: "proxy-1", LeaseLive: true, Seen: 9},
+		{Host: "proxy-2", LeaseLive: false, Seen: 2},
+	}
+	tests := []struct {
+		name   string
+		status api.Status
+		want   int
+	}{
+		{"in force or without lease", api.Status{Leading: true, ConfigVersion: 5, ConfigSince: 9, Proxies: proxies}, 0},
+		{"a proxy is behind", api.Status{Leading: true, ConfigVersion: 5, ConfigSince: 10, Proxies: proxies}, cmdline.ExitUnknown},
+		{"no leader", api.Status{ConfigVersion: 5, ConfigSince: 9, Proxies: proxies}, cmdline.ExitUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, code := ctl(t, &fakeControl{status: tt.status}, "config", "apply", "--wait", writeFile(t, validConfig))
+			assert.Equal(t, code, tt.want)
+		})
+	}
+}
+
+func TestOutput(t *testing.T) {
+	out, _ := ctl(t, &fakeControl{}, "profile", "list")
+	assert.Equal(t, out, ""+
+		"PROFILE  FRESHNESS  MAX AGE  IDEMPOTENT  DURABILITY  WEIGHT  SERVICES\n"+
+		"strict   primary    0s       reads       majority    1       1\n")
+	out, _ = ctl(t, &fakeControl{status: api.Status{Host: "control-1", Term: 3}}, "-o", "json", "status")
+	var st api.Status
+	assert.NilError(t, json.Unmarshal([]byte(out), &st))
+	assert.Equal(t, st.Term, uint64(3))
+}
+
+func TestEveryCommandHasHelp(t *testing.T) {
+	for _, args := range [][]string{{}, {"config"}, {"config", "apply"}, {"target", "drain"}, {"host", "add"}, {"promote"}} {
+		out, code := ctl(t, &fakeControl{}, append(args, "--help")...)
+		assert.Equal(t, code, 0)
+		assert.Assert(t, strings.Contains(out, "USAGE:"), out)
+	}
+}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -77,13 +77,15 @@
 	Sample   float64 // share of the requests without a trace of their own
 }
 
+// DefaultDrainLimit is the drain limit of a file that gives none.
+const DefaultDrainLimit = 30 * time.Second
+
 // Defaults of the daemons' settings.
 const (
 	defaultMessageBytes = 16 * mebibyte
 	defaultAnswerBytes  = 64 * mebibyte
 	defaultSessions     = 10_000
 	defaultStartupTime  = 5 * time.Second
-	defaultDrainLimit   = 30 * time.Second
 	defaultShards       = 4
 	defaultUser         = "paddle"
 	defaultSample       = 0.01
@@ -109,7 +111,7 @@
 		AvailabilityZone: types.AvailabilityZone(root.name("availability_zone")),
 		Region:           root.name("region"),
 		Control:          root.addresses("control"),
-		DrainLimit: root.duration("drain_limit", defaultDrainLimit,
+		DrainLimit: root.duration("drain_limit", DefaultDrainLimit,
 			span[time.Duration]{time.Second, maxTimeout}),
 	}
 	out.Listen = root.listen(role)
