--- a/daemon/control.go
+++ b/daemon/control.go
@@ -29,7 +29,7 @@
 type Control struct {
 	settings *settings.Daemon
 	version  string
-	key      string
+	keys     keys
 	tls      settings.TLSConfigs
 	log      *storage.Log
 	mesh     *wire.Mesh
@@ -62,7 +62,7 @@
 // undo it.
 func (c *Control) open() (err error) {
 	s := c.settings
-	if c.key, err = s.Security.Key(); err != nil {
+	if c.keys, err = loadKeys(s.Security); err != nil {
 		return err
 	}
 	if c.tls, err = s.Security.LoadTLS(); err != nil {
@@ -85,7 +85,7 @@
 	if c.peers, err = listen(s.Listen.Peers); err != nil {
 		return err
 	}
-	c.mesh = wire.NewMesh(wireOptions(s, c.log.Host(), c.key, c.tls))
+	c.mesh = wire.NewMesh(wireOptions(s, c.log.Host(), c.keys.cluster, c.tls))
 	self := proto.Voter{Host: c.log.Host(), Address: s.Advertise, AvailabilityZone: s.AvailabilityZone}
 	c.host = runtime.NewControlHost(runtime.ControlOptions{
 		Reducer: core.NewControlHost(self, c.log.Saved()),
@@ -101,7 +101,7 @@
 	klog.InfoS("starting", "role", "control", "host", c.log.Host(), "version", c.version,
 		"availability_zone", c.settings.AvailabilityZone,
 		"http", c.http.Addr(), "peers", c.peers.Addr(), "data_folder", c.settings.DataFolder)
-	httpServer := newHTTPServer(c.http, c.key, c.tls)
+	httpServer := newHTTPServer(c.http, c.keys, c.tls)
 	c.routes(httpServer)
 	c.mesh.Start(wire.Handlers{Message: c.host.PeerMessage, LeaseRequest: c.host.LeaseRequest})
 	app := kratos.New(
--- a/daemon/control_test.go
+++ b/daemon/control_test.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	testKey     = "correct horse"
-	testTimeout = 20 * time.Second
+	testKey         = "correct horse"
+	testAnnounceKey = "battery staple"
+	testTimeout     = 20 * time.Second
 )
 
 const firstConfig = `
@@ -36,12 +37,14 @@
 	dir := t.TempDir()
 	keyFile := filepath.Join(dir, "key")
 	assert.NilError(t, os.WriteFile(keyFile, []byte(testKey+"\n"), 0o600))
+	announceFile := filepath.Join(dir, "announce")
+	assert.NilError(t, os.WriteFile(announceFile, []byte(testAnnounceKey), 0o600))
 	s := &settings.Daemon{
 		Role: settings.RoleControl, Host: "control-1", AvailabilityZone: "az-1", Region: "north",
 		Listen:    settings.Listen{Peers: "127.0.0.1:0", HTTP: "127.0.0.1:0"},
 		Advertise: "127.0.0.1:1", Control: []types.Address{"127.0.0.1:1"},
 		DataFolder: filepath.Join(dir, "data"),
-		Security:   settings.Security{KeyFile: keyFile}, DrainLimit: time.Second,
+		Security:   settings.Security{KeyFile: keyFile, AnnounceKeyFile: announceFile}, DrainLimit: time.Second,
 	}
 	_, err := InitControl(s)
 	assert.NilError(t, err)
@@ -145,6 +148,11 @@
 		err := other.Call(ctx, http.MethodGet, api.PathStatus, nil, nil)
 		assert.Equal(t, kindOf(err), api.ErrUnauthorized, "key %q", key)
 	}
+	targets := api.NewClient(c.Addresses, testAnnounceKey, nil)
+	err := targets.Call(ctx, http.MethodGet, api.PathStatus, nil, nil)
+	assert.Equal(t, kindOf(err), api.ErrUnauthorized)
+	err = targets.Call(ctx, http.MethodPost, api.PathAnnounce, struct{}{}, nil)
+	assert.Equal(t, kindOf(err), api.ErrInvalid)
 	for _, path := range []string{api.PathHealth, api.PathMetrics} {
 		res, err := http.Get("http://" + c.Addresses[0] + path)
 		assert.NilError(t, err)
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -78,13 +78,13 @@
 }
 
 // newHTTPServer returns the kratos server of a daemon's HTTP port.
-func newHTTPServer(lis net.Listener, key string, t settings.TLSConfigs) *khttp.Server {
+func newHTTPServer(lis net.Listener, k keys, t settings.TLSConfigs) *khttp.Server {
 	srv := khttp.NewServer(
 		khttp.Listener(lis),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: lis.Addr().String()}),
 		khttp.TLSConfig(t.Server),
 		khttp.Timeout(httpTimeout),
-		khttp.Filter(requireKey(key)),
+		khttp.Filter(k.require),
 		khttp.RequestDecoder(decodeBody),
 		khttp.ResponseEncoder(encodeBody),
 		khttp.ErrorEncoder(encodeError),
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -27,7 +27,7 @@
 type Proxy struct {
 	settings *settings.Daemon
 	version  string
-	key      string
+	keys     keys
 	tls      settings.TLSConfigs
 	clock    runtime.Clock
 	link     *wire.Link
@@ -52,7 +52,7 @@
 // open acquires what the proxy needs, in an order that lets release undo it.
 func (p *Proxy) open() (err error) {
 	s := p.settings
-	if p.key, err = s.Security.Key(); err != nil {
+	if p.keys, err = loadKeys(s.Security); err != nil {
 		return err
 	}
 	if p.tls, err = s.Security.LoadTLS(); err != nil {
@@ -71,7 +71,7 @@
 	if p.callers, err = listen(s.Listen.Callers); err != nil {
 		return err
 	}
-	p.link = wire.NewLink(wireOptions(s, s.Host, p.key, p.tls))
+	p.link = wire.NewLink(wireOptions(s, s.Host, p.keys.cluster, p.tls))
 	p.proxy = runtime.NewProxy(runtime.ProxyOptions{
 		Control: core.NewProxy(node.Options{
 			Host: s.Host, AvailabilityZone: s.AvailabilityZone, Shards: s.Shards,
@@ -98,7 +98,7 @@
 	s := p.settings
 	klog.InfoS("starting", "role", "proxy", "host", s.Host, "version", p.version,
 		"availability_zone", s.AvailabilityZone, "callers", p.callers.Addr(), "http", p.http.Addr())
-	httpServer := newHTTPServer(p.http, p.key, p.tls)
+	httpServer := newHTTPServer(p.http, p.keys, p.tls)
 	p.routes(httpServer)
 	p.link.Start(p.leaseGrant)
 	app := kratos.New(
@@ -119,6 +119,11 @@
 // leaseGrant hands over control's answer to a lease request.
 func (p *Proxy) leaseGrant(from types.HostID, g proto.LeaseGrant) {
 	p.recorder.LeaseAnswered(from, g, p.clock())
+	st := p.status()
+	p.recorder.ProxyState(telemetry.ProxyState{
+		LeaseLive: st.LeaseLive, ViewVersion: st.ViewVersion,
+		ConfigVersion: st.ConfigVersion, Draining: st.Draining,
+	})
 	p.proxy.LeaseGrant(from, g)
 }
 
--- a/settings/security.go
+++ b/settings/security.go
@@ -13,6 +13,7 @@
 // files of TLS.
 type Security struct {
 	KeyFile         string // file with the cluster key
+	AnnounceKeyFile string // file with the key that targets announce themselves with
 	CertificateFile string
 	PrivateKeyFile  string
 	AuthorityFile   string
@@ -23,11 +24,15 @@
 	s := m.sub("security")
 	out := Security{
 		KeyFile:         s.text("key_file", ""),
+		AnnounceKeyFile: s.text("announce_key_file", ""),
 		CertificateFile: s.text("certificate_file", ""),
 		PrivateKeyFile:  s.text("private_key_file", ""),
 		AuthorityFile:   s.text("authority_file", ""),
 	}
 	s.close()
+	if out.AnnounceKeyFile != "" && out.KeyFile == "" {
+		m.add(s.at("announce_key_file"), join(s.path, "announce_key_file"), "is given, but key_file is missing")
+	}
 	given := 0
 	for _, f := range []string{out.CertificateFile, out.PrivateKeyFile, out.AuthorityFile} {
 		if f != "" {
@@ -49,6 +54,13 @@
 	return key, trace.Wrap(err, "reading the cluster key")
 }
 
+// AnnounceKey returns the key of announcements, or nothing when no file is
+// named.
+func (s Security) AnnounceKey() (string, error) {
+	key, err := ReadSecret(s.AnnounceKeyFile)
+	return key, trace.Wrap(err, "reading the key of announcements")
+}
+
 // TLSConfigs holds the two sides of TLS; both are nil when it is off.
 type TLSConfigs struct {
 	Server *tls.Config
--- a/settings/write.go
+++ b/settings/write.go
@@ -34,6 +34,7 @@
 
 type securityFile struct {
 	KeyFile         string `yaml:"key_file,omitempty"`
+	AnnounceKeyFile string `yaml:"announce_key_file,omitempty"`
 	CertificateFile string `yaml:"certificate_file,omitempty"`
 	PrivateKeyFile  string `yaml:"private_key_file,omitempty"`
 	AuthorityFile   string `yaml:"authority_file,omitempty"`
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -79,8 +79,6 @@
 		"kind": string(d.Kind), "service": string(d.Service),
 	}).Counter("decisions_total").Inc(1)
 	switch d.Kind {
-	case effect.DecideLeaseGained:
-		m.scope.Gauge("lease_live").Update(1)
 	case effect.DecideLeaseLost:
 		m.scope.Gauge("lease_live").Update(0)
 	case effect.DecideConfig:
@@ -91,6 +89,21 @@
 	}
 }
 
+func (m *metrics) proxyState(s *ProxyState) {
+	m.scope.Gauge("lease_live").Update(oneIf(s.LeaseLive))
+	m.scope.Gauge("view_version").Update(float64(s.ViewVersion))
+	m.scope.Gauge("config_version").Update(float64(s.ConfigVersion))
+	m.scope.Gauge("draining").Update(oneIf(s.Draining))
+}
+
+// oneIf returns 1 for true and 0 for false.
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (m *metrics) observation(o *effect.Observation) {
 	scope := m.scope.Tagged(map[string]string{
 		"service": string(o.Service), "profile": string(o.Profile), "class": className(o.Class),
--- a/telemetry/recorder.go
+++ b/telemetry/recorder.go
@@ -34,6 +34,7 @@
 	decision    *effect.Decide
 	observation *effect.Observation
 	peerCall    *peerCall
+	proxyState  *ProxyState
 }
 
 // Recorder implements runtime.Recorder. Its methods hand over a record to one
@@ -75,6 +76,17 @@
 // Observation records the path of a finished request.
 func (r *Recorder) Observation(o effect.Observation) { r.put(record{observation: &o}) }
 
+// ProxyState is what a proxy acts on.
+type ProxyState struct {
+	LeaseLive     bool
+	ViewVersion   uint64
+	ConfigVersion uint64
+	Draining      bool
+}
+
+// ProxyState records what a proxy acts on.
+func (r *Recorder) ProxyState(s ProxyState) { r.put(record{proxyState: &s}) }
+
 func (r *Recorder) put(rec record) {
 	select {
 	case r.queue <- rec:
@@ -131,6 +143,8 @@
 		if r.spans != nil {
 			r.spans.observation(rec.observation)
 		}
+	case rec.proxyState != nil:
+		r.metrics.proxyState(rec.proxyState)
 	case rec.peerCall != nil:
 		r.metrics.peerCall(rec.peerCall)
 		if r.spans != nil {
