--- a/core/coretest/cluster.go
+++ b/core/coretest/cluster.go
@@ -163,15 +163,15 @@
 
 // deliver hands an event to its host, if the host's run still lasts.
 func (c *Cluster) deliver(q queued) {
+	if call, ok := q.event.(scheduled); ok {
+		call.do()
+		return
+	}
 	h := q.host
 	_, message := q.event.(event.PeerMessage) // outlives a restart of its receiver
 	if h.Stepper == nil || h.run != q.run && !message {
 		return
 	}
-	if call, ok := q.event.(scheduled); ok {
-		call.do()
-		return
-	}
 	if d, ok := q.event.(synced); ok {
 		if err := h.Disk.Apply(d.write); err != nil {
 			panic(err)
