Keep shares when a leader hears again that it leads

Cause: the divider forgot what it had granted on each RoleChanged, also on one that repeats the leader and the term. Change: one package follows the role for all parts that act while their host leads.

--- a/core/lease/fence.go
+++ b/core/lease/fence.go
@@ -10,7 +10,7 @@
 // Fenced reports whether every proxy acts on a view of at least version, or
 // holds no lease.
 func (t *Table) Fenced(version uint64, now types.Instant) bool {
-	return t.leading && now >= t.FencedAt(version)
+	return t.role.Leading && now >= t.FencedAt(version)
 }
 
 // FencedAt returns the instant from which on version is fenced even if no
@@ -77,10 +77,10 @@
 func (t *Table) Now() types.Instant { return t.now }
 
 // Leading reports whether this host leads.
-func (t *Table) Leading() bool { return t.leading }
+func (t *Table) Leading() bool { return t.role.Leading }
 
 // Leader returns the control leader as this host knows it, or "", and its term.
-func (t *Table) Leader() (types.HostID, proto.ControlTerm) { return t.leader, t.term }
+func (t *Table) Leader() (types.HostID, proto.ControlTerm) { return t.role.Leader, t.role.Term }
 
 // HeardWithin reports whether a proxy asked within d before now.
 func (t *Table) HeardWithin(host types.HostID, d time.Duration, now types.Instant) bool {
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -5,6 +5,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/role"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -26,9 +27,7 @@
 	shares ShareSource
 
 	now     types.Instant // of the event that is under way
-	leading bool
-	leader  types.HostID
-	term    proto.ControlTerm
+	role    role.Role
 	since   types.Instant // when this host became leader
 	proxies map[types.HostID]*proxyLease
 }
@@ -79,9 +78,7 @@
 // changeRole begins with a table that knows no request. Each registered proxy
 // may hold a lease of the leader before.
 func (t *Table) changeRole(e event.RoleChanged) []effect.Effect {
-	again := e.Leading && t.leading && e.Term == t.term
-	t.leading, t.leader, t.term = e.Leading, e.Leader, e.Term
-	if again {
+	if !t.role.Change(e) {
 		return nil
 	}
 	t.proxies = make(map[types.HostID]*proxyLease)
@@ -125,12 +122,12 @@
 // stale reports whether seq is at or shortly before last.
 func stale(seq, last uint64) bool { return last-seq < staleWindow }
 
-func (t *Table) surelyLeads() bool { return t.leading && t.now < t.lead.LeadsUntil() }
+func (t *Table) surelyLeads() bool { return t.role.Leading && t.now < t.lead.LeadsUntil() }
 
 func (t *Table) refuse(r proto.LeaseRequest) []effect.Effect {
-	g := proto.LeaseGrant{Proxy: r.Proxy, Seq: r.Seq, SentAt: r.SentAt, Term: t.term, NotLeader: true}
-	if t.leader != t.self {
-		g.Leader = t.leader
+	g := proto.LeaseGrant{Proxy: r.Proxy, Seq: r.Seq, SentAt: r.SentAt, Term: t.role.Term, NotLeader: true}
+	if t.role.Leader != t.self {
+		g.Leader = t.role.Leader
 	}
 	return []effect.Effect{effect.GrantLease{Grant: g}}
 }
@@ -150,7 +147,7 @@
 func (t *Table) registered(c proto.SetProxy) []effect.Effect {
 	p := t.proxies[c.Host]
 	switch {
-	case !t.leading || p == nil:
+	case !t.role.Leading || p == nil:
 		return nil
 	case c.Remove:
 		delete(t.proxies, c.Host)
@@ -172,7 +169,7 @@
 	}
 	g := proto.LeaseGrant{
 		Proxy: p.request.Proxy, Seq: p.request.Seq, SentAt: p.request.SentAt,
-		Term: t.term, View: t.state.Update(p.request.Have),
+		Term: t.role.Term, View: t.state.Update(p.request.Have),
 	}
 	p.sent = t.state.View().Version
 	if !p.request.Draining && t.keepsUp(p) {
@@ -210,7 +207,7 @@
 		}
 		out = append(out, effect.GrantLease{Grant: proto.LeaseGrant{
 			Proxy: reg.Host, Seq: p.request.Seq, SentAt: p.request.SentAt,
-			Term: t.term, View: t.state.Update(p.sent),
+			Term: t.role.Term, View: t.state.Update(p.sent),
 		}})
 		p.sent = version
 	}
@@ -225,7 +222,7 @@
 
 // sweep proposes to forget proxies that stopped or were silent for long.
 func (t *Table) sweep() []effect.Effect {
-	if !t.leading {
+	if !t.role.Leading {
 		return nil
 	}
 	out := []effect.Effect{t.armSweep()}
--- a/core/limits/divider.go
+++ b/core/limits/divider.go
@@ -11,17 +11,24 @@
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/lease"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/role"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
-// controlConnections is how many connections to a target control uses. Each
-// proxy uses one more for its probes.
-const controlConnections = 1
+// Connections that are not divided. Each proxy uses one more for its probes.
+const (
+	// controlConnections is how many connections to a target control uses.
+	controlConnections = 1
+	// spareProbes is kept for the probes of a proxy that joins, while the
+	// others have not given up what they held beside it.
+	spareProbes = 1
+)
 
 // Divider holds the shares that this host granted as leader.
 type Divider struct {
 	state  *cluster.State
 	leases *lease.Table
+	role   role.Role
 	grants map[types.HostID]map[types.TargetRef][]granted
 }
 
@@ -44,7 +51,9 @@
 func (d *Divider) Step(in event.Input) []effect.Effect {
 	switch e := in.Event.(type) {
 	case event.RoleChanged:
-		clear(d.grants)
+		if d.role.Change(e) {
+			clear(d.grants)
+		}
 	case event.Committed:
 		if p := e.Entry.Command.Proxy; p != nil && p.Remove {
 			delete(d.grants, p.Host)
@@ -75,7 +84,7 @@
 
 // share decides on the share of the proxy holds[at] and remembers it.
 func (d *Divider) share(svc types.Service, ref types.TargetRef, holds []lease.Hold, at int) types.Share {
-	total := max(0, svc.Connections-controlConnections-len(holds))
+	total := max(0, svc.Connections-controlConnections-spareProbes-len(holds))
 	free := total
 	for i, h := range holds {
 		if i != at {
--- a/core/membership/keeper.go
+++ b/core/membership/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/role"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -31,8 +32,7 @@
 // Keeper turns announcements into commands while this host leads.
 type Keeper struct {
 	state    *cluster.State
-	leading  bool
-	term     proto.ControlTerm
+	role     role.Role
 	since    types.Instant // when this host became leader
 	heard    map[types.TargetRef]heard
 	proposed map[types.TargetRef]proposal
@@ -81,9 +81,7 @@
 }
 
 func (k *Keeper) changeRole(now types.Instant, e event.RoleChanged) []effect.Effect {
-	again := k.leading && e.Leading && k.term == e.Term
-	k.leading, k.term = e.Leading, e.Term
-	if again {
+	if !k.role.Change(e) {
 		return nil
 	}
 	clear(k.heard)
@@ -100,7 +98,7 @@
 }
 
 func (k *Keeper) hearAll(now types.Instant, list []proto.Announcement) []effect.Effect {
-	if !k.leading {
+	if !k.role.Leading {
 		return nil
 	}
 	var out []effect.Effect
@@ -203,7 +201,7 @@
 
 // committed acts on announcements that came before the change they needed.
 func (k *Keeper) committed(now types.Instant, c proto.Command) []effect.Effect {
-	if !k.leading || c.Member == nil {
+	if !k.role.Leading || c.Member == nil {
 		return nil
 	}
 	ref := types.TargetRef{Service: c.Member.Service, Name: c.Member.Target.Name}
@@ -223,7 +221,7 @@
 
 // sweep looks for members that have gone silent.
 func (k *Keeper) sweep(now types.Instant) []effect.Effect {
-	if !k.leading {
+	if !k.role.Leading {
 		return nil
 	}
 	out := []effect.Effect{armSweep(now)}
--- a/core/operator/operator.go
+++ b/core/operator/operator.go
@@ -12,6 +12,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/lease"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/role"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -20,9 +21,7 @@
 	self    types.HostID
 	state   *cluster.State
 	leases  *lease.Table
-	leading bool
-	leader  types.HostID
-	term    proto.ControlTerm
+	role    role.Role
 	waiting map[uint64]waiter
 }
 
@@ -51,9 +50,8 @@
 // changeRole gives up the calls under way when this host stops leading: their
 // commands may be committed yet, or never.
 func (d *Desk) changeRole(e event.RoleChanged) []effect.Effect {
-	lost := d.leading && (!e.Leading || e.Term != d.term)
-	d.leading, d.leader, d.term = e.Leading, e.Leader, e.Term
-	if !lost {
+	led := d.role.Leading
+	if !d.role.Change(e) || !led {
 		return nil
 	}
 	var out []effect.Effect
@@ -69,11 +67,11 @@
 
 func (d *Desk) call(now types.Instant, call uint64, r proto.OperatorRequest) []effect.Effect {
 	if r.Status != nil {
-		return done(call, proto.OperatorReply{Leader: d.leader, Status: d.status(now)})
+		return done(call, proto.OperatorReply{Leader: d.role.Leader, Status: d.status(now)})
 	}
-	if !d.leading {
+	if !d.role.Leading {
 		return done(call, proto.OperatorReply{
-			Err: proto.OpErrNotLeader, Leader: d.leader, Reason: "this host does not lead",
+			Err: proto.OpErrNotLeader, Leader: d.role.Leader, Reason: "this host does not lead",
 		})
 	}
 	switch {
@@ -112,12 +110,12 @@
 	if d.state.Group(a.Service) == nil {
 		return done(call, proto.OperatorReply{Err: proto.OpErrNotFound, Reason: "no such service"})
 	}
-	return done(call, proto.OperatorReply{Leader: d.leader})
+	return done(call, proto.OperatorReply{Leader: d.role.Leader})
 }
 
 func (d *Desk) status(now types.Instant) *proto.Status {
 	st := &proto.Status{
-		Host: d.self, Leader: d.leader, Term: d.term,
+		Host: d.self, Leader: d.role.Leader, Term: d.role.Term,
 		Commit: d.state.Applied(), Applied: d.state.Applied(),
 		Voters: d.state.Voters(), State: d.state.Snapshot(), Proxies: d.leases.Status(),
 	}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -12,6 +12,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/lease"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/role"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/cespare/xxhash/v2"
 )
@@ -43,14 +44,13 @@
 
 // Manager drives the promotions of all groups while this host leads.
 type Manager struct {
-	state   *cluster.State
-	leases  *lease.Table
-	leading bool
-	term    proto.ControlTerm
-	groups  map[types.ServiceName]*group
-	timers  map[uint64]types.ServiceName
-	calls   map[uint64]call
-	last    uint64 // number of the last call to a target
+	state  *cluster.State
+	leases *lease.Table
+	role   role.Role
+	groups map[types.ServiceName]*group
+	timers map[uint64]types.ServiceName
+	calls  map[uint64]call
+	last   uint64 // number of the last call to a target
 }
 
 // group is what the leader remembers of one group beside its replicated state.
@@ -103,9 +103,7 @@
 }
 
 func (m *Manager) changeRole(now types.Instant, e event.RoleChanged) []effect.Effect {
-	again := m.leading && e.Leading && m.term == e.Term
-	m.leading, m.term = e.Leading, e.Term
-	if again {
+	if !m.role.Change(e) {
 		return nil
 	}
 	clear(m.groups)
@@ -116,7 +114,7 @@
 
 func (m *Manager) committed(now types.Instant, c proto.Command) []effect.Effect {
 	switch {
-	case !m.leading:
+	case !m.role.Leading:
 		return nil
 	case c.Change != nil:
 		return m.driveAll(now)
@@ -166,7 +164,7 @@
 }
 
 func (m *Manager) driveAll(now types.Instant) []effect.Effect {
-	if !m.leading {
+	if !m.role.Leading {
 		return nil
 	}
 	var out []effect.Effect
@@ -180,7 +178,7 @@
 // time.
 func (m *Manager) drive(now types.Instant, service types.ServiceName) []effect.Effect {
 	g := m.state.Group(service)
-	if !m.leading || g == nil {
+	if !m.role.Leading || g == nil {
 		return nil
 	}
 	gr := m.group(service)
@@ -244,7 +242,7 @@
 	c, ok := m.calls[e.Call]
 	delete(m.calls, e.Call)
 	g := m.state.Group(c.service)
-	if !ok || !m.leading || g == nil || g.Term != c.term {
+	if !ok || !m.role.Leading || g == nil || g.Term != c.term {
 		return nil
 	}
 	gr := m.group(c.service)
