--- /dev/null
+++ b/core/lease/holder_test.go
@@ -0,0 +1,190 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/cluster"
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/lease"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"gotest.tools/v3/assert"
+)
+
+const ms = types.Instant(time.Millisecond)
+
+// asker is a holder and the requests that it sent.
+type asker struct {
+	holder *lease.Holder
+	sent   []effect.RequestLease
+}
+
+func newAsker() *asker {
+	a := &asker{holder: lease.NewHolder("p1", "z", func(*proto.LeaseRequest) {})}
+	a.step(1000*ms, event.Start{})
+	return a
+}
+
+func (a *asker) step(now types.Instant, ev event.Event) {
+	for _, eff := range a.holder.Step(event.Input{Now: now, Seed: 10, Event: ev}) {
+		if r, ok := eff.(effect.RequestLease); ok {
+			a.sent = append(a.sent, r)
+		}
+	}
+}
+
+func (a *asker) last() effect.RequestLease { return a.sent[len(a.sent)-1] }
+
+// grant answers request r as host c1 does.
+func grant(r proto.LeaseRequest, view *proto.ViewUpdate) event.LeaseGranted {
+	return event.LeaseGranted{From: "c1", Grant: proto.LeaseGrant{
+		Proxy: r.Proxy, Seq: r.Seq, SentAt: r.SentAt, Duration: lease.Duration, Term: 1, View: view,
+		Shares: []proto.ShareGrant{{Ref: ref, Share: types.Share{Connections: 5}}},
+	}}
+}
+
+func (a *asker) timer(now types.Instant, key uint64) {
+	a.step(now, event.TimerFired{ID: event.TimerID{Domain: event.DomainLeaseHolder, Key: key}})
+}
+
+func TestLeaseCountsFromTheRequest(t *testing.T) {
+	a := newAsker()
+	a.step(1100*ms, grant(a.last().Request, &proto.ViewUpdate{Version: 1}))
+	assert.Equal(t, a.holder.Until(), 2350*ms)
+}
+
+func TestGrantsThatBringNoLease(t *testing.T) {
+	whole := &proto.ViewUpdate{Version: 1}
+	cases := []struct {
+		name  string
+		now   types.Instant
+		grant func(g *proto.LeaseGrant)
+	}{
+		{"unknown request", 1010 * ms, func(g *proto.LeaseGrant) { g.Seq++ }},
+		{"request of an earlier process", 1010 * ms, func(g *proto.LeaseGrant) { g.SentAt -= 5 }},
+		{"answer after the lease would have ended", 2400 * ms, func(*proto.LeaseGrant) {}},
+		{"view that does not fit", 1010 * ms, func(g *proto.LeaseGrant) { g.View = &proto.ViewUpdate{Base: 3, Version: 4} }},
+		{"push of a view", 1010 * ms, func(g *proto.LeaseGrant) { g.Duration = 0 }},
+		{"not the leader", 1010 * ms, func(g *proto.LeaseGrant) { g.NotLeader = true }},
+	}
+	for _, c := range cases {
+		a := newAsker()
+		e := grant(a.last().Request, whole)
+		c.grant(&e.Grant)
+		a.step(c.now, e)
+		assert.Equal(t, a.holder.Until(), types.Instant(0), c.name)
+		assert.Equal(t, len(a.holder.Shares()), 0, c.name)
+	}
+}
+
+func TestHolderTakesNothingOfAHostItLeft(t *testing.T) {
+	a := newAsker()
+	first := a.last().Request
+	a.step(1010*ms, grant(first, &proto.ViewUpdate{Version: 1}))
+	a.timer(1300*ms, 0)
+	second := a.last().Request
+	assert.Equal(t, a.last().To, types.HostID("c1"))
+	a.timer(1500*ms, 1)
+	assert.Equal(t, a.last().To, types.HostID(""))
+	late := grant(second, nil)
+	late.Grant.Shares[0].Share.Connections = 9
+	a.step(1510*ms, late)
+	assert.Equal(t, a.holder.Shares()[ref].Connections, 5)
+	assert.Equal(t, a.holder.Until(), 2350*ms)
+}
+
+func TestHolderFollowsTheLeader(t *testing.T) {
+	a := newAsker()
+	e := grant(a.last().Request, nil)
+	e.Grant.NotLeader, e.Grant.Leader = true, "c2"
+	a.step(1030*ms, e)
+	assert.Equal(t, a.last().To, types.HostID("c2"))
+	assert.Equal(t, len(a.sent), 2)
+}
+
+func TestLeaseAndSharesEndTogether(t *testing.T) {
+	a := newAsker()
+	a.step(1010*ms, grant(a.last().Request, &proto.ViewUpdate{Version: 1}))
+	a.timer(2350*ms, 2)
+	assert.Equal(t, len(a.holder.Shares()), 0)
+}
+
+// leads is a host that leads for ever.
+type leads struct{}
+
+func (leads) LeadsUntil() types.Instant { return 1 << 62 }
+
+// newLeader returns the table of a leader and its state, with proxy p1.
+func newLeader() (*lease.Table, *cluster.State) {
+	state := cluster.New()
+	state.Step(event.Input{Event: event.Committed{Entry: proto.Entry{Index: 1, Command: proto.Command{
+		Proxy: &proto.SetProxy{Host: "p1"},
+	}}}})
+	table := lease.NewTable("c1", state, leads{})
+	table.Step(event.Input{Now: 1, Event: event.RoleChanged{Leading: true, Leader: "c1", Term: 1}})
+	return table, state
+}
+
+func ask(table *lease.Table, now types.Instant, r proto.LeaseRequest) []proto.LeaseGrant {
+	r.Proxy = "p1"
+	var out []proto.LeaseGrant
+	for _, eff := range table.Step(event.Input{Now: now, Event: event.LeaseRequested{Request: r}}) {
+		if g, ok := eff.(effect.GrantLease); ok {
+			out = append(out, g.Grant)
+		}
+	}
+	return out
+}
+
+func TestOlderRequestIsIgnored(t *testing.T) {
+	table, _ := newLeader()
+	assert.Equal(t, len(ask(table, 10*ms, proto.LeaseRequest{Seq: 8, Taken: 7})), 1)
+	assert.Equal(t, len(ask(table, 20*ms, proto.LeaseRequest{Seq: 7})), 0)
+	assert.Equal(t, table.Holds()[0].Request.Taken, uint64(7))
+}
+
+func TestProxyWithAStuckShardLosesItsLease(t *testing.T) {
+	table, state := newLeader()
+	ask(table, 10*ms, proto.LeaseRequest{Seq: 1})
+	change := event.Committed{Entry: proto.Entry{Index: 2, Command: proto.Command{
+		Change: &proto.ChangeConfig{ID: "1", Config: &types.Config{}},
+	}}}
+	state.Step(event.Input{Now: 20 * ms, Event: change})
+	pushed := table.Step(event.Input{Now: 20 * ms, Event: change})
+	assert.Equal(t, len(pushed), 1)
+	assert.Equal(t, pushed[0].(effect.GrantLease).Grant.View.Version, uint64(2))
+	seq := uint64(2)
+	for now := 30 * ms; now < 4000*ms; now += 300 * ms {
+		ask(table, now, proto.LeaseRequest{Seq: seq, Have: 2, Seen: 1})
+		seq++
+	}
+	assert.Assert(t, table.Fenced(2, 4000*ms), "a stuck shard holds up the next term")
+}
+
+func TestProxiesAreForgotten(t *testing.T) {
+	cases := []struct {
+		name     string
+		draining bool
+		after    types.Instant
+		want     int
+	}{
+		{"stopped, lease live", true, 1500 * ms, 0},
+		{"stopped, lease over", true, 1700 * ms, 1},
+		{"silent for a minute", false, 60_000 * ms, 0},
+		{"silent for three minutes", false, 180_000 * ms, 1},
+	}
+	for _, c := range cases {
+		table, _ := newLeader()
+		ask(table, 10*ms, proto.LeaseRequest{Seq: 1, Draining: c.draining})
+		sweep := event.TimerFired{ID: event.TimerID{Domain: event.DomainLeaseTable}}
+		removed := 0
+		for _, eff := range table.Step(event.Input{Now: c.after, Event: sweep}) {
+			if p, ok := eff.(effect.Propose); ok && p.Command.Proxy.Remove {
+				removed++
+			}
+		}
+		assert.Equal(t, removed, c.want, c.name)
+	}
+}
