Let a new target join only when the others hold every acknowledged write

Cause: a write may have been acknowledged by the primary and a member that is then removed. A new target that holds nothing would form a quorum without it. Change: after a removal is in force everywhere, a place stays free until every other member has reached the primary's position.

--- /dev/null
+++ b/core/limits/divide_test.go
@@ -0,0 +1,47 @@
+package limits
+
+import (
+	"testing"
+
+	_ "github.com/camphorpaddle/camphorpaddle/internal/testseed"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestDivide(t *testing.T) {
+	cases := []struct {
+		name  string
+		total int
+		wants []int
+		parts []int
+	}{
+		{"nobody wants more", 14, []int{1, 1, 1, 1}, []int{4, 4, 3, 3}},
+		{"one wants all", 14, []int{14, 1, 1, 1}, []int{11, 1, 1, 1}},
+		{"two want more than half", 14, []int{10, 10, 1, 1}, []int{6, 6, 1, 1}},
+		{"one is gone", 14, []int{1, 0, 1, 1}, []int{5, 0, 5, 4}},
+		{"too few for all", 2, []int{9, 9, 9}, []int{1, 1, 0}},
+	}
+	for _, c := range cases {
+		assert.DeepEqual(t, divide(c.total, c.wants), c.parts)
+	}
+}
+
+func TestDivideGivesOutAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(0, 60).Draw(t, "total")
+		wants := rapid.SliceOfN(rapid.IntRange(0, 60), 1, 8).Draw(t, "wants")
+		sum, takers := 0, 0
+		parts := divide(total, wants)
+		for i, part := range parts {
+			sum += part
+			if wants[i] > 0 {
+				takers++
+				assert.Assert(t, part > 0 || total < len(wants), "%v of %d for %v", parts, total, wants)
+			}
+		}
+		if takers == 0 {
+			total = 0
+		}
+		assert.Equal(t, sum, total)
+	})
+}
--- a/core/membership/keeper.go
+++ b/core/membership/keeper.go
@@ -36,6 +36,7 @@
 	since    types.Instant // when this host became leader
 	heard    map[types.TargetRef]heard
 	proposed map[types.TargetRef]proposal
+	places   map[types.ServiceName]place
 }
 
 // heard is the last announcement of a target.
@@ -56,6 +57,7 @@
 		state:    state,
 		heard:    make(map[types.TargetRef]heard),
 		proposed: make(map[types.TargetRef]proposal),
+		places:   make(map[types.ServiceName]place),
 	}
 }
 
@@ -65,6 +67,7 @@
 	case event.RoleChanged:
 		return k.changeRole(in.Now, e)
 	case event.LeaseRequested:
+		k.readReports(in.Now, e.Request.Reports)
 		return k.hearAll(in.Now, e.Request.Announcements)
 	case event.OperatorCalled:
 		if e.Request.Announce != nil {
@@ -86,6 +89,7 @@
 	}
 	clear(k.heard)
 	clear(k.proposed)
+	clear(k.places)
 	k.since = now
 	if !e.Leading {
 		return nil
@@ -139,6 +143,9 @@
 	if len(g.Members) >= k.state.Config().Services[ref.Service].Members {
 		return k.makeRoom(now, g)
 	}
+	if !k.mayJoin(g) {
+		return nil
+	}
 	return k.propose(now, ref, proto.SetMember{Service: ref.Service, Target: target(last.announcement)})
 }
 
@@ -169,10 +176,10 @@
 }
 
 // makeRoom proposes to remove a member that has been gone for long, so that
-// another target can take its place. The group must have a primary then, which
-// holds every acknowledged write.
+// another target can take its place. A group that has served must have a
+// primary then, which holds every acknowledged write.
 func (k *Keeper) makeRoom(now types.Instant, g *types.Group) []effect.Effect {
-	if g.Phase != types.GroupServing {
+	if g.Phase != types.GroupServing && len(g.History) > 0 {
 		return nil
 	}
 	for _, m := range g.Members {
--- /dev/null
+++ b/core/node/node_test.go
@@ -0,0 +1,146 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/lease"
+	"github.com/camphorpaddle/camphorpaddle/core/node"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	ms      = types.Instant(time.Millisecond)
+	service = types.ServiceName("a")
+)
+
+var ref = types.TargetRef{Service: service, Name: "t1"}
+
+// proxy is a node with two shards and what it asked for.
+type proxy struct {
+	t        *testing.T
+	node     *node.Node
+	now      types.Instant
+	requests []proto.LeaseRequest
+	views    []*types.NodeView
+}
+
+func newProxy(t *testing.T) *proxy {
+	p := &proxy{t: t, now: 1000 * ms, node: node.New(node.Options{Host: "p1", Shards: 2})}
+	p.step(event.Start{})
+	return p
+}
+
+func (p *proxy) step(ev event.Event) {
+	published := 0
+	for _, eff := range p.node.Step(event.Input{Now: p.now, Seed: 9, Event: ev}) {
+		switch e := eff.(type) {
+		case effect.RequestLease:
+			p.requests = append(p.requests, e.Request)
+		case effect.PublishView:
+			p.views = append(p.views, e.View)
+			published++
+		}
+	}
+	assert.Assert(p.t, published <= 1, "%d views in one step", published)
+}
+
+// pass lets time go on and sends the next request.
+func (p *proxy) pass(d types.Instant) proto.LeaseRequest {
+	p.now += d
+	p.step(event.TimerFired{ID: event.TimerID{Domain: event.DomainLeaseHolder}})
+	return p.request()
+}
+
+func (p *proxy) request() proto.LeaseRequest   { return p.requests[len(p.requests)-1] }
+func (p *proxy) view() *types.NodeView         { return p.views[len(p.views)-1] }
+func (p *proxy) report(r event.ShardReport)    { p.step(event.ShardReported{Report: r}) }
+func (p *proxy) announce(a proto.Announcement) { p.step(event.Announced{Announcement: a}) }
+
+func (p *proxy) grant(version uint64, phase types.GroupPhase, share int) {
+	r := p.request()
+	p.step(event.LeaseGranted{From: "c1", Grant: proto.LeaseGrant{
+		Proxy: "p1", Seq: r.Seq, SentAt: r.SentAt, Duration: lease.Duration, Term: 1,
+		View: &proto.ViewUpdate{Version: version, Groups: []*types.Group{{
+			Service: service, Term: 1, Phase: phase, Primary: "t1", Members: []types.Target{{Name: "t1"}},
+		}}},
+		Shares: []proto.ShareGrant{{Ref: ref, Share: types.Share{Connections: share, Slots: 1}}},
+	}})
+}
+
+func TestSeenIsThatOfTheSlowestShard(t *testing.T) {
+	p := newProxy(t)
+	p.grant(5, types.GroupServing, 3)
+	p.report(event.ShardReport{Shard: 0, Seen: 5})
+	assert.Equal(t, p.pass(300*ms).Seen, uint64(0), "a shard has not reported")
+	p.report(event.ShardReport{Shard: 1, Seen: 4})
+	assert.Equal(t, p.pass(300*ms).Seen, uint64(4))
+	before := len(p.requests)
+	p.now += 30 * ms
+	p.report(event.ShardReport{Shard: 1, Seen: 5})
+	assert.Equal(t, len(p.requests), before+1, "control has to wait for the confirmation")
+	assert.Equal(t, p.request().Seen, uint64(5))
+}
+
+func TestQuietNeedsAllShards(t *testing.T) {
+	p := newProxy(t)
+	p.grant(5, types.GroupQuiescing, 3)
+	p.report(event.ShardReport{Shard: 0, Seen: 5})
+	p.report(event.ShardReport{Shard: 1, Seen: 4})
+	assert.Equal(t, len(p.pass(300*ms).Quiet), 0)
+	p.report(event.ShardReport{Shard: 1, Seen: 5, Writing: []types.ServiceName{service}})
+	assert.Equal(t, len(p.pass(300*ms).Quiet), 0)
+	p.report(event.ShardReport{Shard: 1, Seen: 5})
+	assert.DeepEqual(t, p.pass(300*ms).Quiet, []types.ServiceName{service})
+}
+
+func TestHeldShareFallsOnceShardsHaveSettled(t *testing.T) {
+	p := newProxy(t)
+	p.grant(5, types.GroupServing, 8)
+	p.report(event.ShardReport{Shard: 0, Open: map[types.TargetRef]int{ref: 4}})
+	p.pass(300 * ms)
+	p.grant(6, types.GroupServing, 2)
+	assert.Equal(t, p.pass(20 * ms).Held[0].Share.Connections, 8, "a shard may still act on the earlier share")
+	assert.Equal(t, p.pass(50 * ms).Held[0].Share.Connections, 4, "a shard still holds connections")
+	p.report(event.ShardReport{Shard: 0, Wanted: map[types.TargetRef]int{ref: 7}})
+	held := p.pass(20 * ms).Held[0]
+	assert.Equal(t, held.Share.Connections, 2)
+	assert.Equal(t, held.Wanted, 7)
+}
+
+func TestAnnouncementsRepeatUntilGranted(t *testing.T) {
+	p := newProxy(t)
+	p.now += 100 * ms
+	p.announce(proto.Announcement{Service: service, Name: "t1"})
+	assert.Equal(t, len(p.request().Announcements), 1, "control hears of it at the next interval only")
+	again := p.pass(300 * ms)
+	assert.Equal(t, again.Announcements[0].Age, 300*time.Millisecond)
+	p.grant(5, types.GroupServing, 1)
+	assert.Equal(t, len(p.pass(300*ms).Announcements), 0)
+}
+
+func TestStoppedProxySaysSoOnceItIsIdle(t *testing.T) {
+	p := newProxy(t)
+	p.grant(5, types.GroupServing, 1)
+	p.step(event.DrainBegan{})
+	assert.Equal(t, p.view().Draining, true)
+	p.report(event.ShardReport{Shard: 0, Seen: 5})
+	p.report(event.ShardReport{Shard: 1, Seen: 5, Sessions: 1})
+	assert.Equal(t, p.pass(300*ms).Draining, false)
+	p.report(event.ShardReport{Shard: 1, Seen: 5})
+	assert.Equal(t, p.pass(300*ms).Draining, true)
+}
+
+func TestLostLeaseTakesTheSharesAway(t *testing.T) {
+	p := newProxy(t)
+	p.grant(5, types.GroupServing, 1)
+	assert.Equal(t, len(p.view().Shares), 1)
+	p.now = p.view().LeaseUntil
+	p.step(event.TimerFired{ID: event.TimerID{Domain: event.DomainLeaseHolder, Key: 2}})
+	assert.Equal(t, len(p.view().Shares), 0)
+	assert.Equal(t, p.view().LeaseLive(p.now), false)
+}
--- a/core/probe/fresh.go
+++ b/core/probe/fresh.go
@@ -56,27 +56,32 @@
 }
 
 // refresh works out the freshness of a target that answered, and of all
-// replicas when the primary answered.
+// replicas when the primary answered. A member outside of the group's term may
+// hold entries that will be dropped, so that it is never fresh.
 func (p *Prober) refresh(ref types.TargetRef, t *target) {
 	g := p.view.Groups[ref.Service]
 	s := p.samples[ref.Service]
 	if g == nil || s == nil || g.Primary == "" {
 		return
 	}
+	if t.health.Term != g.Term {
+		t.health.FreshAt = 0
+		return
+	}
 	if ref.Name != g.Primary {
 		t.health.FreshAt = max(t.health.FreshAt, s.freshAt(g.History, t.health.Pos))
 		return
 	}
-	if !t.health.Primary || t.health.Term != g.Term {
+	if !t.health.Primary {
 		return
 	}
 	t.health.FreshAt = t.health.AskedAt
 	s.add(sample{asked: t.health.AskedAt, pos: t.health.Pos})
 	for _, m := range g.Members {
-		if m.Name == g.Primary {
+		other := p.targets[types.TargetRef{Service: ref.Service, Name: m.Name}]
+		if m.Name == g.Primary || other.health.Term != g.Term {
 			continue
 		}
-		other := p.targets[types.TargetRef{Service: ref.Service, Name: m.Name}]
 		other.health.FreshAt = max(other.health.FreshAt, s.freshAt(g.History, other.health.Pos))
 	}
 }
--- /dev/null
+++ b/core/probe/prober_test.go
@@ -0,0 +1,162 @@
+package probe_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/probe"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	_ "github.com/camphorpaddle/camphorpaddle/internal/testseed"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const (
+	ms      = types.Instant(time.Millisecond)
+	service = types.ServiceName("a")
+)
+
+var (
+	primary = types.TargetRef{Service: service, Name: "t1"}
+	replica = types.TargetRef{Service: service, Name: "t2"}
+)
+
+func view(term types.Term, leader types.TargetName) *types.ClusterView {
+	return &types.ClusterView{Version: uint64(term), Groups: map[types.ServiceName]*types.Group{service: {
+		Service: service, Term: term, Phase: types.GroupServing, Primary: leader,
+		Members: []types.Target{{Name: "t1", Address: "1"}, {Name: "t2", Address: "2"}},
+	}}}
+}
+
+func started(now types.Instant) (*probe.Prober, []effect.Effect) {
+	p := probe.New()
+	return p, p.SetView(view(1, "t1"), now)
+}
+
+func answer(p *probe.Prober, ref types.TargetRef, asked, now types.Instant, offset uint64) []effect.Effect {
+	return p.Step(event.Input{Now: now, Event: event.Probed{Ref: ref, AskedAt: asked, Status: types.TargetStatus{
+		Term: 1, Primary: ref == primary, Pos: types.LogPos{Term: 1, Offset: offset},
+	}}})
+}
+
+func probed(effects []effect.Effect) []types.TargetRef {
+	var out []types.TargetRef
+	for _, eff := range effects {
+		if e, ok := eff.(effect.Probe); ok {
+			out = append(out, e.Ref)
+		}
+	}
+	return out
+}
+
+func TestOneProbeOfATargetAtATime(t *testing.T) {
+	p, first := started(1000 * ms)
+	assert.DeepEqual(t, probed(first), []types.TargetRef{primary, replica})
+	tick := event.TimerFired{ID: event.TimerID{Domain: event.DomainProbe}}
+	assert.Equal(t, len(probed(p.Step(event.Input{Now: 1050 * ms, Event: tick}))), 0)
+	answer(p, primary, 1000*ms, 1060*ms, 1)
+	again := p.Step(event.Input{Now: 1100 * ms, Event: tick})
+	assert.DeepEqual(t, probed(again), []types.TargetRef{primary})
+}
+
+func TestProbesOnDemand(t *testing.T) {
+	p, _ := started(1000 * ms)
+	p.SetWaiting(map[types.ServiceName]bool{service: true}, 1000*ms)
+	assert.DeepEqual(t, probed(answer(p, primary, 1000*ms, 1003*ms, 1)), []types.TargetRef{primary})
+	soon := answer(p, primary, 1003*ms, 1004*ms, 1)
+	assert.Equal(t, len(probed(soon)), 0)
+	assert.Equal(t, soon[0].(effect.ArmTimer).At, 1005*ms)
+	fired := event.TimerFired{ID: soon[0].(effect.ArmTimer).ID}
+	assert.DeepEqual(t, probed(p.Step(event.Input{Now: 1005 * ms, Event: fired})), []types.TargetRef{primary})
+	p.SetWaiting(nil, 1006*ms)
+	assert.Equal(t, len(answer(p, primary, 1005*ms, 1008*ms, 1)), 0)
+}
+
+func TestFailingTargetIsNotProbedOnDemand(t *testing.T) {
+	p, _ := started(1000 * ms)
+	p.SetWaiting(map[types.ServiceName]bool{service: true}, 1000*ms)
+	failed := event.Probed{Ref: primary, AskedAt: 1000 * ms, Err: errors.New("refused")}
+	assert.Equal(t, len(p.Step(event.Input{Now: 1003 * ms, Event: failed})), 0)
+	h := p.Health()[primary]
+	assert.Equal(t, h.Failing, true)
+	assert.Equal(t, h.FailedAt, 1003*ms)
+}
+
+func TestNewsOfAFailure(t *testing.T) {
+	p, _ := started(1000 * ms)
+	answer(p, primary, 1000*ms, 1003*ms, 1)
+	p.TakeNews(1003 * ms)
+	fail := func(now types.Instant) bool {
+		p.Step(event.Input{Now: now, Event: event.Probed{Ref: primary, Err: errors.New("refused")}})
+		return p.TakeNews(now)
+	}
+	assert.Equal(t, fail(1050*ms), true)
+	assert.Equal(t, fail(1100*ms), false)
+	assert.Equal(t, fail(1350*ms), true)
+	assert.Equal(t, fail(1400*ms), false)
+	answer(p, primary, 1400*ms, 1401*ms, 1)
+	assert.Equal(t, p.TakeNews(1401*ms), true)
+}
+
+func TestFreshnessEndsWithAPositionThatWentBack(t *testing.T) {
+	p, _ := started(1000 * ms)
+	answer(p, primary, 1000*ms, 1003*ms, 5)
+	answer(p, replica, 1001*ms, 1004*ms, 5)
+	assert.Equal(t, p.Health()[primary].FreshAt, 1000*ms)
+	assert.Equal(t, p.Health()[replica].FreshAt, 1000*ms)
+	answer(p, replica, 1050*ms, 1054*ms, 0)
+	assert.Equal(t, p.Health()[replica].FreshAt, types.Instant(0))
+}
+
+func TestSamplesOfAnotherPrimaryDoNotCount(t *testing.T) {
+	p, _ := started(1000 * ms)
+	answer(p, primary, 1000*ms, 1003*ms, 5)
+	p.SetView(view(2, "t2"), 1010*ms)
+	answer(p, primary, 1020*ms, 1023*ms, 5)
+	assert.Equal(t, p.Health()[primary].FreshAt, types.Instant(0), "a replaced primary counts as fresh")
+}
+
+// TestFreshness lets a primary write, a replica follow late, and probes take
+// any time. A replica must never be taken as fresher than it is.
+func TestFreshness(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, _ := started(1000 * ms)
+		now := 1000 * ms
+		offsets := map[types.TargetRef]uint64{}
+		committed := []types.Instant{now} // when each offset of the primary was written
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(*rapid.T) {
+				offsets[primary]++
+				committed = append(committed, now)
+			},
+			"replicate": func(t *rapid.T) {
+				offsets[replica] = rapid.Uint64Range(offsets[replica], offsets[primary]).Draw(t, "offset")
+			},
+			"pass": func(t *rapid.T) { now += types.Instant(rapid.IntRange(1, 50).Draw(t, "ms")) * ms },
+			"probe": func(t *rapid.T) {
+				ref := rapid.SampledFrom([]types.TargetRef{primary, replica}).Draw(t, "target")
+				asked, read := now, offsets[ref]
+				if rapid.Bool().Draw(t, "write while on the way") && ref == primary {
+					now += ms
+					offsets[primary]++
+					committed = append(committed, now)
+					if rapid.Bool().Draw(t, "read late") {
+						read = offsets[ref]
+					}
+				}
+				now += types.Instant(rapid.IntRange(1, 20).Draw(t, "answer ms")) * ms
+				answer(p, ref, asked, now, read)
+			},
+			"": func(t *rapid.T) {
+				h := p.Health()[replica]
+				if next := h.Pos.Offset + 1; next < uint64(len(committed)) {
+					assert.Assert(t, committed[next] >= h.FreshAt,
+						"offset %d is missing, written at %d, fresh at %d", next, committed[next], h.FreshAt)
+				}
+			},
+		})
+	})
+}
