--- /dev/null
+++ b/storage/damage_test.go
@@ -0,0 +1,155 @@
+package storage
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"gotest.tools/v3/assert"
+)
+
+// logBytes closes a log and returns its path, its content and where its last
+// record begins.
+func logBytes(t *testing.T, l *Log) (path string, content []byte, last int) {
+	t.Helper()
+	assert.NilError(t, l.Close())
+	path = filepath.Join(l.folder.path, logFile)
+	content, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for rest := content; len(rest) > 0; {
+		last = len(content) - len(rest)
+		rest, err = decodeRecord(rest, &logRecord{})
+		assert.NilError(t, err)
+	}
+	return path, content, last
+}
+
+// TestTornTailIsCutOff ends the last record at every byte, once with the file
+// ending there and once with zeros up to the record's end.
+func TestTornTailIsCutOff(t *testing.T) {
+	l := initialized(t)
+	path, content, last := logBytes(t, l)
+	for cut := last; cut < len(content); cut++ {
+		zeros := make([]byte, len(content)-cut)
+		for _, torn := range [][]byte{content[:cut], append(bytes.Clone(content[:cut]), zeros...)} {
+			assert.NilError(t, os.WriteFile(path, torn, 0o600))
+			again, err := Open(l.folder.path, "c1")
+			assert.NilError(t, err, "cut at %d", cut)
+			assert.Equal(t, len(again.Saved().Entries), 3, "cut at %d", cut)
+			assert.NilError(t, again.Persist(write(2, 5, 6)))
+			assert.NilError(t, again.Close())
+			third, err := Open(l.folder.path, "c1")
+			assert.NilError(t, err)
+			assert.Equal(t, len(third.Saved().Entries), 5)
+			assert.NilError(t, third.Close())
+		}
+	}
+}
+
+// TestDamageStopsStart flips each byte of the log, the last record included:
+// all of it was synced.
+func TestDamageStopsStart(t *testing.T) {
+	l := initialized(t)
+	path, content, _ := logBytes(t, l)
+	for i := range content {
+		damaged := bytes.Clone(content)
+		damaged[i] ^= 0x40
+		assert.NilError(t, os.WriteFile(path, damaged, 0o600))
+		_, err := Open(l.folder.path, "c1")
+		assert.ErrorContains(t, err, "move the folder away", "flipped byte %d", i)
+	}
+}
+
+func TestMissingFileStopsStart(t *testing.T) {
+	for _, name := range []string{logFile, identityFile, snapshotFile} {
+		l := initialized(t)
+		assert.NilError(t, l.Close())
+		assert.NilError(t, os.Remove(l.folder.file(name)))
+		_, err := Open(l.folder.path, "c1")
+		assert.ErrorContains(t, err, name, "without %s", name)
+	}
+}
+
+func TestDamagedSnapshotStopsStart(t *testing.T) {
+	l := initialized(t)
+	assert.NilError(t, l.Close())
+	path := l.folder.file(snapshotFile)
+	content, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for i := range content {
+		damaged := bytes.Clone(content)
+		damaged[i] ^= 1
+		assert.NilError(t, os.WriteFile(path, damaged, 0o600))
+		_, err := Open(l.folder.path, "c1")
+		assert.ErrorContains(t, err, "file snapshot", "flipped byte %d", i)
+	}
+}
+
+func TestOtherFormatIsRefused(t *testing.T) {
+	l := initialized(t)
+	assert.NilError(t, l.Close())
+	assert.NilError(t, os.WriteFile(l.folder.file(formatFile), []byte("camphorpaddle control data 2\n"), 0o600))
+	_, err := Open(l.folder.path, "c1")
+	assert.ErrorContains(t, err, "this program reads only")
+}
+
+// TestFailedWriteEndsTheLog makes writes fail and checks that none is taken later.
+func TestFailedWriteEndsTheLog(t *testing.T) {
+	l := initialized(t)
+	file := l.file
+	assert.NilError(t, file.Close())
+	assert.Assert(t, l.Persist(write(2, 6, 6)) != nil)
+	var err error
+	l.file, err = os.OpenFile(l.folder.file(logFile), os.O_RDWR, 0o600)
+	assert.NilError(t, err)
+	assert.Assert(t, l.Persist(write(2, 6, 6)) != nil)
+}
+
+// FuzzDecodeRecord checks that the decoder returns a known kind of error or a
+// record that encodes to what was read.
+func FuzzDecodeRecord(f *testing.F) {
+	for _, r := range []logRecord{{}, {HardState: &proto.HardState{Term: 3}, Entries: write(1, 2, 4).Entries}} {
+		b, err := encodeRecord(r)
+		assert.NilError(f, err)
+		f.Add(b)
+		f.Add(b[:len(b)-2])
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var r logRecord
+		rest, err := decodeRecord(b, &r)
+		if err != nil {
+			if !errors.As(err, new(tornError)) && !errors.As(err, new(damageError)) {
+				t.Fatalf("unknown error %v", err)
+			}
+			return
+		}
+		if len(rest) >= len(b) {
+			t.Fatal("nothing was read")
+		}
+		if _, err := encodeRecord(r); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// FuzzOpen checks that any content of the log either opens or is refused.
+func FuzzOpen(f *testing.F) {
+	b, err := encodeRecord(logRecord{HardState: &proto.HardState{Term: 2}, Entries: write(2, 2, 4).Entries})
+	assert.NilError(f, err)
+	f.Add(b)
+	f.Add(append(bytes.Clone(b), b[:7]...))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		dir := t.TempDir()
+		_, err := Init(dir, proto.Voter{Host: "c1"})
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, logFile), content, 0o600))
+		l, err := Open(dir, "c1")
+		if err != nil {
+			return
+		}
+		assert.NilError(t, l.Close())
+	})
+}
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -140,6 +140,19 @@
 	}
 	l.size = int64(len(b) - len(rest))
 	l.saved.DropCovered()
+	return l.checkStart()
+}
+
+// checkStart refuses a log whose snapshot is missing.
+func (l *Log) checkStart() error {
+	var base uint64
+	if l.saved.Snapshot != nil {
+		base = l.saved.Snapshot.Index
+	}
+	es := l.saved.Entries
+	if len(es) > 0 && es[0].Index != base+1 || l.saved.HardState.Commit > base+uint64(len(es)) {
+		return l.folder.damage(snapshotFile, "it is missing or does not fit the log")
+	}
 	return nil
 }
 
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -19,7 +19,7 @@
 
 // write returns a Persist with entries from first to last.
 func write(term proto.ControlTerm, first, last uint64) effect.Persist {
-	p := effect.Persist{HardState: &proto.HardState{Term: term, Vote: "a", Commit: first}}
+	p := effect.Persist{HardState: &proto.HardState{Term: term, Vote: "a", Commit: first - 1}}
 	for i := first; i <= last; i++ {
 		p.Entries = append(p.Entries, entry(i, term))
 	}
@@ -103,7 +103,7 @@
 
 func TestSnapshotOfAnotherHistoryDropsEntries(t *testing.T) {
 	l := initialized(t)
-	assert.NilError(t, l.Persist(effect.Persist{Snapshot: &proto.Snapshot{Index: 4, Term: 3}}))
+	assert.NilError(t, l.Persist(effect.Persist{Snapshot: &proto.Snapshot{Index: 5, Term: 3}}))
 	assert.Equal(t, len(reopen(t, l).Entries), 0)
 }
 
