--- a/internal/cbor/cbor.go
+++ b/internal/cbor/cbor.go
@@ -6,8 +6,11 @@
 	"github.com/ugorji/go/codec"
 )
 
-// maxDepth bounds the nesting of decoded values.
-const maxDepth = 32
+// Bounds of decoded values.
+const (
+	maxDepth   = 32   // nesting
+	maxInitLen = 1024 // elements made room for before they are read
+)
 
 // Codec encodes and decodes values. It may be used by several goroutines.
 type Codec struct{ handle codec.CborHandle }
@@ -24,6 +27,7 @@
 	c.handle.Canonical = true
 	c.handle.StructToArray = toArray
 	c.handle.MaxDepth = maxDepth
+	c.handle.MaxInitLen = maxInitLen
 	c.handle.ErrorIfNoField = true
 	return c
 }
