Acknowledge heartbeats ahead of writes under way

A follower held the answers to heartbeats until its writes were synced, so one slow disk ended the leader's lease and then its reign. A heartbeat in a term that is synced is now answered at once with what is synced so far.

--- a/core/consensus/disk.go
+++ b/core/consensus/disk.go
@@ -9,20 +9,22 @@
 // disk tracks what waits to be synced. Invariant: no message that depends on
 // a write leaves before event.Persisted of that write.
 type disk struct {
-	seq      uint64  // of the last write
-	writes   []write // under way, in order
-	synced   uint64  // last index that is synced
-	term     proto.ControlTerm
-	vote     types.HostID
-	entries  []proto.Entry   // to write with the current step
-	snapshot *proto.Snapshot // to write with the current step
-	held     []proto.Message // to send after the current step's write
+	seq        uint64            // of the last write
+	writes     []write           // under way, in order
+	synced     uint64            // last index that is synced
+	syncedTerm proto.ControlTerm // last term that is synced
+	term       proto.ControlTerm // term and vote of the last write
+	vote       types.HostID
+	entries    []proto.Entry   // to write with the current step
+	snapshot   *proto.Snapshot // to write with the current step
+	held       []proto.Message // to send after the current step's write
 }
 
 // write is one effect.Persist under way.
 type write struct {
 	seq      uint64
 	last     uint64 // last index once it is synced
+	term     proto.ControlTerm
 	messages []proto.Message
 }
 
@@ -85,7 +87,7 @@
 		Snapshot:  d.snapshot,
 	})
 	d.entries, d.snapshot = nil, nil
-	d.writes = append(d.writes, write{seq: d.seq, last: n.log.last()})
+	d.writes = append(d.writes, write{seq: d.seq, last: n.log.last(), term: n.term})
 }
 
 // persisted sends what waited for the writes up to seq.
@@ -94,6 +96,7 @@
 		w := n.disk.writes[0]
 		n.disk.writes = n.disk.writes[1:]
 		n.disk.synced = max(n.disk.synced, w.last)
+		n.disk.syncedTerm = w.term
 		for _, m := range w.messages {
 			if m.To == n.self {
 				n.receive(m)
--- a/core/consensus/failure_test.go
+++ b/core/consensus/failure_test.go
@@ -201,6 +201,28 @@
 	}
 }
 
+// TestSlowDiskKeepsTheLease commits through a follower whose disk needs longer
+// for a write than a lease lasts.
+func TestSlowDiskKeepsTheLease(t *testing.T) {
+	o := newOracle(t, 1, "a", "b", "c")
+	l := o.awaitLeader(takeover)
+	slow := o.other(l)
+	for id, n := range o.nodes {
+		if n != l && n != slow {
+			o.cluster.Crash(id)
+		}
+	}
+	slow.host.SyncTime = 2 * consensus.ElectionTimeoutMax
+	for i := range 3 {
+		o.propose(l, fmt.Sprint("change ", i))
+		for range 40 {
+			o.cluster.Run(consensus.HeartbeatInterval)
+			assert.Assert(t, l.LeadsUntil() > o.cluster.Local(l.host))
+		}
+		assert.Assert(t, o.hasCommitted(fmt.Sprint("change ", i)))
+	}
+}
+
 // TestOneChangeOfVotersAtATime proposes what the leader must drop (thesis, 4.1).
 func TestOneChangeOfVotersAtATime(t *testing.T) {
 	o := newOracle(t, 1, "a", "b", "c")
--- a/core/consensus/follower.go
+++ b/core/consensus/follower.go
@@ -17,9 +17,21 @@
 	} else {
 		n.handleAppend(m, &reply)
 	}
+	n.replyRound(m, reply)
 	n.sendSynced(reply)
 }
 
+// replyRound acknowledges a heartbeat ahead of the writes under way, with what
+// is synced so far, so that a slow disk does not end the leader's lease.
+func (n *Node) replyRound(m proto.Message, reply proto.Message) {
+	waits := len(n.disk.writes) > 0
+	if !waits || reply.Reject || len(m.Entries) > 0 || n.disk.syncedTerm != n.term {
+		return
+	}
+	reply.Match = min(reply.Match, n.disk.synced)
+	n.send(reply)
+}
+
 // handleAppend adds the leader's entries (Raft, section 5.3).
 func (n *Node) handleAppend(m proto.Message, reply *proto.Message) {
 	if m.LogIndex < n.commit {
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -85,7 +85,7 @@
 	}
 	n.applied = n.log.base
 	n.commit = max(n.log.base, min(o.Saved.HardState.Commit, n.log.last()))
-	n.disk = disk{term: n.term, vote: n.vote, synced: n.log.last()}
+	n.disk = disk{term: n.term, syncedTerm: n.term, vote: n.vote, synced: n.log.last()}
 	return n
 }
 
