--- a/core/consensus/harness_test.go
+++ b/core/consensus/harness_test.go
@@ -34,6 +34,8 @@
 	promised map[string]promise     // of each run of a host
 	changes  []string               // reasons of decisions
 	restores int
+
+	snapshotEvery uint64 // of hosts that start from now on
 }
 
 // promise is until when a run of a host leads, by cluster time.
@@ -87,7 +89,8 @@
 	saved := h.Disk
 	n.Node = consensus.New(consensus.Options{
 		Self: proto.Voter{Host: h.ID}, Saved: saved,
-		State: func() proto.ClusterState { return proto.ClusterState{Source: n.state} },
+		State:         func() proto.ClusterState { return proto.ClusterState{Source: n.state} },
+		SnapshotEvery: o.snapshotEvery,
 	})
 	o.nodes[h.ID] = n
 	return n
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -32,6 +32,9 @@
 	// State returns the replicated state after the last committed entry, for
 	// a snapshot.
 	State func() proto.ClusterState
+	// SnapshotEvery is how many applied entries lie between two snapshots;
+	// zero stands for DefaultSnapshotEvery.
+	SnapshotEvery uint64
 }
 
 // role is what a host does in its term.
@@ -76,6 +79,9 @@
 // New returns a node that begins with what was saved. Without any voter in
 // Saved it asks the other control hosts to take it in as a learner.
 func New(o Options) *Node {
+	if o.SnapshotEvery == 0 {
+		o.SnapshotEvery = DefaultSnapshotEvery
+	}
 	n := &Node{opt: o, self: o.Self.Host}
 	n.term, n.vote = o.Saved.HardState.Term, o.Saved.HardState.Vote
 	n.snapshot = o.Saved.Snapshot
--- a/core/consensus/rapid_test.go
+++ b/core/consensus/rapid_test.go
@@ -32,6 +32,10 @@
 			h.Drift = float64(rapid.IntRange(-4, 4).Draw(t, "drift")) / 100
 			h.SyncTime = time.Duration(rapid.IntRange(0, 50).Draw(t, "sync")) * time.Millisecond
 		}
+		c.snapshotEvery = 20
+		for _, id := range c.hosts() {
+			c.cluster.Start(id)
+		}
 		c.cluster.Hosts["d"] = &coretest.Host{ID: "d", SyncTime: time.Millisecond}
 		c.cluster.Start("d")
 		t.Repeat(map[string]func(*rapid.T){
--- a/core/consensus/snapshot.go
+++ b/core/consensus/snapshot.go
@@ -10,14 +10,18 @@
 
 // Limits of the log and its snapshots.
 const (
-	snapshotEvery = 1000            // applied entries from one snapshot to the next
-	logTail       = 100             // entries before a snapshot kept for slow followers
-	snapshotRetry = 2 * time.Second // then an unanswered snapshot is sent again
+	DefaultSnapshotEvery = 1000            // applied entries from one snapshot to the next
+	logTailDivisor       = 10              // this part of them is kept for slow followers
+	snapshotRetry        = 2 * time.Second // then an unanswered snapshot is sent again
 )
 
 // takeSnapshot replaces the log up to the last applied entry by the state.
 func (n *Node) takeSnapshot() {
-	if n.snapshot != nil && n.applied < n.snapshot.Index+snapshotEvery || n.applied < snapshotEvery {
+	var last uint64
+	if n.snapshot != nil {
+		last = n.snapshot.Index
+	}
+	if n.applied < last+n.opt.SnapshotEvery {
 		return
 	}
 	term, _ := n.log.term(n.applied)
@@ -26,7 +30,7 @@
 		Voters: n.log.votersAt(n.applied), State: n.opt.State(),
 	}
 	n.disk.snapshot = n.snapshot
-	n.log.compact(n.applied - logTail)
+	n.log.compact(n.applied - n.opt.SnapshotEvery/logTailDivisor)
 }
 
 // sendSnapshot sends the last snapshot to a follower.
