--- a/internal/cbor/cbor.go
+++ b/internal/cbor/cbor.go
@@ -2,15 +2,24 @@
 package cbor
 
 import (
+	"sync"
+
 	"github.com/gravitational/trace"
 	"github.com/ugorji/go/codec"
 )
 
-// maxDepth bounds the nesting of decoded values.
-const maxDepth = 32
+// Bounds of decoded values.
+const (
+	maxDepth   = 32   // nesting
+	maxInitLen = 1024 // elements made room for before they are read
+)
 
 // Codec encodes and decodes values. It may be used by several goroutines.
-type Codec struct{ handle codec.CborHandle }
+type Codec struct {
+	handle   codec.CborHandle
+	encoders sync.Pool
+	decoders sync.Pool
+}
 
 // NewNamed returns a codec that writes the fields of structs with their names.
 func NewNamed() *Codec { return newCodec(false) }
@@ -24,14 +33,20 @@
 	c.handle.Canonical = true
 	c.handle.StructToArray = toArray
 	c.handle.MaxDepth = maxDepth
+	c.handle.MaxInitLen = maxInitLen
 	c.handle.ErrorIfNoField = true
+	c.encoders.New = func() any { return codec.NewEncoderBytes(new([]byte), &c.handle) }
+	c.decoders.New = func() any { return codec.NewDecoderBytes(nil, &c.handle) }
 	return c
 }
 
 // Encode returns the encoding of v.
 func (c *Codec) Encode(v any) ([]byte, error) {
+	e := c.encoders.Get().(*codec.Encoder)
+	defer c.encoders.Put(e)
 	var b []byte
-	if err := codec.NewEncoderBytes(&b, &c.handle).Encode(v); err != nil {
+	e.ResetBytes(&b)
+	if err := e.Encode(v); err != nil {
 		return nil, trace.Wrap(err, "encoding %T", v)
 	}
 	return b, nil
@@ -39,7 +54,9 @@
 
 // Decode reads b, which must hold one value and nothing else, into v.
 func (c *Codec) Decode(b []byte, v any) error {
-	d := codec.NewDecoderBytes(b, &c.handle)
+	d := c.decoders.Get().(*codec.Decoder)
+	defer c.decoders.Put(d)
+	d.ResetBytes(b)
 	if err := d.Decode(v); err != nil {
 		return trace.BadParameter("decoding %T: %v", v, err)
 	}
