Check shards against an oracle in random runs

Found: a request of several exchanges went on after the lease ran out; it stops between them now.

The model orders members by the term of their last entry, and a promoted member writes an entry in its term first: without that an acknowledged lookup can be lost in a later promotion.

--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -54,7 +54,13 @@
 	s.send(r, stepCaller)
 }
 
+// send starts an exchange. A request of several exchanges stops between them
+// when the lease runs out.
 func (s *Shard) send(r *request, st step) {
+	if !s.leaseLive() {
+		s.attemptFailed(r, true, types.RefuseNoLease, "the proxy's lease ran out before the request was done")
+		return
+	}
 	r.stage, r.step, r.sentAt = stageRunning, st, s.now
 	if g := s.view.Group(r.service.name); g != nil {
 		r.sentTerm = g.Term
@@ -179,6 +185,11 @@
 	again := !lostTx && (!sent || r.repeatable())
 	r.mayRun = r.mayRun || sent
 	s.abandon(r)
+	if again && !sent && r.retries == 0 {
+		r.retries++
+		s.place(r) // the connection was stale, which says nothing of the target
+		return
+	}
 	if again && s.retry(r, reason) {
 		return
 	}
--- /dev/null
+++ b/core/session/model_test.go
@@ -0,0 +1,194 @@
+package session
+
+import (
+	"slices"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// entry is one record of a target's log.
+type entry struct {
+	term   types.Term
+	tag    string          // of the write, or empty for a claim
+	id     types.RequestID // of the request, if it has one
+	answer types.Payload   // of a claim, once recorded
+}
+
+// statement is a caller's statement in the model.
+type statement struct {
+	kind string // write, read, begin, commit
+	tag  string
+	id   types.RequestID
+}
+
+// snapshot is the model's answer: the tags that the statement saw.
+type snapshot struct {
+	tag string
+	saw []string
+}
+
+// member is a target of the model: a log, a term, and the transactions of its
+// connections.
+type member struct {
+	name    types.TargetName
+	term    types.Term
+	primary bool
+	log     []entry
+	conns   map[connKey]*targetTx
+	freshAt types.Instant
+}
+
+// connKey names a connection of one proxy.
+type connKey struct {
+	proxy int
+	conn  types.ConnID
+}
+
+// targetTx is the transaction state of a connection.
+type targetTx struct {
+	open    bool
+	entries []entry
+	owner   types.SessionID
+	broken  bool
+}
+
+func (m *member) tx(k connKey) *targetTx {
+	t, ok := m.conns[k]
+	if !ok {
+		t = &targetTx{}
+		m.conns[k] = t
+	}
+	return t
+}
+
+func (m *member) status() types.TargetStatus {
+	return types.TargetStatus{Term: m.term, Primary: m.primary, Pos: m.pos()}
+}
+
+// pos returns the position of the last entry.
+func (m *member) pos() types.LogPos {
+	if len(m.log) == 0 {
+		return types.LogPos{}
+	}
+	return types.LogPos{Term: m.log[len(m.log)-1].term, Offset: uint64(len(m.log))}
+}
+
+func (m *member) tags() []string {
+	var tags []string
+	for _, e := range m.log {
+		if e.tag != "" {
+			tags = append(tags, e.tag)
+		}
+	}
+	return tags
+}
+
+func (m *member) claim(id types.RequestID) (entry, bool) {
+	i := slices.IndexFunc(m.log, func(e entry) bool { return e.id == id && e.tag == "" })
+	if i < 0 {
+		return entry{}, false
+	}
+	return m.log[i], true
+}
+
+// claimed reports whether another connection has claimed the id in an open
+// transaction; a target would wait for that one.
+func (m *member) claimed(id types.RequestID, by connKey) bool {
+	for k, t := range m.conns {
+		if k != by && slices.ContainsFunc(t.entries, func(e entry) bool { return e.id == id && e.tag == "" }) {
+			return true
+		}
+	}
+	return false
+}
+
+// follow makes the member a replica of term and takes back what later terms
+// do not hold.
+func (m *member) follow(term types.Term, history types.TermHistory) {
+	keep := len(m.log)
+	for _, s := range history {
+		if s.Term > m.pos().Term {
+			keep = min(keep, int(s.Offset))
+		}
+	}
+	m.log = slices.Clone(m.log[:keep])
+	m.term, m.primary = term, false
+	m.breakConns()
+}
+
+// promote makes the member the primary of term. The first entry of the term
+// tells its log from that of an earlier primary.
+func (m *member) promote(term types.Term) {
+	m.term, m.primary = term, true
+	m.log = append(slices.Clone(m.log), entry{term: term})
+	m.breakConns()
+}
+
+// breakConns ends all connections; their transactions are rolled back.
+func (m *member) breakConns() {
+	for _, t := range m.conns {
+		*t = targetTx{broken: true}
+	}
+}
+
+// run executes one operation on a connection.
+func (m *member) run(t *targetTx, op types.Operation) types.Result {
+	res := types.Result{}
+	switch op.Kind {
+	case types.OpPosition:
+		res.Status = m.status()
+	case types.OpBegin:
+		t.open = true
+	case types.OpCommit:
+		m.commit(t)
+	case types.OpRollback:
+		t.open, t.entries = false, nil
+	case types.OpClaim:
+		if _, ok := m.claim(op.RequestID); ok {
+			res.Err = types.TargetErrDuplicate
+			break
+		}
+		t.entries = append(t.entries, entry{id: op.RequestID})
+	case types.OpRecordAnswer:
+		t.entries[slices.IndexFunc(t.entries, func(e entry) bool { return e.id == op.RequestID })].answer = op.Payload
+	case types.OpLookup:
+		e, ok := m.claim(op.RequestID)
+		res.Found, res.Payload = ok && e.answer != nil, e.answer
+	case types.OpCaller:
+		res = m.caller(t, op.Payload.(statement))
+	}
+	res.Tx = types.TxIdle
+	if t.open {
+		res.Tx = types.TxOpen
+	}
+	return res
+}
+
+func (m *member) caller(t *targetTx, st statement) types.Result {
+	answer := snapshot{tag: st.tag}
+	switch st.kind {
+	case "begin":
+		t.open = true
+	case "commit":
+		m.commit(t)
+	case "read":
+		answer.saw = m.tags()
+	case "write":
+		if !m.primary {
+			return types.Result{Err: types.TargetErrReadOnly, Payload: answer}
+		}
+		t.entries = append(t.entries, entry{tag: st.tag, id: st.id})
+		if !t.open {
+			m.commit(t)
+		}
+	}
+	return types.Result{Payload: answer}
+}
+
+func (m *member) commit(t *targetTx) {
+	for _, e := range t.entries {
+		e.term = m.term
+		m.log = append(m.log, e)
+	}
+	t.open, t.entries = false, nil
+}
