--- /dev/null
+++ b/front/inproc/control.go
@@ -0,0 +1,69 @@
+package inproc
+
+import (
+	"math"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/probe"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// Control is the control part of a proxy that stands alone: its configuration
+// and groups are fixed, and its lease does not run out. It probes the targets
+// like any proxy.
+type Control struct {
+	cluster *types.ClusterView
+	shares  map[types.TargetRef]types.Share
+	prober  *probe.Prober
+}
+
+// NewControl returns the control part for groups whose primaries are given.
+// The proxy may use all connections and slots of each target.
+func NewControl(config *types.Config, groups ...*types.Group) *Control {
+	c := &Control{
+		cluster: &types.ClusterView{Version: 1, Config: config, Groups: make(map[types.ServiceName]*types.Group)},
+		shares:  make(map[types.TargetRef]types.Share),
+		prober:  probe.New(),
+	}
+	for _, g := range groups {
+		c.cluster.Groups[g.Service] = g
+		svc := config.Services[g.Service]
+		for _, m := range g.Members {
+			ref := types.TargetRef{Service: g.Service, Name: m.Name}
+			c.shares[ref] = types.Share{Connections: svc.Connections, Slots: svc.Slots}
+		}
+	}
+	return c
+}
+
+// Step takes in one event.
+func (c *Control) Step(in event.Input) []effect.Effect {
+	var out []effect.Effect
+	if _, ok := in.Event.(event.Start); ok {
+		out = c.prober.SetView(c.cluster, in.Now)
+	}
+	out = append(out, c.prober.Step(in)...)
+	switch e := in.Event.(type) {
+	case event.Start, event.Probed:
+		out = append(out, effect.PublishView{View: c.view()})
+	case event.ShardReported:
+		out = append(out, c.prober.SetWaiting(waiting(e.Report), in.Now)...)
+	}
+	return out
+}
+
+func (c *Control) view() *types.NodeView {
+	return &types.NodeView{
+		Cluster: c.cluster, LeaseUntil: math.MaxInt64,
+		Health: c.prober.Health(), Shares: c.shares,
+	}
+}
+
+func waiting(r event.ShardReport) map[types.ServiceName]bool {
+	names := make(map[types.ServiceName]bool)
+	for _, name := range r.Waiting {
+		names[name] = true
+	}
+	return names
+}
--- /dev/null
+++ b/front/inproc/inproc_test.go
@@ -0,0 +1,91 @@
+package inproc_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/front/inproc"
+	"github.com/camphorpaddle/camphorpaddle/runtime"
+	"gotest.tools/v3/assert"
+)
+
+// start runs a proxy for the test and returns it with its context.
+func start(t *testing.T, group *inproc.Memory) (context.Context, *runtime.Proxy) {
+	ctx, cancel := context.WithCancel(t.Context())
+	proxy := newProxy(group)
+	done := make(chan struct{})
+	go func() { defer close(done); proxy.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return ctx, proxy
+}
+
+func open(t *testing.T, p *runtime.Proxy) *inproc.Session {
+	s, err := inproc.Open(p, types.SessionParams{Service: "ledger"})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func TestSessionsReadTheirWrites(t *testing.T) {
+	group := inproc.NewMemory("a", "b", "c")
+	group.Pause("b", true)
+	ctx, proxy := start(t, group)
+	for i := range 20 {
+		value := string(rune('a' + i))
+		_, err := open(t, proxy).Do(ctx, "SET stock "+value)
+		assert.NilError(t, err)
+		got, err := open(t, proxy).Do(ctx, "GET stock", inproc.Read())
+		assert.NilError(t, err)
+		assert.Equal(t, got.Text, value, "a session that opened after the write misses it")
+	}
+}
+
+func TestRequestRunsOnce(t *testing.T) {
+	group := inproc.NewMemory("a", "b", "c")
+	ctx, proxy := start(t, group)
+	s := open(t, proxy)
+	for range 3 {
+		got, err := s.Do(ctx, "SET charge 1", inproc.Once("order-7"))
+		assert.NilError(t, err)
+		assert.Equal(t, got.Text, "OK")
+		_, err = s.Do(ctx, "SET charge 0")
+		assert.NilError(t, err)
+	}
+	got, err := s.Do(ctx, "GET charge", inproc.Read())
+	assert.NilError(t, err)
+	assert.Equal(t, got.Text, "0")
+}
+
+func TestTransactionIsAtomic(t *testing.T) {
+	ctx, proxy := start(t, inproc.NewMemory("a", "b", "c"))
+	s, other := open(t, proxy), open(t, proxy)
+	for _, statement := range []string{"BEGIN", "SET booth taken"} {
+		got, err := s.Do(ctx, statement)
+		assert.NilError(t, err)
+		assert.Equal(t, got.Tx, types.TxOpen)
+	}
+	got, err := other.Do(ctx, "GET booth")
+	assert.NilError(t, err)
+	assert.Equal(t, got.Text, "", "another session sees an open transaction")
+	_, err = s.Do(ctx, "COMMIT")
+	assert.NilError(t, err)
+	got, err = other.Do(ctx, "GET booth")
+	assert.NilError(t, err)
+	assert.Equal(t, got.Text, "taken")
+}
+
+func TestDrainingProxyEndsSessions(t *testing.T) {
+	ctx, proxy := start(t, inproc.NewMemory("a", "b", "c"))
+	s := open(t, proxy)
+	_, err := s.Do(ctx, "SET a 1")
+	assert.NilError(t, err)
+	proxy.Drain()
+	reason := <-s.Ended()
+	assert.Equal(t, reason.Code, types.RefuseDraining)
+	_, err = s.Do(ctx, "SET a 2")
+	var refusal *types.Refusal
+	assert.Assert(t, errors.As(err, &refusal))
+	assert.Equal(t, refusal.Outcome, types.NotRun)
+}
