--- /dev/null
+++ b/core/session/floor_test.go
@@ -0,0 +1,115 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"gotest.tools/v3/assert"
+)
+
+// health publishes a changed health of a target.
+func (d *driver) health(name types.TargetName, change func(*types.TargetHealth)) {
+	d.setView(func(v *types.NodeView, g *types.Group) {
+		h := v.Health[ref(name)]
+		change(&h)
+		v.Health[ref(name)] = h
+	})
+}
+
+// promoted publishes term 2 with primary b, which began at offset start.
+func (d *driver) promoted(start uint64) {
+	d.setView(func(v *types.NodeView, g *types.Group) {
+		g.Term, g.Primary = 2, "b"
+		g.History = types.TermHistory{{Term: 1}, {Term: 2, Offset: start}}
+	})
+}
+
+func TestFloorNeedsTheCurrentTerm(t *testing.T) {
+	d := newDriver(t)
+	d.promoted(0)
+	d.open(1)
+	d.read(1)
+	d.probe("b", pos(0))
+	assert.Equal(t, len(d.sends), 0, "b has not said yet that it is the primary of term 2")
+	d.health("b", func(h *types.TargetHealth) { h.Term, h.Primary, h.Pos = 2, true, types.LogPos{Term: 2, Offset: 1} })
+	d.connect()
+	_, name := d.sent()
+	assert.Equal(t, name, types.TargetName("b"))
+}
+
+func TestReplicaMustFollowTheTerm(t *testing.T) {
+	d := newDriver(t)
+	d.promoted(5)
+	token := pos(0)
+	d.step(openWith(1, types.SessionParams{Service: svcName, Token: &token}))
+	d.read(1)
+	_, name := d.sent()
+	assert.Equal(t, name, types.TargetName("b"), "c still stands in term 1")
+}
+
+func TestReplicaThatChangedTermIsNotBelieved(t *testing.T) {
+	d := newDriver(t)
+	token := pos(0)
+	d.step(openWith(1, types.SessionParams{Service: svcName, Token: &token}))
+	seq := d.read(1)
+	e, _ := d.sent()
+	d.answerAs(e, types.TxIdle, types.TargetStatus{Term: 2, Pos: pos(0)})
+	assert.Equal(t, d.refusal(seq).Code, types.RefuseReplaced)
+}
+
+func TestFloorRisesWithWritesAndReads(t *testing.T) {
+	cases := []struct {
+		name    string
+		request types.Request
+		offset  uint64
+		after   types.ProfileName // profile of the read that follows
+		primary bool              // that read needs the primary
+	}{
+		{"own write", types.Request{Profile: "fast"}, 5, "session", true},
+		{"own write, read by age", types.Request{Profile: "fast"}, 5, "catalog", true},
+		{"read on the primary", types.Request{Profile: "strict", Class: types.ClassRead}, 5, "session", true},
+		{"read on the primary, read by age", types.Request{Profile: "strict", Class: types.ClassRead}, 5, "catalog", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDriver(t)
+			token := pos(0)
+			d.step(openWith(1, types.SessionParams{Service: svcName, Token: &token}))
+			d.ask(1, c.request)
+			d.answer(c.offset, types.TxIdle)
+			d.ask(1, types.Request{Profile: c.after, Class: types.ClassRead})
+			_, name := d.sent()
+			assert.Equal(t, name == "a", c.primary, "went to %s", name)
+		})
+	}
+}
+
+func TestReadByAgeNeedsFreshData(t *testing.T) {
+	maxAge := testConfig().Profiles["catalog"].MaxAge
+	for _, c := range []struct {
+		age     time.Duration
+		primary bool
+	}{{maxAge / 2, false}, {2 * maxAge, true}} {
+		d := newDriver(t)
+		token := pos(0)
+		d.step(openWith(1, types.SessionParams{Service: svcName, Token: &token}))
+		d.now = d.now.Add(c.age)
+		d.ask(1, types.Request{Profile: "catalog", Class: types.ClassRead})
+		_, name := d.sent()
+		assert.Equal(t, name == "a", c.primary, "data of age %v served by %s", c.age, name)
+	}
+}
+
+func TestLostWriteIsToldOnce(t *testing.T) {
+	d := newDriver(t)
+	d.open(1)
+	d.ask(1, types.Request{Profile: "fast"})
+	d.answer(9, types.TxIdle)
+	d.promoted(5)
+	seq := d.write(1)
+	assert.Equal(t, d.refusal(seq).Code, types.RefuseLostWrite)
+	assert.Equal(t, d.refusal(seq).Outcome, types.NotRun)
+	seq = d.write(1)
+	assert.Equal(t, d.refusal(seq).Code, types.RefusalCode(0))
+}
