Take a session's first floor from the majority's positions

Cause: the primary's position at arrival held replicas back for as long as they lag. Where every profile of the service waits for a majority, no acknowledged write lies beyond the position that only a minority has passed. A member counts only once it has caught up since it was last away, so that a replica that restarted without its data does not lower the floor.

--- a/core/session/acknowledge.go
+++ b/core/session/acknowledge.go
@@ -86,7 +86,6 @@
 // durable reports whether a majority of the group holds the request's
 // position in the current term.
 func (s *Shard) durable(svc *service, g *types.Group, r *request) bool {
-	size := max(s.view.Cluster.Config.Services[svc.name].Members, len(g.Members))
 	holders := 1 // the primary
 	for _, m := range g.Members {
 		if m.Name == g.Primary {
@@ -97,7 +96,7 @@
 			holders++
 		}
 	}
-	return holders >= types.Quorum(size)
+	return holders >= types.Quorum(s.groupSize(svc, g))
 }
 
 // raiseFloor makes the session's later reads cover what this answer showed.
--- a/core/session/actions_test.go
+++ b/core/session/actions_test.go
@@ -36,6 +36,7 @@
 			"serve":     w.serveTerm,
 			"follow":    w.followTerm,
 			"leave":     w.leave,
+			"wipe":      w.wipe,
 		})
 	})
 }
@@ -58,7 +59,7 @@
 	inTx := len(u.inTx) > 0
 	q := &pending{
 		stmt: w.statement(t, u), arrived: w.now, inTx: inTx,
-		profile:  pick(t, []types.ProfileName{"session", "strict", "catalog", "fast"}),
+		profile:  pick(t, w.config.Services[svcName].Profiles),
 		required: slices.Clone(u.acked),
 	}
 	if q.profile != "catalog" {
@@ -230,6 +231,10 @@
 	p, m := pick(t, w.proxies), pick(t, w.members)
 	asked := w.now
 	w.pass(t)
+	if m.wiped[p.index] {
+		w.probeFailed(p, m)
+		return
+	}
 	st := m.status()
 	if m.primary {
 		m.freshAt = w.now
@@ -241,6 +246,34 @@
 	w.publish(p, v)
 }
 
+// wipe restarts a replica without its data. There is no promotion until it
+// has caught up, since acknowledged writes may be on the primary alone.
+func (w *world) wipe(t *rapid.T) {
+	m := pick(t, w.members)
+	if m.primary || w.wiped() || w.group.Phase != types.GroupServing || m.term != w.group.Term || rapid.IntRange(0, 3).Draw(t, "rarely") != 0 {
+		return
+	}
+	m.log = nil
+	m.breakConns()
+	m.wiped = map[int]bool{0: true, 1: true}
+	m.mustReach = len(w.member(w.group.Primary).log)
+}
+
+// wiped reports whether a member has not caught up since it was wiped.
+func (w *world) wiped() bool {
+	return slices.ContainsFunc(w.members, func(m *member) bool { return len(m.log) < m.mustReach })
+}
+
+// probeFailed is the first probe after a restart: its connection is broken.
+func (w *world) probeFailed(p *modelProxy, m *member) {
+	delete(m.wiped, p.index)
+	v := w.nextView(p)
+	h := v.Health[ref(m.name)]
+	h.Failing, h.FailedAt = true, w.now
+	v.Health[ref(m.name)] = h
+	w.publish(p, v)
+}
+
 // pass moves the clock and fires what comes due.
 func (w *world) pass(t *rapid.T) {
 	w.now = w.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
@@ -267,7 +300,7 @@
 
 // beginTerm has control replace the primary.
 func (w *world) beginTerm(t *rapid.T) {
-	if w.group.Phase != types.GroupServing || rapid.IntRange(0, 3).Draw(t, "rarely") != 0 {
+	if w.group.Phase != types.GroupServing || w.wiped() || rapid.IntRange(0, 3).Draw(t, "rarely") != 0 {
 		return
 	}
 	w.version++
--- /dev/null
+++ b/core/session/arrival.go
@@ -0,0 +1,107 @@
+package session
+
+import (
+	"slices"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// maxProbeGap is the longest time between two probes of a target that tells
+// that it was not away between them.
+const maxProbeGap = 200 * time.Millisecond
+
+// arrivalFloor returns a position at or after every write that was
+// acknowledged before the session opened, or false while none is known.
+//
+// The primary's position, asked for after that, is such a position. Where all
+// acknowledged writes are on a majority, so is the one that only a minority of
+// the members has passed, which lagging replicas reach sooner.
+func (s *Shard) arrivalFloor(c *session) (types.LogPos, bool) {
+	svc, g := s.services[c.service], s.view.Group(c.service)
+	if svc == nil || !s.leaseLive() || !hasPrimary(g) {
+		return types.LogPos{}, false
+	}
+	if pos, ok := s.majorityFloor(svc, g, c.opened); ok {
+		return pos, true
+	}
+	h := svc.health(s.view, g.Primary)
+	if h.AskedAt < c.opened || h.Term != g.Term || !h.Primary {
+		return types.LogPos{}, false
+	}
+	return h.Pos, true
+}
+
+// majorityFloor returns the highest position that a majority may have held
+// when the session opened. A member that is not known may hold anything.
+func (s *Shard) majorityFloor(svc *service, g *types.Group, opened types.Instant) (types.LogPos, bool) {
+	if !s.majorityAlways(svc) {
+		return types.LogPos{}, false
+	}
+	size := s.groupSize(svc, g)
+	var known []types.LogPos
+	for _, m := range g.Members {
+		h := s.probed(svc, m.Name)
+		if h.AskedAt >= opened && h.Term == g.Term && !h.Failing && svc.target(m.Name).caughtUp {
+			known = append(known, h.Pos)
+		}
+	}
+	rank := types.Quorum(size) - (size - len(known))
+	if rank < 1 {
+		return types.LogPos{}, false
+	}
+	slices.SortFunc(known, func(a, b types.LogPos) int { return b.Compare(a) })
+	return known[rank-1], true
+}
+
+// majorityAlways reports whether every write of the service waits for a
+// majority.
+func (s *Shard) majorityAlways(svc *service) bool {
+	config := s.view.Cluster.Config
+	for _, name := range config.Services[svc.name].Profiles {
+		if config.Profiles[name].Durability != types.DurableMajority {
+			return false
+		}
+	}
+	return true
+}
+
+// groupSize returns how many members the group's majority is counted of.
+func (s *Shard) groupSize(svc *service, g *types.Group) int {
+	return max(s.view.Cluster.Config.Services[svc.name].Members, len(g.Members))
+}
+
+// probed returns what the last probe of a target brought. Unlike answers to
+// requests, probes notice when the target was away.
+func (s *Shard) probed(svc *service, name types.TargetName) types.TargetHealth {
+	return s.view.Health[types.TargetRef{Service: svc.name, Name: name}]
+}
+
+// followCatchUp keeps track of which members hold all that they ever held in
+// the current term. One that was away, or whose position went back, may have
+// lost entries; it counts again once it has reached a position that the
+// primary reported later.
+func (s *Shard) followCatchUp(svc *service) {
+	g := s.view.Group(svc.name)
+	if !hasPrimary(g) {
+		for _, t := range svc.targets {
+			t.caughtUp, t.mustReach = false, types.LogPos{}
+		}
+		return
+	}
+	primary := s.probed(svc, g.Primary)
+	for _, m := range g.Members {
+		t, h := svc.target(m.Name), s.probed(svc, m.Name)
+		if h.Failing || h.Term != g.Term || h.Pos.Compare(t.last.Pos) < 0 || h.AskedAt.Sub(t.last.AskedAt) > maxProbeGap {
+			t.caughtUp, t.mustReach, t.awayUntil = false, types.LogPos{}, s.now
+		}
+		t.last = h
+		if h.Failing || h.Term != g.Term || t.caughtUp {
+			continue
+		}
+		if t.mustReach == (types.LogPos{}) && primary.AskedAt > t.awayUntil && primary.Term == g.Term && primary.Primary {
+			t.mustReach = primary.Pos
+		}
+		t.caughtUp = t.mustReach != (types.LogPos{}) && g.History.Covers(h.Pos, t.mustReach)
+	}
+}
--- a/core/session/machine_test.go
+++ b/core/session/machine_test.go
@@ -88,8 +88,14 @@
 }
 
 func newWorld(t *rapid.T) *world {
+	config := testConfig()
+	if rapid.Bool().Draw(t, "all writes wait for a majority") {
+		svc := config.Services[svcName]
+		svc.Profiles = []types.ProfileName{"session", "strict", "catalog"}
+		config.Services[svcName] = svc
+	}
 	w := &world{
-		t: t, now: types.Instant(time.Second), config: testConfig(),
+		t: t, now: types.Instant(time.Second), config: config,
 		acked: make(map[string]types.Instant), notRun: make(map[string]bool), byID: make(map[types.RequestID]bool),
 		group: types.Group{Service: svcName, Term: 1, Phase: types.GroupServing, Primary: "a", History: types.TermHistory{{Term: 1}}},
 	}
@@ -274,7 +280,7 @@
 	for _, tag := range tags {
 		holders := 0
 		for _, m := range w.members {
-			if slices.Contains(m.tags(), tag) {
+			if slices.Contains(m.tags(), tag) || len(m.log) < m.mustReach { // it may have held it
 				holders++
 			}
 		}
--- a/core/session/model_test.go
+++ b/core/session/model_test.go
@@ -37,6 +37,9 @@
 	log     []entry
 	conns   map[connKey]*targetTx
 	freshAt types.Instant
+
+	wiped     map[int]bool // proxies that have not noticed its restart
+	mustReach int          // length of log that undoes the last wipe
 }
 
 // connKey names a connection of one proxy.
@@ -112,7 +115,7 @@
 			keep = min(keep, int(s.Offset))
 		}
 	}
-	m.log = slices.Clone(m.log[:keep])
+	m.log, m.mustReach = slices.Clone(m.log[:keep]), 0
 	m.term, m.primary = term, false
 	m.breakConns()
 }
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -30,6 +30,11 @@
 	pool    *pool.Target
 	stats   routing.Stats
 	learned types.TargetHealth // status that came with an answer
+
+	caughtUp  bool               // holds all that it ever held in the term
+	mustReach types.LogPos       // position after which it is caught up
+	last      types.TargetHealth // its probe in the last view
+	awayUntil types.Instant      // when it was last seen to be away
 }
 
 // service returns the state of a service and creates it with its targets.
@@ -46,6 +51,7 @@
 		s.services[name] = svc
 		svc.group = s.view.Group(name)
 		s.updateTargets(svc)
+		s.followCatchUp(svc)
 	}
 	return svc
 }
@@ -65,11 +71,14 @@
 func (svc *service) health(v *types.NodeView, name types.TargetName) types.TargetHealth {
 	h := v.Health[types.TargetRef{Service: svc.name, Name: name}]
 	t, ok := svc.targets[name]
-	if !ok || t.learned.AskedAt <= h.AskedAt {
-		return h
+	switch {
+	case !ok:
+	case t.learned.AskedAt > h.AskedAt:
+		h.Term, h.Primary, h.Pos = t.learned.Term, t.learned.Primary, t.learned.Pos
+		h.AskedAt, h.HeardAt = t.learned.AskedAt, t.learned.HeardAt
+	case t.learned.HeardAt >= h.AskedAt && t.learned.Term == h.Term && t.learned.Pos.Compare(h.Pos) > 0:
+		h.Pos = t.learned.Pos // both were under way at once; the probe was answered first
 	}
-	h.Term, h.Primary, h.Pos = t.learned.Term, t.learned.Primary, t.learned.Pos
-	h.AskedAt, h.HeardAt = t.learned.AskedAt, t.learned.HeardAt
 	return h
 }
 
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -106,24 +106,17 @@
 	delete(s.sessions, c.id)
 }
 
-// sessionFloor makes sure that the session has a floor. Without a token it is
-// the position of the primary, asked for after the session opened and answered
-// under a live lease and the current term.
+// sessionFloor makes sure that the session has a floor, by its token or by
+// positions that were asked for after it opened.
 func (s *Shard) sessionFloor(c *session) bool {
 	if c.floor.known {
 		return true
 	}
-	svc := s.services[c.service]
-	g := s.view.Group(c.service)
-	if svc == nil || !s.leaseLive() || !hasPrimary(g) {
-		return false
-	}
-	h := svc.health(s.view, g.Primary)
-	if h.AskedAt < c.opened || h.Term != g.Term || !h.Primary {
-		return false
+	pos, ok := s.arrivalFloor(c)
+	if ok {
+		c.floor.begin(pos)
 	}
-	c.floor.begin(h.Pos)
-	return true
+	return ok
 }
 
 // lostFloor returns the position that the session has seen and a promotion
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -19,6 +19,7 @@
 		svc := s.services[name]
 		s.dirty[name] = true
 		s.updateTargets(svc)
+		s.followCatchUp(svc)
 		s.dropReplaced(svc)
 		s.replaceWaiting(svc)
 		s.replaceQueued(svc)
