Test the whole path through real processes

Cause: the path through separate processes had no test. Change: e2e starts 3 control hosts, 2 proxies and 3 stand-in targets and tests: writes and reads through both proxies with pgx and lib/pq and a killed primary; a primary frozen for 250 ms; one frozen until it is replaced; the leading control host killed with its folder deleted; a proxy killed within a transaction; a proxy drained with a transaction open and a second SIGTERM. Seen: an earlier form of the test of the lost control host failed in 1 run of 3 with 'not run: no connection came free in time' (53400): the second proxy, which had served nothing yet, had no connection when the leader was killed.

--- /dev/null
+++ b/e2e/failover_test.go
@@ -0,0 +1,167 @@
+package e2e
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/camphorpaddle/camphorpaddle/internal/lab"
+)
+
+// TestWritesSurviveThePrimary writes through one proxy, reads through the
+// other, kills the primary and goes on.
+func TestWritesSurviveThePrimary(t *testing.T) {
+	ctx, l := start(t, 3, 2)
+	createTable(ctx, t, l.Proxies[0])
+	var taken []int
+	for id := range 20 {
+		assert.NilError(t, insertOnce(ctx, l.Proxies[id%2], id))
+		assert.Equal(t, countThroughPq(ctx, t, l.Proxies[(id+1)%2], id), 1)
+		taken = append(taken, id)
+	}
+	primary, err := l.Primary(ctx, service)
+	assert.NilError(t, err)
+	assert.NilError(t, primary.Kill())
+	taken = append(taken, insertUntilTaken(ctx, t, l.Proxies[0], 1000))
+	for _, id := range taken {
+		assert.Equal(t, countThroughPq(ctx, t, l.Proxies[1], id), 1, "order %d", id)
+	}
+	next, err := l.Primary(ctx, service)
+	assert.NilError(t, err)
+	assert.Assert(t, next.Member != primary.Member)
+}
+
+// TestShortFreezeKeepsThePrimary stops the primary for less than the bound.
+func TestShortFreezeKeepsThePrimary(t *testing.T) {
+	const freeze = 250 * time.Millisecond
+	ctx, l := start(t, 3, 2)
+	createTable(ctx, t, l.Proxies[0])
+	before := term(ctx, t, l)
+	primary, err := l.Primary(ctx, service)
+	assert.NilError(t, err)
+	assert.NilError(t, primary.Freeze())
+	time.Sleep(freeze)
+	assert.NilError(t, primary.Thaw())
+	id := insertUntilTaken(ctx, t, l.Proxies[0], 0)
+	assert.Equal(t, countThroughPq(ctx, t, l.Proxies[1], id), 1)
+	assert.Equal(t, term(ctx, t, l), before)
+}
+
+// TestLongFreezeReplacesThePrimary stops the primary until it is replaced. Its
+// open transaction must not commit when it comes back.
+func TestLongFreezeReplacesThePrimary(t *testing.T) {
+	ctx, l := start(t, 3, 2)
+	createTable(ctx, t, l.Proxies[0])
+	conn := connect(ctx, t, l.Proxies[0], "")
+	exec(ctx, t, conn, "BEGIN")
+	exec(ctx, t, conn, "INSERT INTO orders (id) VALUES (1)")
+	primary, err := l.Primary(ctx, service)
+	assert.NilError(t, err)
+	assert.NilError(t, primary.Freeze())
+	_, err = l.WaitPrimary(ctx, service, primary.Member)
+	assert.NilError(t, err)
+	assert.NilError(t, primary.Thaw())
+	_, err = conn.Exec(ctx, "COMMIT")
+	assert.Assert(t, err != nil, "the replaced primary's transaction was committed")
+	id := insertUntilTaken(ctx, t, l.Proxies[1], 2)
+	assert.Equal(t, countThroughPq(ctx, t, l.Proxies[0], id), 1)
+	assert.Equal(t, countThroughPq(ctx, t, l.Proxies[0], 1), 0)
+}
+
+// TestControlHostLosesItsFolder kills the leading control host, deletes its
+// data folder and expects every write to be taken by proxies that hold
+// connections, and a failover to work.
+func TestControlHostLosesItsFolder(t *testing.T) {
+	ctx, l := start(t, 3, 2)
+	createTable(ctx, t, l.Proxies[0])
+	for i, p := range l.Proxies {
+		insertUntilTaken(ctx, t, p, 10_000*(i+1))
+	}
+	status, err := l.Status(ctx)
+	assert.NilError(t, err)
+	lost := hostOf(t, l, status.Leader)
+	assert.NilError(t, lost.Kill())
+	assert.NilError(t, os.RemoveAll(lost.DataFolder))
+	for id := range 50 {
+		assert.NilError(t, insertOnce(ctx, l.Proxies[id%2], id), "order %d", id)
+		time.Sleep(writePause)
+	}
+	assert.NilError(t, l.Wait(ctx, "a new leader", func() bool {
+		s, err := l.Status(ctx)
+		return err == nil && s.Leader != status.Leader
+	}))
+	primary, err := l.Primary(ctx, service)
+	assert.NilError(t, err)
+	assert.NilError(t, primary.Kill())
+	id := insertUntilTaken(ctx, t, l.Proxies[0], 1000)
+	assert.Equal(t, countThroughPq(ctx, t, l.Proxies[1], id), 1)
+}
+
+// hostOf returns the control host whose identity begins with its name.
+func hostOf(t *testing.T, l *lab.Lab, identity string) *lab.Control {
+	t.Helper()
+	for _, c := range l.Controls {
+		if len(identity) >= len(c.Name) && identity[:len(c.Name)] == c.Name {
+			return c
+		}
+	}
+	t.Fatalf("no control host is called %s", identity)
+	return nil
+}
+
+// TestProxyDiesInATransaction kills a proxy and expects the transaction to
+// leave nothing, and the rows it changed to be free.
+func TestProxyDiesInATransaction(t *testing.T) {
+	ctx, l := start(t, 3, 2)
+	createTable(ctx, t, l.Proxies[0])
+	assert.NilError(t, insertOnce(ctx, l.Proxies[1], 1))
+	conn := connect(ctx, t, l.Proxies[0], "")
+	exec(ctx, t, conn, "BEGIN")
+	exec(ctx, t, conn, "UPDATE orders SET part = 'half done' WHERE id = 1")
+	exec(ctx, t, conn, "INSERT INTO orders (id) VALUES (2)")
+	assert.NilError(t, l.Proxies[0].Kill())
+	other := connect(ctx, t, l.Proxies[1], "")
+	exec(ctx, t, other, "UPDATE orders SET part = 'whole' WHERE id = 1")
+	var n int
+	assert.NilError(t, other.QueryRow(ctx, "SELECT count(*) FROM orders WHERE part = 'whole'").Scan(&n))
+	assert.Equal(t, n, 1)
+	assert.NilError(t, other.QueryRow(ctx, "SELECT count(*) FROM orders").Scan(&n))
+	assert.Equal(t, n, 1)
+}
+
+// TestProxyDrains stops a proxy that has one idle session and one with a
+// transaction open. A second signal changes nothing.
+func TestProxyDrains(t *testing.T) {
+	ctx, l := start(t, 3, 2)
+	createTable(ctx, t, l.Proxies[0])
+	idle := connect(ctx, t, l.Proxies[0], "")
+	exec(ctx, t, idle, "SELECT 1")
+	busy := connect(ctx, t, l.Proxies[0], "")
+	exec(ctx, t, busy, "BEGIN")
+	exec(ctx, t, busy, "INSERT INTO orders (id) VALUES (1)")
+
+	ended := make(chan int, 1)
+	go func() {
+		exit, err := l.Proxies[0].Terminate(context.Background())
+		if err != nil {
+			exit = -1
+		}
+		ended <- exit
+	}()
+	assert.NilError(t, l.Wait(ctx, "the proxy to stop listening", func() bool {
+		return insertOnce(ctx, l.Proxies[0], 100) != nil
+	}))
+	assert.NilError(t, l.Proxies[0].Signal(syscall.SIGTERM))
+	_, err := idle.Exec(ctx, "SELECT 1")
+	assert.Equal(t, code(err), "57P01")
+	exec(ctx, t, busy, "INSERT INTO orders (id) VALUES (2)")
+	exec(ctx, t, busy, "COMMIT")
+	assert.Equal(t, <-ended, 0)
+	for _, id := range []int{1, 2} {
+		assert.Equal(t, countThroughPq(ctx, t, l.Proxies[1], id), 1)
+	}
+}
