--- a/cmd/paddlectl/hosts.go
+++ b/cmd/paddlectl/hosts.go
@@ -19,8 +19,9 @@
 			addHostCommand(),
 			{
 				Name: "remove", Usage: "take a control host out of the cluster", ArgsUsage: "HOST",
-				Description: "Its identity never votes again. A spare that has caught up takes its place.",
-				Action:      online(removeHost),
+				Description: "A spare that has caught up takes its place. A removed host that runs again with its\n" +
+					"data folder comes back as a spare.",
+				Action: online(removeHost),
 			},
 		},
 	}
--- a/cmd/paddlectl/status.go
+++ b/cmd/paddlectl/status.go
@@ -39,13 +39,17 @@
 func proxyTable(st api.Status) *table {
 	t := &table{header: []string{"PROXY", "AVAILABILITY ZONE", "LEASE", "HAS VIEW", "ACTS ON", "CONFIG IN FORCE"}}
 	for _, p := range st.Proxies {
-		t.add(p.Host, p.AvailabilityZone, leaseName(p.LeaseLive), p.Have, p.Seen, inForce(st, p))
+		t.add(p.Host, p.AvailabilityZone, leaseName(st, p), p.Have, p.Seen, inForce(st, p))
 	}
 	return t
 }
 
-func leaseName(live bool) string {
-	if live {
+// leaseName says whether a proxy holds a lease. Only the leader knows.
+func leaseName(st api.Status, p api.Proxy) string {
+	switch {
+	case !st.Leading:
+		return "unknown"
+	case p.LeaseLive:
 		return "live"
 	}
 	return "none"
@@ -54,6 +58,8 @@
 // inForce says which configuration a proxy acts on.
 func inForce(st api.Status, p api.Proxy) string {
 	switch {
+	case !st.Leading:
+		return "unknown"
 	case !p.LeaseLive:
 		return "serves nothing"
 	case p.Seen >= st.ConfigSince:
--- a/daemon/control_test.go
+++ b/daemon/control_test.go
@@ -175,6 +175,10 @@
 			proto.OperatorReply{Err: proto.OpErrConflict, Reason: "version 4", Change: &proto.ChangeResult{Version: 4}},
 			api.Error{Kind: api.ErrConflict, Version: 4, Message: "version 4"},
 		},
+		{
+			proto.OperatorReply{Err: proto.OpErrNotLeader},
+			api.Error{Kind: api.ErrNotLeader, Message: "this control host does not lead and knows of no leader"},
+		},
 		{proto.OperatorReply{Err: proto.OpErrUnknown}, api.Error{Kind: api.ErrUnknown}},
 	}
 	for _, tt := range tests {
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -65,11 +65,18 @@
 		out.Version = r.Change.Version
 	}
 	if out.Message == "" && r.Err == proto.OpErrNotLeader {
-		out.Message = "this control host does not lead; the leader is " + string(r.Leader)
+		out.Message = notLeading(r.Leader)
 	}
 	return out
 }
 
+func notLeading(leader types.HostID) string {
+	if leader == "" {
+		return "this control host does not lead and knows of no leader"
+	}
+	return "this control host does not lead; the leader is " + string(leader)
+}
+
 func (c *Control) systemStatus(ctx context.Context) (*proto.Status, error) {
 	reply, err := c.call(ctx, proto.OperatorRequest{Status: &proto.StatusRequest{}})
 	if err != nil {
