--- a/daemon/control.go
+++ b/daemon/control.go
@@ -96,6 +96,7 @@
 }
 
 // Run serves until a signal, the end of ctx, or a failure of the data folder.
+// It runs once.
 func (c *Control) Run(ctx context.Context) error {
 	defer c.release()
 	klog.InfoS("starting", "role", "control", "host", c.log.Host(), "version", c.version,
@@ -106,7 +107,7 @@
 	c.mesh.Start(wire.Handlers{Message: c.host.PeerMessage, LeaseRequest: c.host.LeaseRequest})
 	app := kratos.New(
 		kratos.Name("paddle-control"), kratos.Version(c.version), kratos.ID(string(c.log.Host())),
-		kratos.Context(ctx), kratos.Logger(kratosLog{}), kratos.StopTimeout(c.settings.DrainLimit),
+		kratos.Context(context.WithoutCancel(ctx)), kratos.StopTimeout(c.settings.DrainLimit),
 		kratos.Server(
 			newLoopServer(c.host.Run),
 			newPeerServer(c.peers, c.tls, wire.Path, wire.NewServer(c.mesh)),
@@ -118,6 +119,19 @@
 			return nil
 		}),
 	)
+	return runApp(ctx, app)
+}
+
+// runApp runs an app until a signal or the end of ctx; both stop it
+// gracefully.
+func runApp(ctx context.Context, app *kratos.App) error {
+	setKratosLog()
+	undo := context.AfterFunc(ctx, func() {
+		if err := app.Stop(); err != nil {
+			klog.ErrorS(nil, "stop_failed", "app", app.Name(), "reason", telemetry.Reason(err))
+		}
+	})
+	defer undo()
 	return trace.Wrap(app.Run())
 }
 
@@ -133,7 +147,8 @@
 	}
 	if c.log != nil {
 		if err := c.log.Close(); err != nil {
-			klog.ErrorS(err, "data_folder_not_closed", "data_folder", c.settings.DataFolder)
+			klog.ErrorS(nil, "data_folder_not_closed", "data_folder", c.settings.DataFolder,
+				"reason", telemetry.Reason(err))
 		}
 	}
 }
@@ -149,7 +164,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := r.Close(ctx); err != nil {
-		klog.ErrorS(err, "telemetry_not_closed")
+		klog.ErrorS(nil, "telemetry_not_closed", "reason", telemetry.Reason(err))
 	}
 }
 
--- a/daemon/control_test.go
+++ b/daemon/control_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,34 +32,50 @@
   ledger: {members: 3, slots: 3, connections: 20, default_profile: strict, profiles: [strict]}
 `
 
-// startControl runs a cluster of one control host and returns its client.
+// startControl runs a cluster of one control host, with keys, and returns its
+// client.
 func startControl(t *testing.T) *api.Client {
 	t.Helper()
 	dir := t.TempDir()
-	keyFile := filepath.Join(dir, "key")
-	assert.NilError(t, os.WriteFile(keyFile, []byte(testKey+"\n"), 0o600))
-	announceFile := filepath.Join(dir, "announce")
-	assert.NilError(t, os.WriteFile(announceFile, []byte(testAnnounceKey), 0o600))
+	secrets := settings.Security{
+		KeyFile: filepath.Join(dir, "key"), AnnounceKeyFile: filepath.Join(dir, "announce"),
+	}
+	assert.NilError(t, os.WriteFile(secrets.KeyFile, []byte(testKey+"\n"), 0o600))
+	assert.NilError(t, os.WriteFile(secrets.AnnounceKeyFile, []byte(testAnnounceKey), 0o600))
+	c := runControl(t, secrets)
+	return api.NewClient([]string{c.http.Addr().String()}, testKey, nil)
+}
+
+// runControl runs a cluster of one control host until the test ends.
+func runControl(t *testing.T, secrets settings.Security) *Control {
+	t.Helper()
 	s := &settings.Daemon{
 		Role: settings.RoleControl, Host: "control-1", AvailabilityZone: "az-1", Region: "north",
 		Listen:    settings.Listen{Peers: "127.0.0.1:0", HTTP: "127.0.0.1:0"},
 		Advertise: "127.0.0.1:1", Control: []types.Address{"127.0.0.1:1"},
-		DataFolder: filepath.Join(dir, "data"),
-		Security:   settings.Security{KeyFile: keyFile, AnnounceKeyFile: announceFile}, DrainLimit: time.Second,
+		DataFolder: filepath.Join(t.TempDir(), "data"),
+		Security:   secrets, DrainLimit: time.Second, Target: settings.DefaultTarget(),
 	}
 	_, err := InitControl(s)
 	assert.NilError(t, err)
 	c, err := NewControl(s, "test")
 	assert.NilError(t, err)
-	addr := c.http.Addr().String()
+	stop := runUntilEnd(t, c.Run)
+	t.Cleanup(stop)
+	return c
+}
+
+// runUntilEnd runs a daemon and returns what asks it to stop and waits for its
+// end.
+func runUntilEnd(t *testing.T, run func(context.Context) error) func() {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- c.Run(ctx) }()
-	t.Cleanup(func() {
+	go func() { ended <- run(ctx) }()
+	return sync.OnceFunc(func() {
 		cancel()
-		assert.NilError(t, <-ended)
+		assert.Check(t, <-ended == nil)
 	})
-	return api.NewClient([]string{addr}, testKey, nil)
 }
 
 func testContext(t *testing.T) context.Context {
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -13,6 +13,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/daemon/api"
 	"github.com/camphorpaddle/camphorpaddle/settings"
+	"github.com/camphorpaddle/camphorpaddle/telemetry"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
@@ -41,7 +42,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(errorStatus[e.Kind])
 	if err := json.NewEncoder(w).Encode(e); err != nil {
-		klog.V(1).InfoS("http_answer_lost", "err", err)
+		klog.V(1).InfoS("http_answer_lost", "reason", telemetry.Reason(err))
 	}
 }
 
--- a/daemon/kratoslog.go
+++ b/daemon/kratoslog.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"sync"
 
 	"github.com/go-kratos/kratos/v2/log"
 	"k8s.io/klog/v2"
 )
 
+// setKratosLog sends the logs of kratos to klog. They are global to the
+// process, which may hold several daemons.
+var setKratosLog = sync.OnceFunc(func() { log.SetLogger(kratosLog{}) })
+
 // kratosLog writes what kratos logs as lines of key=value pairs.
 type kratosLog struct{}
 
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 
 	"github.com/camphorpaddle/camphorpaddle/core"
@@ -19,7 +20,6 @@
 	"github.com/camphorpaddle/camphorpaddle/wire"
 	"github.com/go-kratos/kratos/v2"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
-	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 )
 
@@ -37,6 +37,7 @@
 	http     net.Listener
 	callers  net.Listener
 	draining atomic.Bool
+	drained  sync.Once
 }
 
 // NewProxy opens the ports of a proxy.
@@ -92,7 +93,8 @@
 }
 
 // Run serves until a signal or the end of ctx. It stops gracefully: no new
-// sessions, and what is in flight finishes, up to the drain limit.
+// sessions, and what is in flight finishes, up to the drain limit. It runs
+// once.
 func (p *Proxy) Run(ctx context.Context) error {
 	defer p.release()
 	s := p.settings
@@ -103,17 +105,17 @@
 	p.link.Start(p.leaseGrant)
 	app := kratos.New(
 		kratos.Name("paddle-proxy"), kratos.Version(p.version), kratos.ID(string(s.Host)),
-		kratos.Context(ctx), kratos.Logger(kratosLog{}), kratos.StopTimeout(s.DrainLimit),
+		kratos.Context(context.WithoutCancel(ctx)), kratos.StopTimeout(s.DrainLimit),
 		kratos.Server(
 			newLoopServer(func(ctx context.Context) error { p.proxy.Run(ctx); return nil }),
 			newLoopServer(func(ctx context.Context) error { return p.front.Serve(ctx, p.callers) }),
 			httpServer,
 		),
-		kratos.BeforeStop(func(context.Context) error { p.drain(); return nil }),
+		kratos.BeforeStop(func(context.Context) error { p.drained.Do(p.drain); return nil }),
 	)
-	err := app.Run()
+	err := runApp(ctx, app)
 	p.link.Close()
-	return trace.Wrap(err)
+	return err
 }
 
 // leaseGrant hands over control's answer to a lease request.
@@ -137,8 +139,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainLimit)
 	defer cancel()
 	if err := p.front.Shutdown(ctx); err != nil {
-		klog.ErrorS(err, "sessions_cut_off", "host", p.settings.Host,
-			"reason", "the drain limit has passed")
+		klog.ErrorS(nil, "sessions_cut_off", "host", p.settings.Host, "drain_limit", p.settings.DrainLimit,
+			"reason", telemetry.Reason(err))
 		return
 	}
 	klog.InfoS("drained", "role", "proxy", "host", p.settings.Host)
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 )
 
@@ -62,6 +63,9 @@
 	return append(out, "reason", oneLine(d.Reason))
 }
 
+// Reason returns the message of an error on one line, for logs.
+func Reason(err error) string { return oneLine(trace.UserMessage(err)) }
+
 // oneLine replaces line breaks, so that an event stays on its line.
 func oneLine(s string) string { return strings.Join(strings.Fields(s), " ") }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -42,7 +42,7 @@
 	reporter := prometheus.NewReporter(prometheus.Options{
 		Registerer: registry,
 		OnRegisterError: func(err error) {
-			klog.ErrorS(err, "metric_not_registered", "host", o.Host)
+			klog.ErrorS(nil, "metric_not_registered", "host", o.Host, "reason", Reason(err))
 		},
 	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
