--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net/url"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
@@ -227,9 +228,19 @@
 		Sample:   t.fraction("sample", defaultSample),
 	}
 	t.close()
+	if out.Endpoint != "" && !isEndpoint(out.Endpoint) {
+		t.add(t.at("endpoint"), join(t.path, "endpoint"),
+			"%q must be a URL with a path, such as http://10.0.0.9:4318/v1/traces", out.Endpoint)
+	}
 	return out
 }
 
+// isEndpoint reports whether s is an HTTP URL with a host and a path.
+func isEndpoint(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && u.Path != ""
+}
+
 // checkDaemon finds contradictions between the settings.
 func (m *mapping) checkDaemon(d *Daemon) {
 	open := false
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -110,7 +110,7 @@
 control: ["10.0.0.1:7400", "10.0.0.1:7400", "10.0.0.1:0"]
 security: {certificate_file: a}
 limits: {message_size: 16, answer_size: 1B}
-trace: {sample: 2}
+trace: {sample: 2, endpoint: "10.0.0.9:4318"}
 data_folder: x
 `
 	_, err := ParseDaemon("f", []byte(text), RoleProxy)
@@ -125,6 +125,7 @@
 		`f:7:24: limits.message_size: "16" must be a size with a unit, such as 64KiB or 16MiB`,
 		"f:7:41: limits.answer_size: 1B must lie between 1024 B and 1073741824 B",
 		`f:8:17: trace.sample: "2" must be a number from 0 to 1`,
+		`f:8:30: trace.endpoint: "10.0.0.9:4318" must be a URL with a path, such as http://10.0.0.9:4318/v1/traces`,
 		"f:9:1: data_folder: unknown key",
 	})
 }
@@ -195,8 +196,8 @@
 }
 
 func FuzzConfig(f *testing.F) {
-	for _, folder := range []string{"magnolia", "kovacic"} {
-		data, err := os.ReadFile(filepath.Join("..", "examples", folder, "config.yaml"))
+	for _, name := range []string{"config.yaml", "proxy-1.yaml", "control-1.yaml"} {
+		data, err := os.ReadFile(filepath.Join("..", "examples", "kovacic", name))
 		assert.NilError(f, err)
 		f.Add(data)
 	}
@@ -211,5 +212,6 @@
 		for _, role := range []Role{RoleProxy, RoleControl} {
 			_, _ = ParseDaemon("f", data, role)
 		}
+		_, _ = ParseClient("f", data)
 	})
 }
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	oteltrace "go.opentelemetry.io/otel/trace"
@@ -186,3 +188,25 @@
 	r.Metrics().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	return w.Body.String()
 }
+
+func TestExportOfTraces(t *testing.T) {
+	paths := make(chan string, 1)
+	receiver := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		paths <- r.Method + " " + r.URL.Path
+	}))
+	defer receiver.Close()
+	opts := testOptions()
+	opts.TraceEndpoint = receiver.URL + "/v1/traces"
+	r, err := New(opts)
+	assert.NilError(t, err)
+	r.Observation(request())
+	r.LeaseAnswered("control-1", proto.LeaseGrant{SentAt: 1}, 2)
+	stopRecorder(t, r)
+	assert.Equal(t, <-paths, "POST /v1/traces")
+}
+
+func TestTracesAreOffByDefault(t *testing.T) {
+	r := startRecorder(t)
+	assert.Assert(t, r.spans == nil)
+	stopRecorder(t, r)
+}
