--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -67,6 +67,9 @@
 // GroupVersion returns the version at which a group changed last.
 func (s *State) GroupVersion(name types.ServiceName) uint64 { return s.groupVersion[name] }
 
+// ConfigSince returns the version of the view that brought the configuration.
+func (s *State) ConfigSince() uint64 { return s.configVersion }
+
 // Applied returns the index of the last applied entry.
 func (s *State) Applied() uint64 { return s.applied }
 
--- a/core/operator/operator.go
+++ b/core/operator/operator.go
@@ -118,7 +118,7 @@
 func (d *Desk) status(now types.Instant) *proto.Status {
 	st := &proto.Status{
 		Host: d.self, Leader: d.leader, Term: d.term,
-		Commit: d.state.Applied(), Applied: d.state.Applied(),
+		Commit: d.state.Applied(), Applied: d.state.Applied(), ConfigSince: d.state.ConfigSince(),
 		Voters: d.state.Voters(), State: d.state.Snapshot(), Proxies: d.leases.Status(),
 	}
 	latest := make(map[types.TargetRef]proto.TargetReport)
