--- a/daemon/control_test.go
+++ b/daemon/control_test.go
@@ -119,6 +119,10 @@
 	assert.Assert(t, errors.As(err, &refused))
 	assert.Equal(t, len(refused.Findings), 2)
 
+	st, err := c.LeaderStatus(ctx)
+	assert.NilError(t, err)
+	assert.Assert(t, st.ConfigSince > 0 && st.ConfigSince < st.Applied, "since %d, applied %d", st.ConfigSince, st.Applied)
+
 	var cfg api.Config
 	assert.NilError(t, c.Call(ctx, http.MethodGet, api.PathConfig, nil, &cfg))
 	assert.DeepEqual(t, cfg, api.Config{Version: 1, Source: firstConfig})
