Replace a leaving primary although its replicas are far behind

Changes of shares are recorded as decisions, and what a proxy wants counts for a second after it fell (seen failing without the window).

--- a/core/lease/machine_test.go
+++ b/core/lease/machine_test.go
@@ -329,6 +329,10 @@
 		for id, p := range m.proxies {
 			assert.Assert(t, m.live(p), "proxy %s has no lease when all is well", id)
 			assert.Assert(t, p.holder.Shares()[ref].Connections > 0, "proxy %s has no share", id)
+			p.wanted = 0
 		}
+		m.proxies["p2"].wanted = connections
+		m.run(100, "", "", true)
+		assert.Equal(t, m.proxies["p2"].holder.Shares()[ref].Connections, 13, "idle shares did not move")
 	})
 }
--- a/core/limits/divider.go
+++ b/core/limits/divider.go
@@ -4,6 +4,7 @@
 package limits
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
@@ -30,6 +31,7 @@
 	leases *lease.Table
 	role   role.Role
 	grants map[types.HostID]map[types.TargetRef][]granted
+	news   []effect.Effect // changes of shares since the last step
 }
 
 // granted is a share that a proxy may have taken, or may take yet.
@@ -59,7 +61,9 @@
 			delete(d.grants, p.Host)
 		}
 	}
-	return nil
+	news := d.news
+	d.news = nil
+	return news
 }
 
 // Shares returns what a proxy may use of each target. The table calls it when
@@ -130,6 +134,12 @@
 	if d.grants[h.Host] == nil {
 		d.grants[h.Host] = make(map[types.TargetRef][]granted)
 	}
+	if before := held(h.Request, ref).Share.Connections; before != n {
+		d.news = append(d.news, effect.Decide{
+			Kind: effect.DecideShare, Service: ref.Service, Target: ref.Name, Host: h.Host,
+			Reason: fmt.Sprintf("%d connections instead of %d", n, before),
+		})
+	}
 	until := d.leases.Now().Add(lease.Duration)
 	d.grants[h.Host][ref] = append(d.open(h, ref), granted{seq: h.Request.Seq, connections: n, until: until})
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -25,6 +25,7 @@
 	shards   map[int]event.ShardReport
 	news     announcements
 	shares   shareLog
+	wanted   wantLog
 	draining bool
 
 	now     types.Instant // of the event that is under way
@@ -41,7 +42,6 @@
 		prober:  probe.New(),
 		shards:  make(map[int]event.ShardReport),
 		news:    newAnnouncements(),
-		shares:  newShareLog(),
 	}
 	n.holder = lease.NewHolder(o.Host, o.AvailabilityZone, n.fill)
 	return n
@@ -83,6 +83,7 @@
 func (n *Node) shardReported(r event.ShardReport) []effect.Effect {
 	quiet := len(n.quiet())
 	n.shards[r.Shard] = r
+	n.wanted.set(n.wants(), n.now)
 	var out []effect.Effect
 	if seen := n.minSeen(); seen > n.seen || len(n.quiet()) > quiet {
 		n.seen = seen
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -144,3 +144,17 @@
 	assert.Equal(t, len(p.view().Shares), 0)
 	assert.Equal(t, p.view().LeaseLive(p.now), false)
 }
+
+func TestShortLullKeepsWhatIsWanted(t *testing.T) {
+	p := newProxy(t)
+	p.grant(5, types.GroupServing, 4)
+	want := func(n int) { p.report(event.ShardReport{Wanted: map[types.TargetRef]int{ref: n}}) }
+	want(9)
+	p.pass(2000 * ms)
+	assert.Equal(t, p.request().Held[0].Wanted, 9)
+	want(0)
+	assert.Equal(t, p.pass(300 * ms).Held[0].Wanted, 9)
+	want(2)
+	assert.Equal(t, p.pass(300 * ms).Held[0].Wanted, 9)
+	assert.Equal(t, p.pass(500 * ms).Held[0].Wanted, 2)
+}
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -78,15 +78,12 @@
 // and what the last views allowed them.
 func (n *Node) held() []proto.ShareHeld {
 	most := n.shares.most(n.now)
-	wanted := make(map[types.TargetRef]int)
 	open := make(map[types.TargetRef]int)
+	wanted := n.wanted.peaks(n.now)
 	for _, r := range n.shards {
 		for ref, count := range r.Open {
 			open[ref] += count
 		}
-		for ref, count := range r.Wanted {
-			wanted[ref] += count
-		}
 	}
 	refs := make(map[types.TargetRef]bool)
 	for ref := range most {
@@ -107,6 +104,17 @@
 	return out
 }
 
+// wants returns how many connections of each target all shards could use.
+func (n *Node) wants() map[types.TargetRef]int {
+	out := make(map[types.TargetRef]int)
+	for _, r := range n.shards {
+		for ref, count := range r.Wanted {
+			out[ref] += count
+		}
+	}
+	return out
+}
+
 func sortedRefs[V any](m map[types.TargetRef]V) []types.TargetRef {
 	return slices.SortedFunc(maps.Keys(m), func(a, b types.TargetRef) int {
 		return strings.Compare(a.String(), b.String())
--- a/core/node/shares.go
+++ b/core/node/shares.go
@@ -23,8 +23,6 @@
 	at     types.Instant
 }
 
-func newShareLog() shareLog { return shareLog{} }
-
 // set takes in the current shares and reports whether they changed.
 func (l *shareLog) set(shares map[types.TargetRef]types.Share, now types.Instant) bool {
 	if maps.Equal(l.current, shares) {
--- a/core/promotion/choose.go
+++ b/core/promotion/choose.go
@@ -15,7 +15,7 @@
 	switch {
 	case !ok:
 		return best, false
-	case r.ordered && now < r.began.Add(catchUpBound):
+	case r.ordered && now < r.catchUp:
 		return best, m.complete(g, r) && r.suits(best)
 	case len(r.answers) == len(g.Members):
 		return best, true
--- a/core/promotion/detect.go
+++ b/core/promotion/detect.go
@@ -16,14 +16,20 @@
 	if reason := m.failed(now, g, gr); reason != "" {
 		return m.beginTerm(now, g, gr, reason)
 	}
-	if p, ok := g.Target(g.Primary); ok && p.State == types.TargetLeaving && m.canMove(g) {
+	p, _ := g.Target(g.Primary)
+	switch {
+	case p.State != types.TargetLeaving:
+		gr.moves = 0
+	case canMove(g) && (gr.moves == 0 || now.Sub(gr.movedAt) >= moveInterval):
+		gr.moves++
+		gr.movedAt = now
 		return m.propose(now, gr, g.Term, proto.Command{Quiesce: &proto.Quiesce{Service: g.Service, Term: g.Term}})
 	}
 	return m.driveFollowers(now, g, gr)
 }
 
 // canMove reports whether some other member is active.
-func (m *Manager) canMove(g *types.Group) bool {
+func canMove(g *types.Group) bool {
 	for _, t := range g.Members {
 		if t.Name != g.Primary && t.State == types.TargetActive {
 			return true
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -33,8 +33,13 @@
 	// quiesceBound is how long an ordered change waits for work under way.
 	quiesceBound = 2 * time.Second
 	// catchUpBound is how long an ordered change waits for its target to
-	// reach the furthest position.
-	catchUpBound = 500 * time.Millisecond
+	// reach the furthest position. It doubles with each try, up to
+	// maxCatchUpBound.
+	catchUpBound    = 500 * time.Millisecond
+	maxCatchUpBound = 4 * time.Second
+	// moveInterval is the time between two tries to replace a primary that
+	// leaves.
+	moveInterval = 10 * time.Second
 	// catchUpInterval is the time between two looks at a target that catches
 	// up.
 	catchUpInterval = 20 * time.Millisecond
@@ -62,6 +67,8 @@
 	run        *run          // the promotion under way
 	quiesced   types.Instant // when the quiesce was first seen
 	ordered    bool          // the next term is an ordered change
+	moves      int           // tries to replace a primary that leaves
+	movedAt    types.Instant // last of them
 	followers  map[types.TargetName]*follower
 }
 
--- a/core/promotion/ordered_test.go
+++ b/core/promotion/ordered_test.go
@@ -110,3 +110,27 @@
 	_, ok = w.run(2*time.Second, func() bool { return state() == types.TargetActive })
 	assert.Assert(t, ok)
 }
+
+func TestLeavingPrimaryIsReplacedAlthoughReplicasAreFarBehind(t *testing.T) {
+	w := started(t)
+	old := w.primary()
+	old.lag = 2 * time.Second
+	stop := false
+	var write func()
+	write = func() {
+		if g := w.group(); g.Phase == types.GroupServing && g.Primary == old.name {
+			old.write(1)
+		}
+		if !stop {
+			w.at(w.now.Add(20*time.Millisecond), write)
+		}
+	}
+	write()
+	w.pass(3 * time.Second)
+	old.leaving = true
+	_, ok := w.run(time.Minute, func() bool { return w.serving(2) && w.primary() != old })
+	stop = true
+	assert.Assert(t, ok, "%+v", w.group())
+	assert.Assert(t, w.group().Term <= 5, "%d terms", w.group().Term)
+	assert.Equal(t, w.primary().pos.Offset, old.pos.Offset)
+}
--- a/core/promotion/run.go
+++ b/core/promotion/run.go
@@ -29,7 +29,8 @@
 	began   types.Instant
 	stage   stage
 	ordered bool
-	stalled bool // the wait was reported
+	catchUp types.Instant // end of the wait of an ordered change
+	stalled bool          // the wait was reported
 	answers map[types.TargetName]types.TargetStatus
 	asked   map[types.TargetName]types.Instant // position questions under way
 	quorum  types.Instant                      // when a quorum had answered
@@ -47,7 +48,7 @@
 	}
 	gr.run = &run{
 		term: c.Term, version: m.state.GroupVersion(c.Service), began: now,
-		ordered: gr.ordered, prefer: c.Prefer,
+		ordered: gr.ordered, prefer: c.Prefer, catchUp: now.Add(gr.catchUpBound()),
 		answers: make(map[types.TargetName]types.TargetStatus),
 		asked:   make(map[types.TargetName]types.Instant),
 	}
@@ -55,6 +56,15 @@
 	return m.drive(now, c.Service)
 }
 
+// catchUpBound returns how long the next ordered change waits for its target.
+func (gr *group) catchUpBound() time.Duration {
+	bound := catchUpBound
+	for range gr.moves - 1 {
+		bound = min(2*bound, maxCatchUpBound)
+	}
+	return bound
+}
+
 // driveFencing takes the next step of a promotion. A term that an earlier
 // leader began is not taken up, because it may have promoted a member in it.
 func (m *Manager) driveFencing(now types.Instant, g *types.Group, gr *group) []effect.Effect {
