Drive only the groups that a proxy's report concerns

Cause: each lease request drove every group and searched the reports of every proxy. Change: a report is compared once, and what is wrong with a primary is kept as a suspicion of that proxy.

--- a/core/lease/fence.go
+++ b/core/lease/fence.go
@@ -1,8 +1,6 @@
 package lease
 
 import (
-	"time"
-
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -82,10 +80,22 @@
 // Leader returns the control leader as this host knows it, or "", and its term.
 func (t *Table) Leader() (types.HostID, proto.ControlTerm) { return t.role.Leader, t.role.Term }
 
-// HeardWithin reports whether a proxy asked within d before now.
-func (t *Table) HeardWithin(host types.HostID, d time.Duration, now types.Instant) bool {
+// Live returns how many proxies may hold a lease.
+func (t *Table) Live(now types.Instant) int {
+	live := 0
+	for host := range t.proxies {
+		if t.LiveProxy(host, now) {
+			live++
+		}
+	}
+	return live
+}
+
+// LiveProxy reports whether a proxy may hold a lease.
+func (t *Table) LiveProxy(host types.HostID, now types.Instant) bool {
 	p := t.proxies[host]
-	return p != nil && p.heard != 0 && now.Sub(p.heard) <= d
+	_, registered := t.state.Proxy(host)
+	return p != nil && registered && now < p.until
 }
 
 // Status returns what is known of each registered proxy.
--- a/core/promotion/detect.go
+++ b/core/promotion/detect.go
@@ -41,22 +41,17 @@
 // failed returns why the primary has failed in the eyes of a majority of the
 // proxies that hold a lease, or "".
 func (m *Manager) failed(now types.Instant, g *types.Group, gr *group) string {
-	var live, gone, demoted int
+	var gone, demoted int
+	live := m.leases.Live(now)
 	version := m.state.GroupVersion(g.Service)
-	for _, h := range m.leases.Holds() {
-		if !h.Live {
-			continue
-		}
-		live++
-		r := h.Request
-		report, ok := primaryReport(r, g)
-		if !ok || !m.leases.HeardWithin(r.Proxy, reportBound, now) {
+	for host, s := range gr.suspicions {
+		if s.report.Ref.Name != g.Primary || now.Sub(s.heard) > reportBound || !m.leases.LiveProxy(host, now) {
 			continue
 		}
 		switch {
-		case unreachable(report):
+		case unreachable(s.report):
 			gone++
-		case r.Have >= version && !report.Failing && disowned(report.Status, g):
+		case s.have >= version && disowned(s.report.Status, g):
 			demoted++
 		}
 	}
@@ -76,16 +71,6 @@
 	return fmt.Sprintf("%d of %d proxies hear that the primary is none in this term", demoted, live)
 }
 
-func primaryReport(r proto.LeaseRequest, g *types.Group) (proto.TargetReport, bool) {
-	ref := types.TargetRef{Service: g.Service, Name: g.Primary}
-	for _, report := range r.Reports {
-		if report.Ref == ref {
-			return report, true
-		}
-	}
-	return proto.TargetReport{}, false
-}
-
 func unreachable(r proto.TargetReport) bool {
 	return r.HeardAgo >= probe.SilentBound || r.Failing && r.FailingFor >= probe.FailingBound
 }
--- a/core/promotion/failover_test.go
+++ b/core/promotion/failover_test.go
@@ -218,3 +218,24 @@
 	_, ok = w.run(2*time.Second, func() bool { return behind.pos.Offset == 100 })
 	assert.Assert(t, ok, "the replica did not catch up")
 }
+
+func TestOneProxyThatCannotReachThePrimary(t *testing.T) {
+	w := started(t)
+	w.cut["p2>"+string(w.group().Primary)] = true
+	w.pass(3 * time.Second)
+	for i := range 6 {
+		w.elect([]types.HostID{"c2", "c3", "c1"}[i%3])
+		w.pass(3 * time.Second)
+	}
+	assert.Equal(t, w.group().Term, types.Term(1))
+}
+
+func TestPrimaryThatLostItsRoleIsReplaced(t *testing.T) {
+	w := started(t)
+	w.primary().write(4)
+	w.pass(time.Second)
+	w.primary().primary = false
+	gap, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
+	assert.Assert(t, ok && gap <= time.Second, "failover took %v", gap)
+	assert.Equal(t, w.primary().pos.Offset, uint64(4))
+}
--- a/core/promotion/follow.go
+++ b/core/promotion/follow.go
@@ -19,7 +19,6 @@
 	if !ok {
 		return nil
 	}
-	m.noticeStrays(now, g, gr)
 	var out []effect.Effect
 	open := false
 	for _, t := range g.Members {
@@ -36,8 +35,12 @@
 			Kind: types.OpFollow, Term: g.Term, Leader: primary, Start: termStart(g),
 		}))
 	}
-	if open {
+	next := gr.movedAt.Add(moveInterval)
+	switch {
+	case open:
 		out = append(out, arm(g.Service, now.Add(retryInterval)))
+	case gr.moves > 0 && now < next:
+		out = append(out, arm(g.Service, next))
 	}
 	return out
 }
@@ -49,26 +52,6 @@
 	return g.History[len(g.History)-1].Offset
 }
 
-// noticeStrays finds members that a proxy saw outside of the group's term.
-func (m *Manager) noticeStrays(now types.Instant, g *types.Group, gr *group) {
-	version := m.state.GroupVersion(g.Service)
-	for _, r := range m.leases.Requests(now) {
-		if r.Have < version {
-			continue
-		}
-		for _, report := range r.Reports {
-			if report.Ref.Service != g.Service || report.Ref.Name == g.Primary || report.Failing {
-				continue
-			}
-			f := gr.follower(report.Ref.Name)
-			stray := report.Status.Term != g.Term || report.Status.Primary
-			if stray && (f.askedAt == 0 || now.Sub(f.askedAt) >= reportBound) {
-				f.open = true
-			}
-		}
-	}
-}
-
 func (gr *group) follower(name types.TargetName) *follower {
 	if gr.followers == nil {
 		gr.followers = make(map[types.TargetName]*follower)
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -49,13 +49,14 @@
 
 // Manager drives the promotions of all groups while this host leads.
 type Manager struct {
-	state  *cluster.State
-	leases *lease.Table
-	role   role.Role
-	groups map[types.ServiceName]*group
-	timers map[uint64]types.ServiceName
-	calls  map[uint64]call
-	last   uint64 // number of the last call to a target
+	state   *cluster.State
+	leases  *lease.Table
+	role    role.Role
+	groups  map[types.ServiceName]*group
+	timers  map[uint64]types.ServiceName
+	calls   map[uint64]call
+	waiting map[types.ServiceName]bool // groups whose next step waits for proxies
+	last    uint64                     // number of the last call to a target
 }
 
 // group is what the leader remembers of one group beside its replicated state.
@@ -63,6 +64,7 @@
 	proposedAt types.Instant // of the command under way; zero if none
 	proposed   types.Term    // term that it is about
 	prefer     types.TargetName
+	suspicions map[types.HostID]suspicion
 	demoted    types.Instant // since when the primary says that it is none
 	run        *run          // the promotion under way
 	quiesced   types.Instant // when the quiesce was first seen
@@ -87,6 +89,8 @@
 		groups: make(map[types.ServiceName]*group),
 		timers: make(map[uint64]types.ServiceName),
 		calls:  make(map[uint64]call),
+
+		waiting: make(map[types.ServiceName]bool),
 	}
 }
 
@@ -98,7 +102,7 @@
 	case event.Committed:
 		return m.committed(in.Now, e.Entry.Command)
 	case event.LeaseRequested:
-		return m.driveAll(in.Now)
+		return m.reported(in.Now, e.Request)
 	case event.TargetReplied:
 		return m.replied(in.Now, e)
 	case event.TimerFired:
@@ -116,6 +120,7 @@
 	clear(m.groups)
 	clear(m.timers)
 	clear(m.calls)
+	clear(m.waiting)
 	return m.driveAll(now)
 }
 
@@ -147,6 +152,7 @@
 		return nil
 	}
 	gr.followers = make(map[types.TargetName]*follower)
+	clear(gr.suspicions)
 	for _, t := range g.Members {
 		gr.followers[t.Name] = &follower{open: t.Name != c.Primary}
 	}
@@ -174,8 +180,12 @@
 	if !m.role.Leading {
 		return nil
 	}
+	return m.driveEach(now, m.state.Services())
+}
+
+func (m *Manager) driveEach(now types.Instant, services []types.ServiceName) []effect.Effect {
 	var out []effect.Effect
-	for _, name := range m.state.Services() {
+	for _, name := range services {
 		out = append(out, m.drive(now, name)...)
 	}
 	return out
@@ -189,6 +199,10 @@
 		return nil
 	}
 	gr := m.group(service)
+	delete(m.waiting, service)
+	if g.Phase == types.GroupQuiescing || g.Phase == types.GroupFencing {
+		m.waiting[service] = true
+	}
 	switch g.Phase {
 	case types.GroupForming:
 		return m.driveForming(now, g, gr)
--- a/core/promotion/world_test.go
+++ b/core/promotion/world_test.go
@@ -45,7 +45,7 @@
 	decided []effect.Decide
 	ms      types.Instant   // millisecond of the last event
 	inMs    int             // events in it
-	cut     map[string]bool // processes and targets that nobody reaches
+	cut     map[string]bool // processes and targets that nobody reaches, and ways as from>to
 }
 
 // process is one reducer with its timers.
@@ -241,7 +241,7 @@
 
 // send delivers after a hop unless the way is cut.
 func (w *world) send(from, to string, deliver func()) {
-	if w.cut[from] || w.cut[to] {
+	if w.cut[from] || w.cut[to] || w.cut[from+">"+to] {
 		return
 	}
 	w.at(w.now.Add(hop), func() {
