Don't promote the primary that the proxies can't reach

Change: the failed primary is left out while the others form a quorum, and a run of failures waits longer each time. A promotion whose answer never comes has a timer of its own.

--- a/core/promotion/choose.go
+++ b/core/promotion/choose.go
@@ -11,7 +11,7 @@
 	if r.quorum == 0 {
 		return types.Target{}, false
 	}
-	best, ok := furthest(g, r)
+	best, ok := m.furthest(g, r)
 	switch {
 	case !ok:
 		return best, false
@@ -35,13 +35,16 @@
 }
 
 // furthest returns the member with the furthest position. Among equals it takes
-// the preferred one, then an active one, then the first by name.
-func furthest(g *types.Group, r *run) (types.Target, bool) {
+// the preferred one, then an active one, then the first by name. The primary
+// that the proxies can't reach is left out if the others are enough.
+func (m *Manager) furthest(g *types.Group, r *run) (types.Target, bool) {
+	_, avoided := r.answers[r.avoid]
+	skip := avoided && len(r.answers) > m.needed(g)
 	var best types.Target
 	found := false
 	for _, t := range g.Members {
 		s, ok := r.answers[t.Name]
-		if !ok {
+		if !ok || skip && t.Name == r.avoid {
 			continue
 		}
 		if !found || before(r.answers[best.Name].Pos, s.Pos, r.rank(best), r.rank(t)) {
@@ -62,9 +65,11 @@
 func (r *run) rank(t types.Target) int {
 	switch {
 	case t.Name == r.prefer:
-		return 2
+		return 3
+	case t.Name == r.avoid:
+		return 0
 	case t.State == types.TargetActive:
-		return 1
+		return 2
 	}
-	return 0
+	return 1
 }
--- a/core/promotion/detect.go
+++ b/core/promotion/detect.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/probe"
@@ -14,7 +15,7 @@
 func (m *Manager) driveServing(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	gr.quiesced, gr.ordered = 0, false
 	if reason := m.failed(now, g, gr); reason != "" {
-		return m.beginTerm(now, g, gr, reason)
+		return m.replace(now, g, gr, reason)
 	}
 	p, _ := g.Target(g.Primary)
 	switch {
@@ -28,6 +29,29 @@
 	return m.driveFollowers(now, g, gr)
 }
 
+// replace begins the term after a failed primary. When primaries fail one
+// after the other, it waits longer each time.
+func (m *Manager) replace(now types.Instant, g *types.Group, gr *group, reason string) []effect.Effect {
+	if at := gr.servedAt.Add(gr.patience()); now < at {
+		return []effect.Effect{arm(g.Service, at)}
+	}
+	gr.avoid = g.Primary
+	return m.beginTerm(now, g, gr, reason)
+}
+
+// patience returns how long a primary is kept after its choice, whatever the
+// proxies report.
+func (gr *group) patience() time.Duration {
+	if gr.quick < freeReplacements {
+		return 0
+	}
+	patience := minPatience
+	for range gr.quick - freeReplacements {
+		patience = min(2*patience, maxPatience)
+	}
+	return patience
+}
+
 // canMove reports whether some other member is active.
 func canMove(g *types.Group) bool {
 	for _, t := range g.Members {
@@ -89,7 +113,7 @@
 	}
 	end := gr.quiesced.Add(quiesceBound)
 	if reason := m.failed(now, g, gr); reason != "" {
-		return m.beginTerm(now, g, gr, reason)
+		return m.replace(now, g, gr, reason)
 	}
 	if now >= end || m.quiet(now, g) {
 		gr.ordered = true
--- a/core/promotion/failover_test.go
+++ b/core/promotion/failover_test.go
@@ -239,3 +239,34 @@
 	assert.Assert(t, ok && gap <= time.Second, "failover took %v", gap)
 	assert.Equal(t, w.primary().pos.Offset, uint64(4))
 }
+
+// cutProxies cuts the way from all proxies to a target, not that of control.
+func (w *world) cutProxies(target types.TargetName) {
+	for id := range w.proxies {
+		w.cut[string(id)+">"+string(target)] = true
+	}
+}
+
+func TestPrimaryThatOnlyControlReachesIsReplaced(t *testing.T) {
+	w := started(t)
+	old := w.primary()
+	w.cutProxies(old.name)
+	old.write(2)
+	_, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
+	assert.Assert(t, ok)
+	assert.Assert(t, w.primary() != old, "the primary that no proxy reaches was promoted again")
+	w.pass(3 * time.Second)
+	assert.Equal(t, w.group().Term, types.Term(2))
+}
+
+func TestTermsDoNotRunAway(t *testing.T) {
+	w := started(t)
+	for name := range w.targets {
+		w.cutProxies(name)
+	}
+	w.pass(time.Minute)
+	assert.Assert(t, w.group().Term <= 16, "%d terms in a minute", w.group().Term)
+	w.cut = map[string]bool{}
+	w.pass(10 * time.Second)
+	assert.Assert(t, w.serving(2))
+}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -43,10 +43,21 @@
 	// catchUpInterval is the time between two looks at a target that catches
 	// up.
 	catchUpInterval = 20 * time.Millisecond
+	// calmAfter is how long a primary has to serve until its failure is not
+	// counted together with the one before.
+	calmAfter = 30 * time.Second
+	// minPatience and maxPatience bound how long a primary is kept after
+	// freeReplacements in quick succession.
+	minPatience = time.Second
+	maxPatience = 8 * time.Second
 	// reportBound is the age up to which a proxy's report counts.
 	reportBound = 600 * time.Millisecond
 )
 
+// freeReplacements is how many primaries may be replaced in quick succession
+// without a pause.
+const freeReplacements = 3
+
 // Manager drives the promotions of all groups while this host leads.
 type Manager struct {
 	state   *cluster.State
@@ -65,12 +76,15 @@
 	proposed   types.Term    // term that it is about
 	prefer     types.TargetName
 	suspicions map[types.HostID]suspicion
-	demoted    types.Instant // since when the primary says that it is none
-	run        *run          // the promotion under way
-	quiesced   types.Instant // when the quiesce was first seen
-	ordered    bool          // the next term is an ordered change
-	moves      int           // tries to replace a primary that leaves
-	movedAt    types.Instant // last of them
+	demoted    types.Instant    // since when the primary says that it is none
+	run        *run             // the promotion under way
+	quiesced   types.Instant    // when the quiesce was first seen
+	ordered    bool             // the next term is an ordered change
+	avoid      types.TargetName // the primary that the proxies can't reach
+	servedAt   types.Instant    // when the last primary was chosen
+	quick      int              // primaries chosen in quick succession before it
+	moves      int              // tries to replace a primary that leaves
+	movedAt    types.Instant    // last of them
 	followers  map[types.TargetName]*follower
 }
 
@@ -151,6 +165,7 @@
 	if g == nil || g.Term != c.Term {
 		return nil
 	}
+	gr.countServed(now)
 	gr.followers = make(map[types.TargetName]*follower)
 	clear(gr.suspicions)
 	for _, t := range g.Members {
@@ -159,6 +174,16 @@
 	return m.drive(now, c.Service)
 }
 
+// countServed counts primaries that were chosen in quick succession.
+func (gr *group) countServed(now types.Instant) {
+	if gr.servedAt == 0 || now.Sub(gr.servedAt) >= calmAfter {
+		gr.quick = 0
+	} else {
+		gr.quick++
+	}
+	gr.servedAt = now
+}
+
 // settled returns a group whose proposal has been committed.
 func (m *Manager) settled(service types.ServiceName) *group {
 	gr := m.group(service)
--- a/core/promotion/run.go
+++ b/core/promotion/run.go
@@ -35,8 +35,10 @@
 	asked   map[types.TargetName]types.Instant // position questions under way
 	quorum  types.Instant                      // when a quorum had answered
 	prefer  types.TargetName                   // an operator's choice
+	avoid   types.TargetName                   // the primary that the proxies can't reach
 	chosen  types.TargetName
-	start   uint64 // position at which the chosen member was promoted
+	replyBy types.Instant // when the chosen member has answered at the latest
+	start   uint64        // position at which the chosen member was promoted
 }
 
 // begun starts the promotion of a term that was just committed.
@@ -52,6 +54,7 @@
 		answers: make(map[types.TargetName]types.TargetStatus),
 		asked:   make(map[types.TargetName]types.Instant),
 	}
+	gr.run.avoid, gr.avoid = gr.avoid, ""
 	gr.prefer, gr.demoted, gr.quiesced, gr.ordered = "", 0, 0, false
 	return m.drive(now, c.Service)
 }
@@ -77,6 +80,8 @@
 		return m.fence(now, g, gr)
 	case stageRead:
 		return m.read(now, g, gr)
+	case stagePromote:
+		return m.awaitPromotion(now, g, gr)
 	case stageServe:
 		return m.serve(now, g, gr)
 	}
@@ -109,7 +114,7 @@
 func (m *Manager) read(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	r := gr.run
 	if chosen, ok := m.choose(now, g, r); ok {
-		return m.promote(g, r, chosen)
+		return m.promote(now, g, r, chosen)
 	}
 	var out []effect.Effect
 	retry := r.retryInterval()
@@ -169,13 +174,32 @@
 }
 
 // promote asks the chosen member to become primary.
-func (m *Manager) promote(g *types.Group, r *run, chosen types.Target) []effect.Effect {
+func (m *Manager) promote(now types.Instant, g *types.Group, r *run, chosen types.Target) []effect.Effect {
 	r.stage, r.chosen = stagePromote, chosen.Name
-	return []effect.Effect{m.call(g, chosen, types.Operation{Kind: types.OpPromote, Term: g.Term})}
+	r.replyBy = now.Add(2 * callTimeout)
+	return []effect.Effect{
+		m.call(g, chosen, types.Operation{Kind: types.OpPromote, Term: g.Term}),
+		arm(g.Service, r.replyBy),
+	}
+}
+
+// awaitPromotion gives the term up when the chosen member has not answered.
+func (m *Manager) awaitPromotion(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	if now < gr.run.replyBy {
+		return []effect.Effect{arm(g.Service, gr.run.replyBy)}
+	}
+	return m.giveUp(now, g, gr)
+}
+
+// giveUp begins another term, because the chosen member may have become
+// primary without saying so.
+func (m *Manager) giveUp(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	reason := fmt.Sprintf("target %s was not promoted", gr.run.chosen)
+	gr.run = nil
+	return m.beginTerm(now, g, gr, reason)
 }
 
-// promoted commits the choice. A member that did not answer may have become
-// primary all the same, so that the term is given up.
+// promoted commits the choice.
 func (m *Manager) promoted(now types.Instant, g *types.Group, gr *group, name types.TargetName, e event.TargetReplied) []effect.Effect {
 	r := gr.run
 	if r == nil || r.term != g.Term || r.stage != stagePromote || r.chosen != name {
@@ -183,8 +207,7 @@
 	}
 	s := e.Result.Status
 	if e.Err != nil || e.Result.Err != types.TargetErrNone || s.Term != g.Term || !s.Primary {
-		gr.run = nil
-		return m.beginTerm(now, g, gr, fmt.Sprintf("target %s was not promoted", name))
+		return m.giveUp(now, g, gr)
 	}
 	r.stage, r.start = stageServe, s.Pos.Offset
 	return m.serve(now, g, gr)
