Drive the promotion tests with the common test driver

The tests had a queue, timers and a clock of their own. They use core/coretest now; each mechanism was switched off again on a scratch copy and its test seen failing, but for the answer of a member that dies while it is promoted: the timer of the promotion covers that as well.

--- a/core/promotion/failover_test.go
+++ b/core/promotion/failover_test.go
@@ -14,7 +14,7 @@
 	w := newWorld(t, 3, 4, 3)
 	_, ok := w.run(3*time.Second, func() bool { return w.serving(1) })
 	assert.Assert(t, ok, "no first primary: %+v", w.group())
-	w.pass(2 * time.Second)
+	w.Run(2 * time.Second)
 	assert.Equal(t, w.group().Term, types.Term(1))
 	return w
 }
@@ -47,7 +47,7 @@
 	w := started(t)
 	old := w.primary()
 	old.write(7)
-	w.pass(20 * time.Millisecond)
+	w.Run(20 * time.Millisecond)
 	old.down = true
 	gap, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
 	assert.Assert(t, ok, "no second primary: %+v", w.group())
@@ -60,9 +60,9 @@
 	for _, freeze := range []time.Duration{50, 150, 299} {
 		w := started(t)
 		for range 20 {
-			w.pass(time.Duration(w.rng.IntN(100)) * time.Millisecond)
-			w.primary().frozen = w.now.Add(freeze * time.Millisecond)
-			w.pass(time.Second)
+			w.Run(time.Duration(w.Random()%100) * time.Millisecond)
+			w.primary().frozen = w.clock().Add(freeze * time.Millisecond)
+			w.Run(time.Second)
 		}
 		assert.Equal(t, w.group().Term, types.Term(1), "frozen for %d ms", freeze)
 	}
@@ -70,7 +70,7 @@
 
 func TestFrozenPrimaryIsReplaced(t *testing.T) {
 	w := started(t)
-	w.primary().frozen = w.now.Add(time.Hour)
+	w.primary().frozen = w.clock().Add(time.Hour)
 	gap, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
 	assert.Assert(t, ok && gap <= 1500*time.Millisecond, "failover took %v", gap)
 }
@@ -79,17 +79,17 @@
 	w := started(t)
 	old := w.primary()
 	old.write(5)
-	w.pass(100 * time.Millisecond)
+	w.Run(100 * time.Millisecond)
 	w.cut[string(old.name)] = true
 	old.write(3)
 	_, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
 	assert.Assert(t, ok)
 	w.primary().write(1)
-	w.pass(time.Second)
+	w.Run(time.Second)
 	delete(w.cut, string(old.name))
 	_, ok = w.run(5*time.Second, func() bool { return old.term == 2 })
 	assert.Assert(t, ok, "the old primary was not rejoined")
-	w.pass(100 * time.Millisecond)
+	w.Run(100 * time.Millisecond)
 	assert.Equal(t, old.primary, false)
 	assert.Equal(t, old.pos, types.LogPos{Term: 2, Offset: 6})
 	assert.Equal(t, w.group().Term, types.Term(2))
@@ -103,7 +103,7 @@
 	_, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
 	assert.Assert(t, ok)
 	w.elect("c2")
-	w.pass(time.Second)
+	w.Run(time.Second)
 	delete(w.cut, string(old.name))
 	_, ok = w.run(2*time.Second, func() bool { return old.term == 2 && !old.primary && old.pos.Offset == 0 })
 	assert.Assert(t, ok, "the old primary was not rejoined: %+v", old.status())
@@ -115,7 +115,7 @@
 	assert.Assert(t, ok)
 	for term := types.Term(2); term <= 3; term++ {
 		w.primary().write(4)
-		w.pass(50 * time.Millisecond)
+		w.Run(50 * time.Millisecond)
 		w.primary().down = true
 		gap, ok := w.run(3*time.Second, func() bool { return w.serving(term) })
 		assert.Assert(t, ok && gap <= time.Second, "failover took %v", gap)
@@ -128,7 +128,7 @@
 	_, ok := w.run(3*time.Second, func() bool { return w.serving(1) })
 	assert.Assert(t, ok)
 	w.primary().write(4)
-	w.pass(50 * time.Millisecond)
+	w.Run(50 * time.Millisecond)
 	w.primary().down = true
 	dying := 0
 	for _, name := range []types.TargetName{"t2", "t3", "t4", "t5"} {
@@ -149,11 +149,11 @@
 	behind := w.replica()
 	behind.leader = ""
 	old.write(3)
-	w.pass(time.Second)
+	w.Run(time.Second)
 	for _, target := range w.targets {
 		target.down = target != behind
 	}
-	w.pass(5 * time.Second)
+	w.Run(5 * time.Second)
 	assert.Equal(t, w.group().Phase, types.GroupFencing)
 	for _, target := range w.targets {
 		target.down = false
@@ -167,18 +167,18 @@
 	w := started(t)
 	lost := w.proxies["p3"]
 	w.cut["p3"] = true
-	w.pass(100 * time.Millisecond)
+	w.Run(100 * time.Millisecond)
 	w.primary().down = true
 	_, ok := w.run(4*time.Second, func() bool { return w.group().Phase == types.GroupServing && w.group().Term > 1 })
 	assert.Assert(t, ok)
-	assert.Assert(t, !lost.view.LeaseLive(w.now), "a proxy acts on term 1 beside the primary of term 2")
+	assert.Assert(t, !lost.view.LeaseLive(w.clock()), "a proxy acts on term 1 beside the primary of term 2")
 	assert.Equal(t, lost.view.Group(service).Term, types.Term(1))
 }
 
 func TestControlLeaderIsCutOffSilently(t *testing.T) {
 	w := started(t)
 	w.cutLeader("c2")
-	w.pass(2 * time.Second)
+	w.Run(2 * time.Second)
 	assert.Assert(t, w.serving(1), "a proxy lost its lease for good")
 	w.primary().down = true
 	gap, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
@@ -189,11 +189,11 @@
 	for after := time.Duration(1); after <= 40; after += 3 {
 		w := started(t)
 		w.primary().write(4)
-		w.pass(50 * time.Millisecond)
+		w.Run(50 * time.Millisecond)
 		w.primary().down = true
 		_, ok := w.run(3*time.Second, func() bool { return w.group().Phase == types.GroupFencing })
 		assert.Assert(t, ok)
-		w.pass(after * time.Millisecond)
+		w.Run(after * time.Millisecond)
 		w.elect("c2")
 		_, ok = w.run(5*time.Second, func() bool { return w.serving(2) })
 		assert.Assert(t, ok, "leader changed after %d ms: %+v", after, w.group())
@@ -209,7 +209,7 @@
 	behind := w.replica()
 	behind.leader = ""
 	w.primary().write(100)
-	w.pass(50 * time.Millisecond)
+	w.Run(50 * time.Millisecond)
 	w.primary().down = true
 	_, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
 	assert.Assert(t, ok)
@@ -222,10 +222,10 @@
 func TestOneProxyThatCannotReachThePrimary(t *testing.T) {
 	w := started(t)
 	w.cut["p2>"+string(w.group().Primary)] = true
-	w.pass(3 * time.Second)
+	w.Run(3 * time.Second)
 	for i := range 6 {
 		w.elect([]types.HostID{"c2", "c3", "c1"}[i%3])
-		w.pass(3 * time.Second)
+		w.Run(3 * time.Second)
 	}
 	assert.Equal(t, w.group().Term, types.Term(1))
 }
@@ -233,7 +233,7 @@
 func TestPrimaryThatLostItsRoleIsReplaced(t *testing.T) {
 	w := started(t)
 	w.primary().write(4)
-	w.pass(time.Second)
+	w.Run(time.Second)
 	w.primary().primary = false
 	gap, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
 	assert.Assert(t, ok && gap <= time.Second, "failover took %v", gap)
@@ -255,7 +255,7 @@
 	_, ok := w.run(3*time.Second, func() bool { return w.serving(2) })
 	assert.Assert(t, ok)
 	assert.Assert(t, w.primary() != old, "the primary that no proxy reaches was promoted again")
-	w.pass(3 * time.Second)
+	w.Run(3 * time.Second)
 	assert.Equal(t, w.group().Term, types.Term(2))
 }
 
@@ -264,9 +264,9 @@
 	for name := range w.targets {
 		w.cutProxies(name)
 	}
-	w.pass(time.Minute)
+	w.Run(time.Minute)
 	assert.Assert(t, w.group().Term <= 16, "%d terms in a minute", w.group().Term)
 	w.cut = map[string]bool{}
-	w.pass(10 * time.Second)
+	w.Run(10 * time.Second)
 	assert.Assert(t, w.serving(2))
 }
--- a/core/promotion/ordered_test.go
+++ b/core/promotion/ordered_test.go
@@ -24,7 +24,7 @@
 	assert.Equal(t, w.group().Primary, to)
 	assert.Equal(t, w.primary().pos.Offset, uint64(9))
 	assert.Equal(t, w.replies[2].Err, proto.OpErrNone)
-	w.pass(time.Second)
+	w.Run(time.Second)
 	assert.Equal(t, old.primary, false)
 	assert.Equal(t, w.group().Term, types.Term(2))
 }
@@ -35,7 +35,7 @@
 	busy.writing = []types.ServiceName{service}
 	busy.report()
 	w.promoteTo(2, "t3")
-	w.pass(500 * time.Millisecond)
+	w.Run(500 * time.Millisecond)
 	assert.Equal(t, w.group().Phase, types.GroupQuiescing)
 	busy.writing = nil
 	busy.report()
@@ -73,7 +73,7 @@
 	assert.Assert(t, w.primary() != old)
 	member, _ := w.group().Target(old.name)
 	assert.Equal(t, member.State, types.TargetLeaving)
-	w.pass(3 * time.Second)
+	w.Run(3 * time.Second)
 	assert.Equal(t, w.group().Term, types.Term(2))
 }
 
@@ -85,13 +85,13 @@
 		return member.State
 	}
 	w.call(2, w.leader, proto.OperatorRequest{Drain: &proto.Drain{Ref: ref, On: true}})
-	w.pass(5 * time.Second)
+	w.Run(5 * time.Second)
 	assert.Equal(t, state(), types.TargetLeaving)
 	w.elect("c2")
-	w.pass(5 * time.Second)
+	w.Run(5 * time.Second)
 	assert.Equal(t, state(), types.TargetLeaving)
 	w.call(3, w.leader, proto.OperatorRequest{Drain: &proto.Drain{Ref: ref}})
-	w.pass(5 * time.Second)
+	w.Run(5 * time.Second)
 	assert.Equal(t, state(), types.TargetActive)
 	assert.Equal(t, w.replies[2].Err, proto.OpErrNone)
 	assert.Equal(t, w.replies[3].Err, proto.OpErrNone)
@@ -122,11 +122,11 @@
 			old.write(1)
 		}
 		if !stop {
-			w.at(w.now.Add(20*time.Millisecond), write)
+			w.Schedule(20*time.Millisecond, write)
 		}
 	}
 	write()
-	w.pass(3 * time.Second)
+	w.Run(3 * time.Second)
 	old.leaving = true
 	_, ok := w.run(time.Minute, func() bool { return w.serving(2) && w.primary() != old })
 	stop = true
--- a/core/promotion/replace_test.go
+++ b/core/promotion/replace_test.go
@@ -16,12 +16,12 @@
 func TestNewTargetTakesThePlaceOfALostOne(t *testing.T) {
 	w := started(t)
 	w.primary().write(4)
-	w.pass(time.Second)
+	w.Run(time.Second)
 	lost := w.replica()
 	lost.down = true
-	w.pass(10 * time.Second)
+	w.Run(10 * time.Second)
 	w.addTarget("t4")
-	w.pass(10 * time.Second)
+	w.Run(10 * time.Second)
 	assert.Equal(t, w.isMember("t4"), false, "a member was replaced too early")
 	_, ok := w.run(time.Minute, func() bool { return w.isMember("t4") })
 	assert.Assert(t, ok, "%+v", w.group())
@@ -47,10 +47,10 @@
 	}
 	behind.leader = ""
 	w.primary().write(4)
-	w.pass(time.Second)
+	w.Run(time.Second)
 	lost.down = true
 	w.addTarget("t4")
-	w.pass(time.Minute)
+	w.Run(time.Minute)
 	assert.Equal(t, w.isMember("t4"), false, "a target joined while another member was behind")
 	behind.leader, behind.pos = w.group().Primary, w.primary().pos
 	_, ok := w.run(time.Minute, func() bool { return w.isMember("t4") })
--- a/core/promotion/target_test.go
+++ b/core/promotion/target_test.go
@@ -38,14 +38,14 @@
 			Service: service, Name: t.name, Address: types.Address(t.name), Leaving: t.leaving,
 		}})
 	}
-	w.at(w.now.Add(time.Second), t.announce)
+	w.Schedule(time.Second, t.announce)
 }
 
 // write appends to the log of a primary; its followers get it after the lag.
 func (t *fakeTarget) write(n uint64) {
 	t.pos = types.LogPos{Term: t.term, Offset: t.pos.Offset + n}
 	pos, term := t.pos, t.term
-	t.world.at(t.world.now.Add(t.lag), func() {
+	t.world.Schedule(t.lag, func() {
 		for _, f := range t.world.targets {
 			cut := t.world.cut[string(t.name)] || t.world.cut[string(f.name)]
 			if f.leader == t.name && f.term == term && !cut && !f.down && f.pos.Compare(pos) < 0 {
@@ -79,7 +79,7 @@
 func (t *fakeTarget) follow(op types.Operation) {
 	t.term, t.primary, t.leader = op.Term, false, op.Leader.Name
 	leader := t.world.targets[op.Leader.Name]
-	t.world.at(t.world.now.Add(leader.lag), func() {
+	t.world.Schedule(leader.lag, func() {
 		if t.leader == leader.name && !t.world.cut[string(leader.name)] {
 			t.pos = leader.pos
 		}
@@ -91,18 +91,18 @@
 func (w *world) ask(from string, name types.TargetName, op types.Operation, timeout time.Duration, reply func(types.Result, error)) {
 	t := w.targets[name]
 	if t == nil || t.down {
-		w.at(w.now.Add(hop), func() { reply(types.Result{}, errUnreachable) })
+		w.Schedule(hop, func() { reply(types.Result{}, errUnreachable) })
 		return
 	}
 	answered := false
-	w.at(w.now.Add(timeout), func() {
+	w.Schedule(timeout, func() {
 		if !answered {
 			answered = true
 			reply(types.Result{}, errUnreachable)
 		}
 	})
 	w.send(from, string(name), func() {
-		w.at(max(w.now, t.frozen), func() {
+		w.Schedule(max(0, t.frozen.Sub(w.clock())), func() {
 			if op.Kind == types.OpPromote && t.refuse {
 				t.down = true
 			}
@@ -127,7 +127,7 @@
 }
 
 func (w *world) probe(p *process, e effect.Probe) {
-	asked := w.now
+	asked := w.clock()
 	w.ask(string(p.id), e.Ref.Name, types.Operation{Kind: types.OpPosition}, e.Timeout, func(r types.Result, err error) {
 		p.step(event.Probed{Ref: e.Ref, AskedAt: asked, Err: err, Status: r.Status})
 	})
--- a/core/promotion/world_test.go
+++ b/core/promotion/world_test.go
@@ -1,14 +1,14 @@
 package promotion_test
 
 import (
-	"container/heap"
 	"errors"
-	"math/rand/v2"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core"
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
+	"github.com/camphorpaddle/camphorpaddle/core/coretest"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/lease"
@@ -27,14 +27,11 @@
 	service = types.ServiceName("ledger")
 )
 
-// world drives control hosts and proxies by their effects. The control log is
+// world drives control hosts and proxies in virtual time. The control log is
 // shared and commits at once.
 type world struct {
+	*coretest.Cluster
 	t       *testing.T
-	now     types.Instant
-	rng     *rand.Rand
-	queue   eventQueue
-	order   uint64
 	log     []proto.Entry
 	term    proto.ControlTerm
 	leader  types.HostID
@@ -42,22 +39,19 @@
 	proxies map[types.HostID]*process
 	targets map[types.TargetName]*fakeTarget
 	replies map[uint64]proto.OperatorReply
-	decided []effect.Decide
-	ms      types.Instant   // millisecond of the last event
+	ms      time.Duration   // millisecond of the last event
 	inMs    int             // events in it
 	cut     map[string]bool // processes and targets that nobody reaches, and ways as from>to
 }
 
-// process is one reducer with its timers.
+// process is a control host or a proxy.
 type process struct {
 	world   *world
 	id      types.HostID
+	host    *coretest.Host
 	reducer *core.Reducer
 	state   *cluster.State
-	timers  map[event.TimerID]uint64
 	view    *types.NodeView
-	down    bool
-	sawView bool // reports each view at once
 	writing []types.ServiceName
 	until   types.Instant // LeadsUntil when cut off from the others
 }
@@ -68,7 +62,7 @@
 	case p.until != 0:
 		return p.until
 	case p.world.leader == p.id:
-		return p.world.now.Add(time.Second)
+		return p.world.clock().Add(time.Second)
 	}
 	return 0
 }
@@ -86,19 +80,21 @@
 
 func newWorld(t *testing.T, hosts, proxies, targets int) *world {
 	w := &world{
-		t: t, now: types.Instant(time.Second), rng: rand.New(rand.NewPCG(1, 2)),
+		t:     t,
 		hosts: map[types.HostID]*process{}, proxies: map[types.HostID]*process{},
 		targets: map[types.TargetName]*fakeTarget{}, replies: map[uint64]proto.OperatorReply{},
 		cut: map[string]bool{},
 	}
+	w.Cluster = coretest.NewCluster(1, func(h *coretest.Host) coretest.Stepper { return w.process(h.ID) })
+	w.Effect = func(h *coretest.Host, eff effect.Effect) { w.process(h.ID).execute(eff) }
 	for i := range hosts {
-		w.addHost(types.HostID("c" + string(rune('1'+i))))
+		w.addHost(types.HostID(fmt.Sprint("c", i+1)))
 	}
 	for i := range proxies {
-		w.addProxy(types.HostID("p" + string(rune('1'+i))))
+		w.addProxy(types.HostID(fmt.Sprint("p", i+1)))
 	}
 	for i := range targets {
-		w.addTarget(types.TargetName("t" + string(rune('1'+i))))
+		w.addTarget(types.TargetName(fmt.Sprint("t", i+1)))
 	}
 	w.elect("c1")
 	w.configure(targets)
@@ -106,23 +102,32 @@
 }
 
 func (w *world) addHost(id types.HostID) {
-	p := &process{world: w, id: id, state: cluster.New(), timers: map[event.TimerID]uint64{}}
+	p := &process{world: w, id: id, state: cluster.New()}
 	leases := lease.NewTable(id, p.state, p)
 	shares := limits.New(p.state, leases)
 	leases.SetShares(shares)
 	p.reducer = core.New(fakeLog{p}, p.state, leases, shares,
 		membership.New(p.state), promotion.New(p.state, leases), operator.New(id, p.state, leases))
 	w.hosts[id] = p
-	p.step(event.Start{})
+	p.host = w.Start(id)
 }
 
 func (w *world) addProxy(id types.HostID) {
-	p := &process{world: w, id: id, timers: map[event.TimerID]uint64{}, sawView: true}
+	p := &process{world: w, id: id}
 	p.reducer = core.New(node.New(node.Options{Host: id, AvailabilityZone: "z", Shards: 1}))
 	w.proxies[id] = p
-	p.step(event.Start{})
+	p.host = w.Start(id)
 }
 
+func (w *world) process(id types.HostID) *process {
+	if p := w.hosts[id]; p != nil {
+		return p
+	}
+	return w.proxies[id]
+}
+
+func (w *world) clock() types.Instant { return types.Instant(time.Second + w.Now()) }
+
 func (w *world) configure(members int) {
 	w.call(1, "c1", proto.OperatorRequest{Change: &proto.ChangeConfig{
 		ID: "first", Config: &types.Config{Services: map[types.ServiceName]types.Service{
@@ -148,9 +153,9 @@
 // once the old one can't be sure of leading any more.
 func (w *world) cutLeader(next types.HostID) {
 	old := w.hosts[w.leader]
-	old.until = w.now.Add(300 * time.Millisecond)
+	old.until = w.clock().Add(300 * time.Millisecond)
 	w.cut[string(old.id)] = true
-	w.pass(300 * time.Millisecond)
+	w.Run(300 * time.Millisecond)
 	w.elect(next)
 }
 
@@ -177,35 +182,25 @@
 	w.hosts[host].step(event.OperatorCalled{Call: n, Request: r})
 }
 
-// step gives a process an event and carries out the effects.
-func (p *process) step(ev event.Event) {
-	if p.down {
-		return
-	}
-	in := event.Input{Now: p.world.now, Seed: p.world.rng.Uint64(), Event: ev}
-	for _, eff := range p.reducer.Step(in) {
-		p.execute(eff)
+// Step passes an event to the reducer. It fails the test when a millisecond
+// holds more events than any use.
+func (p *process) Step(in event.Input) []effect.Effect {
+	w := p.world
+	if ms := w.Now().Truncate(time.Millisecond); ms != w.ms {
+		w.ms, w.inMs = ms, 0
 	}
+	w.inMs++
+	assert.Assert(w.t, w.inMs < 10_000, "the reducers spin at %v", w.ms)
+	return p.reducer.Step(in)
 }
 
+func (p *process) step(ev event.Event) { p.world.Step(p.host, ev) }
+
 func (p *process) execute(eff effect.Effect) {
 	w := p.world
 	switch e := eff.(type) {
 	case effect.ArmTimer:
-		assert.Assert(w.t, e.At > w.now, "timer %v armed at or before now", e.ID)
-		w.order++
-		mark := w.order
-		p.timers[e.ID] = mark
-		w.at(e.At, func() {
-			if p.timers[e.ID] == mark {
-				delete(p.timers, e.ID)
-				p.step(event.TimerFired{ID: e.ID})
-			}
-		})
-	case effect.StopTimer:
-		delete(p.timers, e.ID)
-	case effect.Decide:
-		w.decided = append(w.decided, e)
+		assert.Assert(w.t, e.At > w.clock(), "timer %v armed at or before now", e.ID)
 	case effect.ReplyOperator:
 		w.replies[e.Call] = e.Reply
 	case effect.GrantLease:
@@ -220,9 +215,7 @@
 		w.probe(p, e)
 	case effect.PublishView:
 		p.view = e.View
-		if p.sawView {
-			w.at(w.now.Add(time.Millisecond), p.report)
-		}
+		w.Schedule(time.Millisecond, p.report)
 	}
 }
 
@@ -234,7 +227,7 @@
 func (w *world) requestLease(p *process, e effect.RequestLease) {
 	to := e.To
 	if to == "" {
-		to = types.HostID("c" + string(rune('1'+w.rng.IntN(len(w.hosts)))))
+		to = types.HostID("c" + fmt.Sprint(1+w.Random()%uint64(len(w.hosts))))
 	}
 	w.send(string(p.id), string(to), func() { w.hosts[to].step(event.LeaseRequested{Request: e.Request}) })
 }
@@ -244,7 +237,7 @@
 	if w.cut[from] || w.cut[to] || w.cut[from+">"+to] {
 		return
 	}
-	w.at(w.now.Add(hop), func() {
+	w.Schedule(hop, func() {
 		if !w.cut[to] {
 			deliver()
 		}
@@ -253,44 +246,19 @@
 
 // run passes time until ok holds, and reports how long that took.
 func (w *world) run(bound time.Duration, ok func() bool) (time.Duration, bool) {
-	began := w.now
-	end := began.Add(bound)
-	for !ok() {
-		if len(w.queue) == 0 || w.queue[0].at > end {
-			w.now = end
-			return bound, false
-		}
-		next := heap.Pop(&w.queue).(scheduled)
-		w.now = next.at
-		w.checkSpin()
-		next.do()
-	}
-	return w.now.Sub(began), true
-}
-
-// checkSpin fails the test when a millisecond holds more events than any use.
-func (w *world) checkSpin() {
-	ms := w.now / types.Instant(time.Millisecond)
-	if ms != w.ms {
-		w.ms, w.inMs = ms, 0
-	}
-	w.inMs++
-	assert.Assert(w.t, w.inMs < 10_000, "the reducers spin at %d ms", ms)
+	began := w.Now()
+	done := w.RunUntil(bound, ok)
+	return w.Now() - began, done
 }
 
-func (w *world) pass(d time.Duration) { w.run(d, func() bool { return false }) }
-
 func (w *world) group() *types.Group { return w.hosts[w.leader].state.Group(service) }
 
 // serving reports whether every proxy that is up acts on a primary of at least
 // the term and holds a lease.
 func (w *world) serving(term types.Term) bool {
 	for _, p := range w.proxies {
-		if p.down {
-			continue
-		}
 		g := p.view.Group(service)
-		if g == nil || g.Term < term || g.Phase != types.GroupServing || !p.view.LeaseLive(w.now) {
+		if g == nil || g.Term < term || g.Phase != types.GroupServing || !p.view.LeaseLive(w.clock()) {
 			return false
 		}
 	}
@@ -298,30 +266,3 @@
 }
 
 var errUnreachable = errors.New("unreachable")
-
-func (w *world) at(at types.Instant, do func()) {
-	w.order++
-	heap.Push(&w.queue, scheduled{at: at, order: w.order, do: do})
-}
-
-// scheduled is something that happens at an instant.
-type scheduled struct {
-	at    types.Instant
-	order uint64
-	do    func()
-}
-
-type eventQueue []scheduled
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(scheduled)) }
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	x := (*q)[last]
-	*q = (*q)[:last]
-	return x
-}
