Begin a term that no member has known

Cause: a service that is removed and configured again counts its terms from one, and a member may have been primary of that number before. Change: a promotion that reads a term at or above its own moves on past it. Seen failing without: the group served term 1 again over the old log. What belongs to a removed service is forgotten, and a new leader is tested to wait before it calls members silent (seen failing without the wait).

--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -110,6 +110,7 @@
 			out = append(out, p.add(ref, m, now)...)
 		}
 	}
+	maps.DeleteFunc(p.samples, func(name types.ServiceName, _ *samples) bool { return view.Groups[name] == nil })
 	maps.DeleteFunc(p.targets, func(ref types.TargetRef, _ *target) bool { return !seen[ref] })
 	return out
 }
--- a/core/promotion/failover_test.go
+++ b/core/promotion/failover_test.go
@@ -1,6 +1,7 @@
 package promotion_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -270,3 +271,26 @@
 	w.Run(10 * time.Second)
 	assert.Assert(t, w.serving(2))
 }
+
+func TestServiceThatIsConfiguredAgain(t *testing.T) {
+	w := started(t)
+	w.primary().write(4)
+	w.Run(time.Second)
+	w.change(2, nil)
+	_, ok := w.run(time.Second, func() bool { return w.proxies["p1"].view.Group(service) == nil })
+	assert.Assert(t, ok, "the service is still in force")
+	w.change(3, map[types.ServiceName]types.Service{service: {Name: service, Members: 3, Slots: 3, Connections: 20}})
+	_, ok = w.run(5*time.Second, func() bool { return w.serving(2) })
+	assert.Assert(t, ok, "%+v", w.group())
+	assert.Equal(t, w.primary().pos.Offset, uint64(4))
+}
+
+func TestNewLeaderWaitsBeforeItCallsMembersSilent(t *testing.T) {
+	w := started(t)
+	w.Run(time.Second) // between two announcements
+	w.elect("c2")
+	_, silent := w.run(5*time.Second, func() bool {
+		return slices.ContainsFunc(w.group().Members, func(m types.Target) bool { return m.State != types.TargetActive })
+	})
+	assert.Equal(t, silent, false)
+}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -5,6 +5,7 @@
 package promotion
 
 import (
+	"maps"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
@@ -143,6 +144,7 @@
 	case !m.role.Leading:
 		return nil
 	case c.Change != nil:
+		maps.DeleteFunc(m.groups, func(name types.ServiceName, _ *group) bool { return m.state.Group(name) == nil })
 		return m.driveAll(now)
 	case c.Member != nil:
 		return m.drive(now, c.Member.Service)
--- a/core/promotion/run.go
+++ b/core/promotion/run.go
@@ -154,8 +154,8 @@
 	if e.Err != nil || e.Result.Err != types.TargetErrNone {
 		return nil // asked again at the next try
 	}
-	if e.Result.Status.Term > g.Term {
-		return m.beginTermAfter(now, g, gr, e.Result.Status.Term, fmt.Sprintf("target %s stands in a later term", name))
+	if e.Result.Status.Term >= g.Term { // nobody was promoted in this term yet
+		return m.beginTermAfter(now, g, gr, e.Result.Status.Term, fmt.Sprintf("target %s has known a later term", name))
 	}
 	r.answers[name] = e.Result.Status
 	if r.quorum == 0 && len(r.answers) >= m.needed(g) {
