--- a/core/consensus/bench_test.go
+++ b/core/consensus/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,3 +48,23 @@
 		})
 	}
 }
+
+// BenchmarkTakeover measures, in virtual time, how long it takes from the
+// crash of a leader until another host leads.
+func BenchmarkTakeover(b *testing.B) {
+	var gaps []time.Duration
+	for b.Loop() {
+		o := newOracle(b, uint64(len(gaps)), "a", "b", "c")
+		l := o.awaitLeader(takeover)
+		o.cluster.Run(time.Second)
+		o.cluster.Crash(l.ID())
+		delete(o.nodes, l.ID())
+		crashed := o.cluster.Now()
+		o.awaitLeader(2 * takeover)
+		gaps = append(gaps, o.cluster.Now()-crashed)
+	}
+	slices.Sort(gaps)
+	b.ReportMetric(float64(gaps[0].Milliseconds()), "min-ms")
+	b.ReportMetric(float64(gaps[len(gaps)/2].Milliseconds()), "median-ms")
+	b.ReportMetric(float64(gaps[len(gaps)-1].Milliseconds()), "max-ms")
+}
--- a/core/consensus/paper_test.go
+++ b/core/consensus/paper_test.go
@@ -150,3 +150,23 @@
 	h.receive(proto.Message{Kind: proto.MsgAppendReply, Term: h.Term(), Match: 3})
 	assert.Equal(t, h.Commit(), uint64(3))
 }
+
+// TestFormerLeaderKeepsItsPromise makes a leader step down for a host that is
+// in a later term. Leases that rest on the leader's rounds still run then, so
+// it must not help to elect anybody before they end.
+func TestFormerLeaderKeepsItsPromise(t *testing.T) {
+	h := newHandled(3, 3)
+	h.elect(t)
+	h.receive(proto.Message{Kind: proto.MsgAppendReply, Term: h.Term(), Match: 3, Round: 1})
+	until := h.LeadsUntil()
+	assert.Assert(t, until > h.now)
+	h.now++
+	later := h.Term() + 3
+	h.receive(proto.Message{Kind: proto.MsgAppendReply, Term: later, Reject: true})
+	assert.Equal(t, h.LeadsUntil(), types.Instant(0))
+	ask := proto.Message{Kind: proto.MsgVote, Term: later + 1, LogIndex: 9, LogTerm: later}
+	h.now = until - 1
+	assert.Equal(t, h.receive(ask).Kind, proto.MessageKind(0))
+	h.now = until.Add(consensus.ElectionTimeoutMin)
+	assert.Equal(t, h.receive(ask).Kind, proto.MsgVoteReply)
+}
