--- a/wire/conn.go
+++ b/wire/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/coder/websocket"
@@ -110,8 +111,13 @@
 	return trace.Wrap(ws.Write(ctx, websocket.MessageBinary, b), "writing a frame")
 }
 
+// oneLine returns the text of an error for a log or a close frame.
+func oneLine(err error) string {
+	return strings.Join(strings.Fields(trace.UserMessage(err)), " ")
+}
+
 // logEnd logs why a connection ended.
 func (c *conn) logEnd(self Hello, err error) {
 	klog.InfoS("peer_disconnected", "host", self.Host, "peer", c.peer.Host, "role", c.peer.Role.String(),
-		"dropped", c.out.droppedCount(), "reason", err.Error())
+		"dropped", c.out.droppedCount(), "reason", oneLine(err))
 }
--- a/wire/dial.go
+++ b/wire/dial.go
@@ -62,7 +62,7 @@
 		c, err := d.dial(ctx, addr)
 		switch {
 		case err != nil:
-			klog.V(1).InfoS("peer_dial_failed", "host", d.self.Host, "address", addr, "reason", err.Error())
+			klog.V(1).InfoS("peer_dial_failed", "host", d.self.Host, "address", addr, "reason", oneLine(err))
 		case c.peer.Host == d.self.Host:
 			_ = c.ws.CloseNow()
 			return // the address is this process
--- a/wire/server.go
+++ b/wire/server.go
@@ -34,7 +34,7 @@
 	ctx := s.mesh.tasks.ctx
 	peer, err := s.greet(ctx, ws)
 	if err != nil {
-		klog.InfoS("peer_refused", "host", s.mesh.dialer.self.Host, "address", r.RemoteAddr, "reason", err.Error())
+		klog.InfoS("peer_refused", "host", s.mesh.dialer.self.Host, "address", r.RemoteAddr, "reason", oneLine(err))
 		_ = ws.Close(websocket.StatusPolicyViolation, closeReason(err))
 		return
 	}
@@ -88,6 +88,6 @@
 // closeReason returns the text of an error as far as a close frame holds it.
 func closeReason(err error) string {
 	const limit = 120 // a close frame has room for 123 bytes
-	text := trace.UserMessage(err)
+	text := oneLine(err)
 	return text[:min(limit, len(text))]
 }
