--- a/core/consensus/paper_test.go
+++ b/core/consensus/paper_test.go
@@ -170,3 +170,37 @@
 	h.now = until.Add(consensus.ElectionTimeoutMin)
 	assert.Equal(t, h.receive(ask).Kind, proto.MsgVoteReply)
 }
+
+// TestInstallSnapshot covers section 7: entries after a snapshot stay only when
+// the log agrees with it.
+func TestInstallSnapshot(t *testing.T) {
+	tests := []struct {
+		name  string
+		index uint64
+		term  proto.ControlTerm
+		match uint64 // of the reply
+		after bool   // entry 4 of term 2 is still in the log
+	}{
+		{name: "same history", index: 3, term: 2, match: 3, after: true},
+		{name: "other history", index: 3, term: 3, match: 3, after: false},
+		{name: "beyond the log", index: 9, term: 3, match: 9, after: false},
+		{name: "old", index: 1, term: 1, match: 1, after: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHandled(4, 2, 2, 2)
+			reply := h.receive(proto.Message{Kind: proto.MsgSnapshot, Term: 5, Snapshot: &proto.Snapshot{
+				Index: tt.index, Term: tt.term, Voters: h.Voters(),
+			}})
+			assert.Equal(t, reply.Match, tt.match)
+			assert.Equal(t, h.Commit(), tt.match)
+			probe := proto.Message{Kind: proto.MsgAppend, Term: 5, LogIndex: 4, LogTerm: 2}
+			if tt.index > 4 {
+				probe.LogIndex, probe.LogTerm = tt.index+1, 5
+			}
+			assert.Equal(t, !h.receive(probe).Reject, tt.after)
+			next := proto.Message{Kind: proto.MsgAppend, Term: 5, LogIndex: tt.index, LogTerm: tt.term}
+			assert.Assert(t, !h.receive(next).Reject)
+		})
+	}
+}
