Replace a voter whose disk hangs

Heartbeats are answered ahead of the disk, so a voter with a hung disk looked alive for ever, and the next loss would have left no quorum. A reply now counts only when it adds to what the host has synced, or nothing was missing.

Seen: TestHungDiskIsReplaced fails when every reply counts.

--- a/core/consensus/failure_test.go
+++ b/core/consensus/failure_test.go
@@ -125,6 +125,24 @@
 	o.awaitCommit(takeover, "after the second loss")
 }
 
+// TestHungDiskIsReplaced lets a voter's disk hang while the voter itself still
+// answers heartbeats.
+func TestHungDiskIsReplaced(t *testing.T) {
+	o := newOracle(t, 1, "a", "b", "c")
+	l := o.awaitLeader(takeover)
+	o.cluster.Hosts["d"] = &coretest.Host{ID: "d", SyncTime: time.Millisecond}
+	o.cluster.Start("d")
+	o.cluster.Run(5 * time.Second)
+	hung := o.other(l)
+	hung.host.SyncTime = time.Hour
+	o.awaitCommit(takeover, "with two disks")
+	o.cluster.Run(12 * time.Second)
+	_, member := consensus.WithoutHost(l.Voters(), hung.ID())
+	assert.Assert(t, !member)
+	assert.Assert(t, !learns(l, "d"))
+	assert.Assert(t, o.leader() == l)
+}
+
 func learns(h *host, id types.HostID) bool {
 	for _, v := range h.Voters() {
 		if v.Host == id {
--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -33,11 +33,11 @@
 
 // progress is what the leader knows of one follower.
 type progress struct {
-	match    uint64 // last entry that it synced
-	next     uint64 // next entry to send
-	probing  bool   // next is a guess; one append at a time
-	round    uint64 // newest acknowledged round
-	heardAt  types.Instant
+	match    uint64        // last entry that it synced
+	next     uint64        // next entry to send
+	probing  bool          // next is a guess; one append at a time
+	round    uint64        // newest acknowledged round
+	workedAt types.Instant // last reply that added to match or had nothing to add
 	snapshot types.Instant // when a snapshot was sent last; zero when none is under way
 }
 
@@ -111,7 +111,7 @@
 func (n *Node) peer(h types.HostID) *progress {
 	p, ok := n.lead.peers[h]
 	if !ok {
-		p = &progress{next: n.lead.first, probing: true, heardAt: n.now}
+		p = &progress{next: n.lead.first, probing: true, workedAt: n.now}
 		n.lead.peers[h] = p
 	}
 	return p
@@ -193,7 +193,6 @@
 		return
 	}
 	p := n.peer(m.From)
-	p.heardAt = n.now
 	p.round = max(p.round, m.Round)
 	n.advanceLease()
 	if m.Reject {
@@ -202,6 +201,9 @@
 		n.retryAppend(m.From, p)
 		return
 	}
+	if m.Match > p.match || m.Match >= n.commit {
+		p.workedAt = n.now
+	}
 	if m.Match > p.match {
 		p.match = m.Match
 		p.snapshot = 0
--- a/core/consensus/voters.go
+++ b/core/consensus/voters.go
@@ -126,12 +126,13 @@
 	}
 }
 
-// silentFor returns how long a host has sent no reply.
+// silentFor returns how long a host has not worked: it sent no reply, or none
+// that showed that it syncs what it is sent.
 func (n *Node) silentFor(h types.HostID) time.Duration {
 	if h == n.self {
 		return 0
 	}
-	return n.now.Sub(n.peer(h).heardAt)
+	return n.now.Sub(n.peer(h).workedAt)
 }
 
 // caughtUp reports whether a host answers and lacks few entries.
