shared: Tell positions on an abandoned log from those that survive

Cause: a primary that dies before any member follows it leaves a log that forks from the one that goes on. By the starts of terms alone a position on it looks as if it survived, when the next term began at a larger offset. Found by the random runs of core/session: a session read older data without being told.

TermHistory.Begin leaves such terms out, given the term of the entry that the new term began after, and Survives takes a term that was left out as lost. Control does not call Begin yet; until it does, nothing changes.

--- a/core/types/logpos.go
+++ b/core/types/logpos.go
@@ -1,6 +1,9 @@
 package types
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // LogPos is a place in the log of a database group: the term in which the
 // entry was written and its offset. Offsets continue across terms.
@@ -30,18 +33,35 @@
 	Offset uint64
 }
 
-// TermHistory lists the starts of a group's terms in rising order.
+// TermHistory lists the starts of a group's terms in rising order. Terms
+// whose entries are all gone may be left out.
 type TermHistory []TermStart
 
+// Begin returns the history once a term has begun after an entry of term last.
+// Terms in between began on a log that the group has left.
+func (h TermHistory) Begin(start TermStart, last Term) TermHistory {
+	kept := slices.DeleteFunc(slices.Clone(h), func(s TermStart) bool { return s.Term > last })
+	return append(kept, start)
+}
+
 // Survives reports whether an entry at pos is still part of the log in term
-// current: no later term up to current began before it.
+// current: no later term up to current began before it, and its own term was
+// not left out between others.
 func (h TermHistory) Survives(pos LogPos, current Term) bool {
+	earlier, own, later := false, false, false
 	for _, s := range h {
-		if s.Term > pos.Term && s.Term <= current && s.Offset < pos.Offset {
+		switch {
+		case s.Term < pos.Term:
+			earlier = true
+		case s.Term == pos.Term:
+			own = true
+		case s.Term <= current && s.Offset < pos.Offset:
 			return false
+		case s.Term <= current:
+			later = true
 		}
 	}
-	return true
+	return own || !earlier || !later
 }
 
 // Covers reports whether a member that stands at have holds every entry up to
--- a/core/types/logpos_test.go
+++ b/core/types/logpos_test.go
@@ -31,6 +31,18 @@
 	}
 }
 
+// TestTermHistoryLeavesOutForks covers a term whose primary wrote entries that
+// no other member ever had: the next one begins on the log without them.
+func TestTermHistoryLeavesOutForks(t *testing.T) {
+	history := TermHistory{{Term: 1, Offset: 0}}
+	history = history.Begin(TermStart{Term: 2, Offset: 4}, 1)
+	history = history.Begin(TermStart{Term: 3, Offset: 9}, 1)
+	assert.DeepEqual(t, history, TermHistory{{Term: 1, Offset: 0}, {Term: 3, Offset: 9}})
+	assert.Assert(t, !history.Survives(LogPos{2, 5}, 3), "offset 5 belongs to term 1 now")
+	assert.Assert(t, history.Survives(LogPos{1, 9}, 3))
+	assert.Assert(t, history.Survives(LogPos{2, 5}, 2))
+}
+
 // TestLogPosCompareOrdersByTermFirst checks the order in which a promotion
 // chooses.
 func TestLogPosCompareOrdersByTermFirst(t *testing.T) {
