--- a/core/session/actions_test.go
+++ b/core/session/actions_test.go
@@ -26,6 +26,11 @@
 			"exchange2": w.exchange,
 			"break":     w.breakConn,
 			"settle":    w.settle,
+			"settle2":   w.settle,
+			"settle3":   w.settle,
+			"settle4":   w.settle,
+			"request3":  w.request,
+			"request4":  w.request,
 			"late":      w.lateAnswer,
 			"replicate": w.replicate,
 			"probe":     w.probe,
@@ -107,6 +112,10 @@
 	if len(p.dials) == 0 {
 		return
 	}
+	w.connectOne(t, p)
+}
+
+func (w *world) connectOne(t *rapid.T, p *modelProxy) {
 	conn := p.dials[0]
 	p.dials = p.dials[1:]
 	e := event.TargetConnected{Conn: conn}
@@ -116,19 +125,37 @@
 	w.step(p, e)
 }
 
-// settle answers everything under way and lets the replicas catch up.
+// settle renews the leases, ends a change of primary and answers everything
+// under way. Some replicas catch up, and some proxies hear of it.
 func (w *world) settle(t *rapid.T) {
+	for range 2 {
+		w.serveTerm(t)
+		for _, p := range w.proxies {
+			w.renew(p)
+		}
+	}
+	for _, m := range w.members {
+		if w.group.Phase == types.GroupServing && m.term != w.group.Term && rapid.Bool().Draw(t, "follows") {
+			m.follow(w.group.Term, w.member(w.group.Primary))
+		}
+	}
 	for _, p := range w.proxies {
-		for len(p.dials) > 0 {
-			w.connect(t)
+		for range len(p.dials) {
+			w.connectOne(t, p)
 		}
 		for range len(p.sends) {
 			w.exchange(t)
 		}
 	}
-	for range 3 {
-		w.replicate(t)
-		w.probe(t)
+	for _, m := range w.members {
+		if rapid.Bool().Draw(t, "catches up") {
+			w.replicateOne(t, m)
+		}
+		for _, p := range w.proxies {
+			if rapid.IntRange(0, 3).Draw(t, "heard") > 0 {
+				w.probeOne(t, p, m)
+			}
+		}
 	}
 }
 
@@ -209,8 +236,9 @@
 }
 
 // replicate gives a replica some entries of the primary of its term.
-func (w *world) replicate(t *rapid.T) {
-	m := pick(t, w.members)
+func (w *world) replicate(t *rapid.T) { w.replicateOne(t, pick(t, w.members)) }
+
+func (w *world) replicateOne(t *rapid.T, m *member) {
 	i := slices.IndexFunc(w.members, func(o *member) bool { return o.primary && o.term == m.term })
 	if i < 0 || m.primary {
 		return
@@ -227,10 +255,13 @@
 }
 
 // probe brings a proxy the status of a target.
-func (w *world) probe(t *rapid.T) {
-	p, m := pick(t, w.proxies), pick(t, w.members)
+func (w *world) probe(t *rapid.T) { w.probeOne(t, pick(t, w.proxies), pick(t, w.members)) }
+
+func (w *world) probeOne(t *rapid.T, p *modelProxy, m *member) {
 	asked := w.now
-	w.pass(t)
+	if rapid.IntRange(0, 3).Draw(t, "slow") == 0 {
+		w.pass(t)
+	}
 	if m.wiped[p.index] {
 		w.probeFailed(p, m)
 		return
@@ -276,7 +307,7 @@
 
 // pass moves the clock and fires what comes due.
 func (w *world) pass(t *rapid.T) {
-	w.now = w.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
+	w.now = w.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
 	for _, p := range w.proxies {
 		for _, id := range dueTimers(p, w.now) {
 			delete(p.timers, id)
@@ -300,7 +331,7 @@
 
 // beginTerm has control replace the primary.
 func (w *world) beginTerm(t *rapid.T) {
-	if w.group.Phase != types.GroupServing || w.wiped() || rapid.IntRange(0, 3).Draw(t, "rarely") != 0 {
+	if w.group.Phase != types.GroupServing || w.wiped() || rapid.IntRange(0, 5).Draw(t, "rarely") != 0 {
 		return
 	}
 	w.version++
@@ -328,7 +359,7 @@
 	}
 	w.version++
 	w.group.Phase, w.group.Primary = types.GroupServing, best.name
-	w.group.History = append(w.group.History, types.TermStart{Term: w.group.Term, Offset: best.pos().Offset})
+	w.group.History = w.group.History.Begin(types.TermStart{Term: w.group.Term, Offset: best.pos().Offset}, best.pos().Term)
 	best.promote(w.group.Term)
 }
 
@@ -338,7 +369,7 @@
 	if w.group.Phase != types.GroupServing || m.term == w.group.Term {
 		return
 	}
-	m.follow(w.group.Term, w.group.History)
+	m.follow(w.group.Term, w.member(w.group.Primary))
 }
 
 // leave changes whether a target is to get work.
--- a/core/session/model_test.go
+++ b/core/session/model_test.go
@@ -106,14 +106,12 @@
 	return false
 }
 
-// follow makes the member a replica of term and takes back what later terms
-// do not hold.
-func (m *member) follow(term types.Term, history types.TermHistory) {
-	keep := len(m.log)
-	for _, s := range history {
-		if s.Term > m.pos().Term {
-			keep = min(keep, int(s.Offset))
-		}
+// follow makes the member a replica of term and takes back what the leader's
+// log does not hold.
+func (m *member) follow(term types.Term, leader *member) {
+	keep := 0
+	for keep < min(len(m.log), len(leader.log)) && m.log[keep].term == leader.log[keep].term {
+		keep++
 	}
 	m.log, m.mustReach = slices.Clone(m.log[:keep]), 0
 	m.term, m.primary = term, false
