--- a/core/routing/policies.go
+++ b/core/routing/policies.go
@@ -2,8 +2,26 @@
 
 import "math/rand/v2"
 
-// TwoChoices picks two candidates at random and takes the one that would
-// answer first by its outstanding exchanges and latency.
+// RoundRobin takes the candidates in turns.
+type RoundRobin struct{ next int }
+
+// Pick implements Policy.
+func (p *RoundRobin) Pick(c []Candidate, _ uint64) int {
+	p.next++
+	return p.next % len(c)
+}
+
+// LeastOutstanding takes the candidate with the fewest exchanges under way. The
+// same availability zone breaks a tie, then chance.
+type LeastOutstanding struct{}
+
+// Pick implements Policy.
+func (LeastOutstanding) Pick(c []Candidate, seed uint64) int {
+	return best(c, seed, func(c Candidate) float64 { return float64(c.Outstanding) })
+}
+
+// TwoChoices takes two candidates at random and of them the one that is
+// expected to answer first, by its outstanding exchanges and latency.
 type TwoChoices struct{}
 
 // Pick implements Policy.
@@ -14,20 +32,37 @@
 	r := rand.New(rand.NewPCG(seed, uint64(len(c))))
 	i := r.IntN(len(c))
 	j := (i + 1 + r.IntN(len(c)-1)) % len(c)
-	if better(c[j], c[i]) {
-		return j
-	}
-	return i
+	return []int{i, j}[best([]Candidate{c[i], c[j]}, seed, expectedWait)]
+}
+
+// Throughput is LB-RLT of Almeida, Cavalcante, Sousa and Machado, "LB-RLT
+// Approach for Load Balancing Heterogeneous Storage Nodes": the highest product
+// of the last answer's throughput and the number of answers so far.
+type Throughput struct{}
+
+// Pick implements Policy.
+func (Throughput) Pick(c []Candidate, seed uint64) int {
+	return best(c, seed, func(c Candidate) float64 {
+		if c.Answers == 0 {
+			return -1e18 // sorted first until its throughput is known
+		}
+		return -float64(c.Answers) / c.Last.Seconds()
+	})
 }
 
-// better reports whether a is expected to answer sooner than b. The same
-// availability zone breaks a tie.
-func better(a, b Candidate) bool {
-	x, y := expectedWait(a), expectedWait(b)
-	if x != y {
-		return x < y
+// best returns the candidate with the lowest cost. The same availability zone
+// breaks a tie, then chance.
+func best(c []Candidate, seed uint64, cost func(Candidate) float64) int {
+	first := int(seed % uint64(len(c)))
+	found := first
+	for k := 1; k < len(c); k++ {
+		i := (first + k) % len(c)
+		x, y := cost(c[i]), cost(c[found])
+		if x < y || x == y && c[i].SameZone && !c[found].SameZone {
+			found = i
+		}
 	}
-	return a.SameZone && !b.SameZone
+	return found
 }
 
 // expectedWait estimates the time until a new exchange is answered.
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -14,7 +14,8 @@
 	Outstanding int           // exchanges under way
 	Slots       int           // statements that this proxy may run there at a time
 	Latency     time.Duration // moving average of the time to answer
-	Rate        float64       // moving average of answers a second
+	Last        time.Duration // time that the last answer took
+	Answers     uint64        // answers so far
 	SameZone    bool          // in the proxy's availability zone
 }
 
@@ -25,5 +26,5 @@
 	Pick(c []Candidate, seed uint64) int
 }
 
-// Default returns the policy that is used unless a test sets another.
+// Default returns the policy of a shard that sets none.
 func Default() Policy { return TwoChoices{} }
--- a/core/routing/stats.go
+++ b/core/routing/stats.go
@@ -1,36 +1,32 @@
 package routing
 
-import (
-	"time"
+import "time"
 
-	"github.com/camphorpaddle/camphorpaddle/core/types"
-)
-
-// latencyGain is the weight of a new sample in the moving averages.
+// latencyGain is the weight of a new sample in the moving average.
 const latencyGain = 0.1
 
-// Stats keeps the moving averages of one target.
+// Stats keeps what is known of one target's answers.
 type Stats struct {
-	latency  time.Duration
-	rate     float64
-	answered types.Instant
+	latency time.Duration
+	last    time.Duration
+	answers uint64
 }
 
 // Answered takes in the time that an exchange took.
-func (s *Stats) Answered(now types.Instant, took time.Duration) {
-	if s.latency == 0 {
+func (s *Stats) Answered(took time.Duration) {
+	if s.answers == 0 {
 		s.latency = took
 	} else {
 		s.latency += time.Duration(latencyGain * float64(took-s.latency))
 	}
-	if gap := now.Sub(s.answered); s.answered != 0 && gap > 0 {
-		s.rate += latencyGain * (float64(time.Second)/float64(gap) - s.rate)
-	}
-	s.answered = now
+	s.last = took
+	s.answers++
 }
 
 // Latency returns the average time to answer, or zero before the first.
 func (s *Stats) Latency() time.Duration { return s.latency }
 
-// Rate returns the average number of answers a second.
-func (s *Stats) Rate() float64 { return s.rate }
+// Fill sets the fields of a candidate that the statistics know.
+func (s *Stats) Fill(c *Candidate) {
+	c.Latency, c.Last, c.Answers = s.latency, s.last, s.answers
+}
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -122,7 +122,7 @@
 		return
 	}
 	r.observed.Answered = s.now
-	r.service.target(r.target).stats.Answered(s.now, e.Took)
+	r.service.target(r.target).stats.Answered(e.Took)
 	s.takeStatus(r, e.Results[len(e.Results)-1])
 	s.stepDone(r, e.Results)
 }
--- /dev/null
+++ b/core/session/load_test.go
@@ -0,0 +1,124 @@
+package session
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/routing"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"gotest.tools/v3/assert"
+)
+
+// loadTime is how long a load runs, in virtual time.
+const loadTime = 10 * time.Second
+
+// load sends reads at a steady rate, each in a session of its own.
+type load struct {
+	sim     *sim
+	next    types.SessionID
+	token   types.LogPos
+	times   []time.Duration // from arrival to answer
+	queued  []time.Duration // from arrival to a connection
+	refused map[types.RefusalCode]int
+	early   int // refused at arrival
+}
+
+func runLoad(policy routing.Policy, perSecond float64, profile types.ProfileName, targets map[types.TargetName]*simTarget) *load {
+	l := &load{sim: newSim(Options{Policy: policy}, testConfig(), targets), refused: make(map[types.RefusalCode]int)}
+	l.sim.observed = l.observed
+	l.sim.replied = func(id types.SessionID, _ *types.Refusal) {
+		l.sim.after(0, func() { l.sim.step(event.SessionClosed{Session: id}) })
+	}
+	l.sim.run(l.sim.now.Add(100 * time.Millisecond)) // connections are warm
+	l.arrive(perSecond, profile)
+	l.sim.run(l.sim.now.Add(loadTime))
+	return l
+}
+
+func (l *load) arrive(perSecond float64, profile types.ProfileName) {
+	l.next++
+	l.sim.step(event.SessionOpened{Session: l.next, Params: types.SessionParams{Service: svcName, Token: &l.token}})
+	l.sim.step(event.RequestArrived{Session: l.next, Request: types.Request{
+		Seq: 1, Profile: profile, Class: types.ClassRead, Payload: &simStatement{},
+	}})
+	pause := time.Duration(l.sim.rand.ExpFloat64() / perSecond * float64(time.Second))
+	l.sim.after(pause, func() { l.arrive(perSecond, profile) })
+}
+
+func (l *load) observed(o effect.Observation) {
+	if o.Refusal != 0 {
+		l.refused[o.Refusal]++
+		if o.Done == o.Arrived {
+			l.early++
+		}
+		return
+	}
+	l.times = append(l.times, o.Done.Sub(o.Arrived))
+	l.queued = append(l.queued, o.Assigned.Sub(o.Arrived))
+}
+
+func percentile[T cmp.Ordered](values []T, p int) T {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[(len(sorted)-1)*p/100]
+}
+
+func mean(values []time.Duration) time.Duration {
+	var sum time.Duration
+	for _, v := range values {
+		sum += v
+	}
+	return sum / time.Duration(len(values))
+}
+
+// unequal returns a primary and three replicas, of which one is three times as
+// slow as the others.
+func unequal(slots int) map[types.TargetName]*simTarget {
+	return map[types.TargetName]*simTarget{
+		"a": {slots: slots, service: 4 * time.Millisecond},
+		"b": {slots: slots, service: 4 * time.Millisecond},
+		"c": {slots: slots, service: 12 * time.Millisecond},
+		"d": {slots: slots, service: 4 * time.Millisecond},
+	}
+}
+
+// TestDefaultPolicyOnUnequalReplicas compares the policies at 70% of what the
+// replicas can do. The default must not lose to the simplest one.
+func TestDefaultPolicyOnUnequalReplicas(t *testing.T) {
+	for _, slots := range []int{3, 5} {
+		t.Run(fmt.Sprint(slots, " slots"), func(t *testing.T) {
+			rate := 0.7 * float64(slots) * (2/0.004 + 1/0.012)
+			means := make(map[string]time.Duration)
+			for _, p := range []routing.Policy{&routing.RoundRobin{}, routing.LeastOutstanding{}, routing.TwoChoices{}, routing.Throughput{}} {
+				l := runLoad(p, rate, "session", unequal(slots))
+				means[fmt.Sprintf("%T", p)] = mean(l.times)
+				t.Logf("%T: %d answers, mean %v, median %v, 99th percentile %v, refused %v", p, len(l.times),
+					mean(l.times).Round(10*time.Microsecond), percentile(l.times, 50).Round(10*time.Microsecond),
+					percentile(l.times, 99).Round(10*time.Microsecond), l.refused)
+			}
+			assert.Assert(t, means[fmt.Sprintf("%T", routing.Default())] <= means["*routing.RoundRobin"])
+		})
+	}
+}
+
+// TestDoubleLoadIsShedEarly offers twice what the primary can do.
+func TestDoubleLoadIsShedEarly(t *testing.T) {
+	targets := unequal(3)
+	capacity := 3 / 0.004
+	l := runLoad(nil, 2*capacity, "strict", targets)
+	refused := 0
+	for _, n := range l.refused {
+		refused += n
+	}
+	t.Logf("capacity %.0f/s, offered %.0f/s: answered %.0f/s, refused %.0f/s of which %.1f%% at arrival, queue time median %v, 99th percentile %v",
+		capacity, 2*capacity, float64(len(l.times))/loadTime.Seconds(), float64(refused)/loadTime.Seconds(),
+		100*float64(l.early)/float64(refused), percentile(l.queued, 50).Round(time.Millisecond), percentile(l.queued, 99).Round(time.Millisecond))
+	profile := testConfig().Profiles["strict"]
+	assert.Assert(t, percentile(l.queued, 99) <= profile.QueueTimeout)
+	assert.Assert(t, float64(len(l.times)) >= 0.9*capacity*loadTime.Seconds(), "capacity is left unused")
+	assert.Assert(t, l.early >= refused*9/10, "most is refused at arrival")
+}
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -13,6 +13,9 @@
 const (
 	// primaryKey is the candidate set of requests that need the primary.
 	primaryKey = "\x00primary"
+	// admissionMargin is how many times the estimated wait must fit into the
+	// queue timeout. Those that are admitted then seldom time out.
+	admissionMargin = 2
 	// maxQueue bounds the requests that wait for one candidate set.
 	maxQueue = 4096
 )
@@ -79,7 +82,7 @@
 		return "the queue is full"
 	}
 	wait := s.queueTime(r.service, q)
-	if s.now.Add(wait) > r.queueDeadline {
+	if admissionMargin*wait > r.queueDeadline.Sub(s.now) {
 		return "the queue would take " + wait.String()
 	}
 	return ""
@@ -220,9 +223,9 @@
 		member, _ := g.Target(name)
 		candidates[i] = routing.Candidate{
 			Target: name, Outstanding: t.pool.InFlight(), Slots: t.pool.Share().Slots,
-			Latency: t.stats.Latency(), Rate: t.stats.Rate(),
 			SameZone: member.AvailabilityZone == s.options.AvailabilityZone,
 		}
+		t.stats.Fill(&candidates[i])
 	}
 	return names[s.options.Policy.Pick(candidates, s.random())]
 }
