--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -5,6 +5,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/role"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -26,9 +27,7 @@
 	shares ShareSource
 
 	now     types.Instant // of the event that is under way
-	leading bool
-	leader  types.HostID
-	term    proto.ControlTerm
+	role    role.Role
 	since   types.Instant // when this host became leader
 	proxies map[types.HostID]*proxyLease
 }
@@ -39,9 +38,12 @@
 	heard    types.Instant // zero until it asked this leader
 	until    types.Instant // the proxy may count on its lease until then
 	seen     uint64        // largest version that it acts on
-	waiting  bool          // its request waits for the registration
-	proposed bool          // its registration is under way
-	removing bool          // its removal is under way
+	sent     uint64        // version of the last view sent to it
+	due      uint64        // version that it has to act on by dueAt
+	dueAt    types.Instant
+	waiting  bool // its request waits for the registration
+	proposed bool // its registration is under way
+	removing bool // its removal is under way
 }
 
 // NewTable returns an empty table.
@@ -64,6 +66,7 @@
 		if e.Entry.Command.Proxy != nil {
 			return t.registered(*e.Entry.Command.Proxy)
 		}
+		return t.push()
 	case event.TimerFired:
 		if e.ID.Domain == event.DomainLeaseTable {
 			return t.sweep()
@@ -75,9 +78,7 @@
 // changeRole begins with a table that knows no request. Each registered proxy
 // may hold a lease of the leader before.
 func (t *Table) changeRole(e event.RoleChanged) []effect.Effect {
-	again := e.Leading && t.leading && e.Term == t.term
-	t.leading, t.leader, t.term = e.Leading, e.Leader, e.Term
-	if again {
+	if !t.role.Change(e) {
 		return nil
 	}
 	t.proxies = make(map[types.HostID]*proxyLease)
@@ -121,12 +122,12 @@
 // stale reports whether seq is at or shortly before last.
 func stale(seq, last uint64) bool { return last-seq < staleWindow }
 
-func (t *Table) surelyLeads() bool { return t.leading && t.now < t.lead.LeadsUntil() }
+func (t *Table) surelyLeads() bool { return t.role.Leading && t.now < t.lead.LeadsUntil() }
 
 func (t *Table) refuse(r proto.LeaseRequest) []effect.Effect {
-	g := proto.LeaseGrant{Proxy: r.Proxy, Seq: r.Seq, SentAt: r.SentAt, Term: t.term, NotLeader: true}
-	if t.leader != t.self {
-		g.Leader = t.leader
+	g := proto.LeaseGrant{Proxy: r.Proxy, Seq: r.Seq, SentAt: r.SentAt, Term: t.role.Term, NotLeader: true}
+	if t.role.Leader != t.self {
+		g.Leader = t.role.Leader
 	}
 	return []effect.Effect{effect.GrantLease{Grant: g}}
 }
@@ -146,7 +147,7 @@
 func (t *Table) registered(c proto.SetProxy) []effect.Effect {
 	p := t.proxies[c.Host]
 	switch {
-	case !t.leading || p == nil:
+	case !t.role.Leading || p == nil:
 		return nil
 	case c.Remove:
 		delete(t.proxies, c.Host)
@@ -168,9 +169,10 @@
 	}
 	g := proto.LeaseGrant{
 		Proxy: p.request.Proxy, Seq: p.request.Seq, SentAt: p.request.SentAt,
-		Term: t.term, View: t.state.Update(p.request.Have),
+		Term: t.role.Term, View: t.state.Update(p.request.Have),
 	}
-	if !p.request.Draining {
+	p.sent = t.state.View().Version
+	if !p.request.Draining && t.keepsUp(p) {
 		g.Duration = Duration
 		p.until = t.now.Add(Duration + driftMargin)
 	}
@@ -180,6 +182,38 @@
 	return []effect.Effect{effect.GrantLease{Grant: g}}
 }
 
+// keepsUp reports whether the shards of a proxy act on new views in time. One
+// that hangs would hold up every promotion.
+func (t *Table) keepsUp(p *proxyLease) bool {
+	if p.seen >= p.due {
+		p.due = t.state.View().Version
+		p.dueAt = t.now.Add(seenBound)
+	}
+	return p.seen >= p.due || t.now < p.dueAt
+}
+
+// push sends a new view to the proxies that hold a lease, as a further answer
+// to their last request. It brings no time and no shares.
+func (t *Table) push() []effect.Effect {
+	if !t.surelyLeads() {
+		return nil
+	}
+	version := t.state.View().Version
+	var out []effect.Effect
+	for _, reg := range t.state.Proxies() {
+		p := t.proxies[reg.Host]
+		if p == nil || p.heard == 0 || t.now >= p.until || p.sent >= version {
+			continue
+		}
+		out = append(out, effect.GrantLease{Grant: proto.LeaseGrant{
+			Proxy: reg.Host, Seq: p.request.Seq, SentAt: p.request.SentAt,
+			Term: t.role.Term, View: t.state.Update(p.sent),
+		}})
+		p.sent = version
+	}
+	return out
+}
+
 func (t *Table) armSweep() effect.Effect {
 	return effect.ArmTimer{
 		ID: event.TimerID{Domain: event.DomainLeaseTable}, At: t.now.Add(sweepInterval),
@@ -188,7 +222,7 @@
 
 // sweep proposes to forget proxies that stopped or were silent for long.
 func (t *Table) sweep() []effect.Effect {
-	if !t.leading {
+	if !t.role.Leading {
 		return nil
 	}
 	out := []effect.Effect{t.armSweep()}
