Measure a statement through the proxy, a relay and directly

Cause: the cost of the proxy is to be seen side by side with its baselines. Change: BenchmarkStatement in e2e: real processes, reads and writes over 1, 4 and 12 sessions, wall time and the processor time of the process between.

--- a/e2e/lab_test.go
+++ b/e2e/lab_test.go
@@ -34,6 +34,10 @@
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
 func run(m *testing.M) int {
+	if target := os.Getenv(relayVariable); target != "" {
+		fmt.Fprintln(os.Stderr, relay(target))
+		return 1
+	}
 	dir, err := os.MkdirTemp("", "camphorpaddle-e2e-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -89,7 +93,7 @@
 	return conn
 }
 
-func exec(ctx context.Context, t *testing.T, conn *pgx.Conn, sql string, args ...any) {
+func execute(ctx context.Context, t *testing.T, conn *pgx.Conn, sql string, args ...any) {
 	t.Helper()
 	_, err := conn.Exec(ctx, sql, args...)
 	assert.NilError(t, err, sql)
@@ -98,7 +102,7 @@
 // createTable makes the table that the tests write to.
 func createTable(ctx context.Context, t *testing.T, p *lab.Proxy) {
 	t.Helper()
-	exec(ctx, t, connect(ctx, t, p, ""), "CREATE TABLE orders (id BIGINT PRIMARY KEY, part TEXT)")
+	execute(ctx, t, connect(ctx, t, p, ""), "CREATE TABLE orders (id BIGINT PRIMARY KEY, part TEXT)")
 }
 
 // insertOnce tries one write in a session of its own.
