--- a/core/operator/operator.go
+++ b/core/operator/operator.go
@@ -116,7 +116,7 @@
 func (d *Desk) status(now types.Instant) *proto.Status {
 	st := &proto.Status{
 		Host: d.self, Leader: d.role.Leader, Term: d.role.Term,
-		Commit: d.state.Applied(), Applied: d.state.Applied(),
+		Commit: d.state.Applied(), Applied: d.state.Applied(), ConfigSince: d.state.ConfigSince(),
 		Voters: d.state.Voters(), State: d.state.Snapshot(), Proxies: d.leases.Status(),
 	}
 	latest := make(map[types.TargetRef]proto.TargetReport)
