--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Few targets; see README.md.
 
-.PHONY: build demo test lint ci bench fuzz
+.PHONY: build demo test lint ci bench fuzz measure
 
 build:
 	go build -o bin/ ./cmd/...
@@ -17,6 +17,12 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+# Failover gap and time until a change is in force, from real processes.
+measure:
+	go run ./internal/measure config
+	go run ./internal/measure failover --fault kill
+	go run ./internal/measure failover --fault freeze
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
--- a/cmd/paddlectl/status.go
+++ b/cmd/paddlectl/status.go
@@ -68,19 +68,6 @@
 	return fmt.Sprintf("older than %d", st.ConfigVersion)
 }
 
-// behindProxies lists the proxies that serve and do not act on a version of
-// the configuration yet. A version that was replaced meanwhile is in force
-// once its successor is.
-func behindProxies(st api.Status, version uint64) []string {
-	var out []string
-	for _, p := range st.Proxies {
-		if st.ConfigVersion < version || p.LeaseLive && p.Seen < st.ConfigSince {
-			out = append(out, p.Host)
-		}
-	}
-	return out
-}
-
 func serviceTable(st api.Status) *table {
 	t := &table{header: []string{"SERVICE", "PHASE", "TERM", "PRIMARY", "TARGETS"}}
 	for _, svc := range st.Services {
--- a/daemon/api/api.go
+++ b/daemon/api/api.go
@@ -86,6 +86,19 @@
 	Services      []Service `json:"services"`
 }
 
+// Behind lists the proxies that serve and do not act on a version of the
+// configuration yet. A version that was replaced meanwhile is in force once its
+// successor is.
+func (s *Status) Behind(version uint64) []string {
+	var out []string
+	for _, p := range s.Proxies {
+		if s.ConfigVersion < version || p.LeaseLive && p.Seen < s.ConfigSince {
+			out = append(out, p.Host)
+		}
+	}
+	return out
+}
+
 // Host is a control host.
 type Host struct {
 	Host             string `json:"host"`
--- /dev/null
+++ b/internal/measure/main.go
@@ -0,0 +1,87 @@
+// Command measure takes figures from real processes on loopback: the failover
+// gap, and the time until a change of configuration is in force everywhere.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/internal/cmdline"
+	"github.com/camphorpaddle/camphorpaddle/internal/lab"
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+)
+
+// What is measured.
+const (
+	configFile  = "examples/magnolia/config.yaml"
+	service     = "spares-ledger-stock"
+	defaultRuns = 20
+)
+
+func main() {
+	runs := &cli.IntFlag{Name: "runs", Value: defaultRuns, Usage: "number of runs"}
+	lag := &cli.DurationFlag{Name: "lag", Value: 20 * time.Millisecond, Usage: "lag of the replicas"}
+	cmdline.Main(&cli.Command{
+		Name: "measure", Usage: "take figures from real processes on loopback",
+		Commands: []*cli.Command{
+			{
+				Name: "failover", Usage: "gap from a primary's failure to the next accepted write",
+				Flags: []cli.Flag{runs, lag, &cli.StringFlag{Name: "fault", Value: "kill", Usage: "kill or freeze"}},
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return inLab(ctx, cmd, func(ctx context.Context, l *lab.Lab) error {
+						return failovers(ctx, l, cmd.String("fault"), cmd.Int("runs"))
+					})
+				},
+			},
+			{
+				Name: "config", Usage: "time until a change is in force on every proxy",
+				Flags: []cli.Flag{runs, lag},
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return inLab(ctx, cmd, func(ctx context.Context, l *lab.Lab) error {
+						return changes(ctx, l, cmd.Int("runs"))
+					})
+				},
+			},
+		},
+	})
+}
+
+// inLab runs a measurement in a lab of the size of one deployment.
+func inLab(ctx context.Context, cmd *cli.Command, do func(context.Context, *lab.Lab) error) error {
+	dir, err := os.MkdirTemp("", "camphorpaddle-measure-")
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer os.RemoveAll(dir)
+	config, err := filepath.Abs(configFile)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	l, err := lab.Start(ctx, lab.Config{
+		Dir: dir, Controls: 3, Proxies: 4, ConfigFile: config,
+		Services: []lab.Service{{
+			Name: service, Members: 3, Slots: 3, Connections: 20,
+			ConnectCost: 12 * time.Millisecond, Lag: cmd.Duration("lag"),
+		}},
+	})
+	if err != nil {
+		return err
+	}
+	defer l.Stop()
+	return do(ctx, l)
+}
+
+// printFigures prints the smallest, the middle and the largest duration.
+func printFigures(what string, took []time.Duration) {
+	slices.Sort(took)
+	for i, d := range took {
+		took[i] = d.Round(time.Millisecond)
+	}
+	fmt.Printf("%s: runs=%d minimum=%s median=%s maximum=%s\n",
+		what, len(took), took[0], took[len(took)/2], took[len(took)-1])
+}
