Freeze all threads before a gap is counted

Of 20 frozen primaries two gave gaps of 22 and 24 ms, no longer than an ordinary write: either threads of the primary ran on for a moment after SIGSTOP, or the primary had changed since it was looked up a second earlier. Freeze now waits until every thread has stopped, and the primary is looked up right before the fault; which of the two it was is not known.

--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -68,8 +70,41 @@
 	return nil
 }
 
-// Freeze stops the process until Thaw.
-func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
+// Freeze stops the process until Thaw. All of its threads have stopped when it
+// returns; the signal alone lets them run on for a moment.
+func (p *Process) Freeze() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for {
+		running, err := p.runningThreads()
+		if err != nil || running == 0 {
+			return err
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// runningThreads counts the threads that are not stopped, from Linux' table of
+// processes.
+func (p *Process) runningThreads() (int, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.Pid()))
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	running := 0
+	for _, name := range files {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			continue // the thread has ended
+		}
+		_, rest, _ := strings.Cut(string(data), ") ")
+		if !strings.HasPrefix(rest, "T") {
+			running++
+		}
+	}
+	return running, nil
+}
 
 // Thaw lets a frozen process run on.
 func (p *Process) Thaw() error { return p.Signal(syscall.SIGCONT) }
--- a/internal/measure/failover.go
+++ b/internal/measure/failover.go
@@ -54,13 +54,13 @@
 // failover fails the primary, measures the gap, and brings the old primary
 // back as a replica.
 func (w *writer) failover(ctx context.Context, fault string) (time.Duration, error) {
+	for began := time.Now(); time.Since(began) < settleTime; {
+		w.write(ctx)
+	}
 	primary, err := w.lab.WaitPrimary(ctx, service, "")
 	if err != nil {
 		return 0, err
 	}
-	for began := time.Now(); time.Since(began) < settleTime; {
-		w.write(ctx)
-	}
 	if fault == "kill" {
 		err = primary.Kill()
 	} else {
