--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -32,6 +32,11 @@
 	AvailabilityZones []string // given out in turn; empty stands for three
 	Services          []Service
 	ConfigFile        string // operators' configuration that Start applies; empty for none
+
+	// Latency is added to each direction of every connection between the
+	// system's processes, and between them and targets. With it, targets can
+	// be cut off; zero connects processes directly.
+	Latency time.Duration
 }
 
 // Service is a database group whose members the lab starts.
@@ -48,6 +53,7 @@
 type Control struct {
 	*Process
 	PeerAddress string
+	peers       string // where others reach PeerAddress
 	HTTPAddress string
 	DataFolder  string
 }
@@ -65,6 +71,24 @@
 	Service string
 	Member  string
 	Address string
+	relay   *relay // nil without latency
+}
+
+// Cut cuts a target off from the system and from the other targets. It needs
+// a lab with latency.
+func (t *Target) Cut() error {
+	if t.relay == nil {
+		return trace.BadParameter("a lab without latency can't cut %s off", t.Name)
+	}
+	t.relay.cut()
+	return nil
+}
+
+// Heal ends a cut.
+func (t *Target) Heal() {
+	if t.relay != nil {
+		t.relay.heal()
+	}
 }
 
 // Lab is a running system.
@@ -77,6 +101,8 @@
 	bin       string
 	ports     *ports
 	processes []*Process
+	relays    []*relay
+	announcer *announceRelay // nil without latency
 }
 
 // Start builds the programs if need be, starts all processes and waits until
@@ -104,7 +130,7 @@
 		return err
 	}
 	for _, step := range []func(context.Context) error{
-		l.startControls, l.startProxies, l.startTargets, l.applyConfig,
+		l.startRelays, l.startControls, l.startProxies, l.startTargets, l.applyConfig,
 	} {
 		if err := step(ctx); err != nil {
 			return err
@@ -129,6 +155,12 @@
 		l.processes[i].stop(stopPatience)
 	}
 	l.processes = nil
+	for _, r := range l.relays {
+		r.close()
+	}
+	if l.announcer != nil {
+		l.announcer.close()
+	}
 }
 
 // Dir returns the folder of the lab.
--- /dev/null
+++ b/internal/lab/latency.go
@@ -0,0 +1,102 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+
+	"github.com/camphorpaddle/camphorpaddle/daemon/api"
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+)
+
+// startRelays puts a relay before every control host and every target when the
+// lab has latency.
+func (l *Lab) startRelays(context.Context) error {
+	for _, c := range l.Controls {
+		c.peers = c.PeerAddress
+		if l.config.Latency == 0 {
+			continue
+		}
+		r, err := l.relayTo(c.PeerAddress)
+		if err != nil {
+			return err
+		}
+		c.peers = r.address()
+	}
+	if l.config.Latency == 0 {
+		return nil
+	}
+	for _, t := range l.Targets {
+		var err error
+		if t.relay, err = l.relayTo(t.Address); err != nil {
+			return err
+		}
+	}
+	var err error
+	l.announcer, err = newAnnounceRelay(l)
+	return err
+}
+
+func (l *Lab) relayTo(address string) (*relay, error) {
+	r, err := newRelay(address, l.config.Latency)
+	if err == nil {
+		l.relays = append(l.relays, r)
+	}
+	return r, err
+}
+
+// announceRelay takes the announcements of targets and passes them on to all
+// proxies, with the address of the target's relay.
+type announceRelay struct {
+	lab    *Lab
+	lis    net.Listener
+	server http.Server
+	client *api.Client
+}
+
+func newAnnounceRelay(l *Lab) (*announceRelay, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, trace.Wrap(err, "opening the relay of announcements")
+	}
+	a := &announceRelay{lab: l, lis: lis, client: api.NewClient(nil, "", nil)}
+	a.server.Handler = a
+	go func() { _ = a.server.Serve(lis) }() // ends with close
+	return a, nil
+}
+
+func (a *announceRelay) address() string { return a.lis.Addr().String() }
+
+func (a *announceRelay) close() { _ = a.server.Close() }
+
+// ServeHTTP passes on one announcement, unless the target is cut off.
+func (a *announceRelay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var in api.Announcement
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t := a.lab.Target(in.Service, in.Name)
+	if t == nil {
+		http.Error(w, "no such target", http.StatusNotFound)
+		return
+	}
+	select {
+	case <-t.relay.passable():
+	default:
+		http.Error(w, "the target is cut off", http.StatusServiceUnavailable)
+		return
+	}
+	in.Address = t.relay.address()
+	var calls errgroup.Group
+	for _, addr := range a.lab.proxyHTTP() {
+		calls.Go(func() error {
+			return a.client.Ask(r.Context(), addr, http.MethodPost, api.PathAnnounce, in, nil)
+		})
+	}
+	if err := calls.Wait(); err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+	}
+}
--- a/internal/lab/start.go
+++ b/internal/lab/start.go
@@ -27,7 +27,7 @@
 // their file and returns its name.
 func (l *Lab) writeSettings(i int, d settings.Daemon) (string, error) {
 	for _, c := range l.Controls {
-		d.Control = append(d.Control, types.Address(c.PeerAddress))
+		d.Control = append(d.Control, types.Address(c.peers))
 	}
 	d.Host = types.HostID(fmt.Sprintf("%s-%d", d.Role, i+1))
 	d.AvailabilityZone = types.AvailabilityZone(l.availabilityZone(i))
@@ -46,7 +46,7 @@
 		file, err := l.writeSettings(i, settings.Daemon{
 			Role:       settings.RoleControl,
 			Listen:     settings.Listen{HTTP: types.Address(c.HTTPAddress), Peers: types.Address(c.PeerAddress)},
-			Advertise:  types.Address(c.PeerAddress),
+			Advertise:  types.Address(c.peers),
 			DataFolder: c.DataFolder,
 			Target:     settings.DefaultTarget(),
 		})
@@ -113,9 +113,9 @@
 }
 
 func (l *Lab) startTargets(context.Context) error {
-	var announce []string
-	for _, p := range l.Proxies {
-		announce = append(announce, p.HTTPAddress)
+	announce := l.proxyHTTP()
+	if l.announcer != nil {
+		announce = []string{l.announcer.address()}
 	}
 	next := 0
 	for _, s := range l.config.Services {
@@ -136,6 +136,15 @@
 	return nil
 }
 
+// proxyHTTP returns the HTTP addresses of the proxies.
+func (l *Lab) proxyHTTP() []string {
+	var out []string
+	for _, p := range l.Proxies {
+		out = append(out, p.HTTPAddress)
+	}
+	return out
+}
+
 // applyConfig applies the operators' configuration and waits until the groups
 // of the lab have a primary.
 func (l *Lab) applyConfig(ctx context.Context) error {
--- a/internal/measure/failover.go
+++ b/internal/measure/failover.go
@@ -27,11 +27,32 @@
 	taken []int64
 }
 
+// fault is a way in which a primary fails, and how it comes back.
+type fault struct {
+	begin, end func(*lab.Target) error
+}
+
+var faults = map[string]fault{
+	"kill": {
+		begin: func(t *lab.Target) error { return t.Kill() },
+		end:   func(t *lab.Target) error { return t.Restart() },
+	},
+	"freeze": {
+		begin: func(t *lab.Target) error { return t.Freeze() },
+		end:   func(t *lab.Target) error { return t.Thaw() },
+	},
+	"cut": {
+		begin: func(t *lab.Target) error { return t.Cut() },
+		end:   func(t *lab.Target) error { t.Heal(); return nil },
+	},
+}
+
 // failovers brings about one failure of the primary after the other and prints
 // the gaps, and whether an acknowledged write was lost.
-func failovers(ctx context.Context, l *lab.Lab, fault string, runs int) error {
-	if fault != "kill" && fault != "freeze" {
-		return cmdline.Usage("fault %q must be kill or freeze", fault)
+func failovers(ctx context.Context, l *lab.Lab, name string, runs int) error {
+	f, ok := faults[name]
+	if !ok {
+		return cmdline.Usage("fault %q must be kill, freeze or cut", name)
 	}
 	w := &writer{lab: l}
 	defer w.close()
@@ -40,20 +61,20 @@
 	}
 	var gaps []time.Duration
 	for run := range runs {
-		gap, err := w.failover(ctx, fault)
+		gap, err := w.failover(ctx, f)
 		if err != nil {
 			return trace.Wrap(err, "run %d", run+1)
 		}
 		fmt.Printf("run %d: gap=%s\n", run+1, gap.Round(time.Millisecond))
 		gaps = append(gaps, gap)
 	}
-	printFigures("failover gap after "+fault, gaps)
+	printFigures("failover gap after "+name, gaps)
 	return w.checkTaken(ctx)
 }
 
 // failover fails the primary, measures the gap, and brings the old primary
 // back as a replica.
-func (w *writer) failover(ctx context.Context, fault string) (time.Duration, error) {
+func (w *writer) failover(ctx context.Context, f fault) (time.Duration, error) {
 	for began := time.Now(); time.Since(began) < settleTime; {
 		w.write(ctx)
 	}
@@ -61,12 +82,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if fault == "kill" {
-		err = primary.Kill()
-	} else {
-		err = primary.Freeze()
-	}
-	if err != nil {
+	if err := f.begin(primary); err != nil {
 		return 0, err
 	}
 	failed := time.Now()
@@ -76,12 +92,7 @@
 		}
 	}
 	gap := time.Since(failed)
-	if fault == "kill" {
-		err = primary.Restart()
-	} else {
-		err = primary.Thaw()
-	}
-	if err != nil {
+	if err := f.end(primary); err != nil {
 		return 0, err
 	}
 	return gap, w.waitRejoined(ctx, primary.Member)
--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -25,13 +25,14 @@
 
 func main() {
 	runs := &cli.IntFlag{Name: "runs", Value: defaultRuns, Usage: "number of runs"}
+	latency := &cli.DurationFlag{Name: "latency", Usage: "one way, added to every connection between processes"}
 	lag := &cli.DurationFlag{Name: "lag", Value: 20 * time.Millisecond, Usage: "lag of the replicas"}
 	cmdline.Main(&cli.Command{
 		Name: "measure", Usage: "take figures from real processes on loopback",
 		Commands: []*cli.Command{
 			{
 				Name: "failover", Usage: "gap from a primary's failure to the next accepted write",
-				Flags: []cli.Flag{runs, lag, &cli.StringFlag{Name: "fault", Value: "kill", Usage: "kill or freeze"}},
+				Flags: []cli.Flag{runs, lag, latency, &cli.StringFlag{Name: "fault", Value: "kill", Usage: "kill, freeze, or cut, which needs latency"}},
 				Action: func(ctx context.Context, cmd *cli.Command) error {
 					return inLab(ctx, cmd, func(ctx context.Context, l *lab.Lab) error {
 						return failovers(ctx, l, cmd.String("fault"), cmd.Int("runs"))
@@ -40,7 +41,7 @@
 			},
 			{
 				Name: "config", Usage: "time until a change is in force on every proxy",
-				Flags: []cli.Flag{runs, lag},
+				Flags: []cli.Flag{runs, lag, latency},
 				Action: func(ctx context.Context, cmd *cli.Command) error {
 					return inLab(ctx, cmd, func(ctx context.Context, l *lab.Lab) error {
 						return changes(ctx, l, cmd.Int("runs"))
@@ -63,7 +64,7 @@
 		return trace.ConvertSystemError(err)
 	}
 	l, err := lab.Start(ctx, lab.Config{
-		Dir: dir, Controls: 3, Proxies: 4, ConfigFile: config,
+		Dir: dir, Controls: 3, Proxies: 4, ConfigFile: config, Latency: cmd.Duration("latency"),
 		Services: []lab.Service{{
 			Name: service, Members: 3, Slots: 3, Connections: 20,
 			ConnectCost: 12 * time.Millisecond, Lag: cmd.Duration("lag"),
