--- a/daemon/http.go
+++ b/daemon/http.go
@@ -83,7 +83,7 @@
 	srv := khttp.NewServer(
 		khttp.Listener(lis),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: lis.Addr().String()}),
-		khttp.TLSConfig(t.Server),
+		khttp.TLSConfig(t.Server.Clone()),
 		khttp.Timeout(httpTimeout),
 		khttp.Filter(k.require),
 		khttp.RequestDecoder(decodeBody),
@@ -106,7 +106,7 @@
 	srv := khttp.NewServer(
 		khttp.Listener(lis),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: lis.Addr().String()}),
-		khttp.TLSConfig(t.Server),
+		khttp.TLSConfig(t.Server.Clone()),
 		khttp.Timeout(0),
 		khttp.NotFoundHandler(http.HandlerFunc(notFound)),
 		khttp.MethodNotAllowedHandler(http.HandlerFunc(notFound)),
