--- a/Makefile
+++ b/Makefile
@@ -17,11 +17,15 @@
 	go vet ./...
 	go tool staticcheck ./...
 
-# Failover gap and time until a change is in force, from real processes.
+# Failover gap and time until a change is in force, from real processes, at the
+# latencies between regions of both deployments.
 measure:
-	go run ./internal/measure config
-	go run ./internal/measure failover --fault kill
-	go run ./internal/measure failover --fault freeze
+	for latency in 8ms 12ms; do \
+		go run ./internal/measure config --latency $$latency || exit 1; \
+		for fault in kill freeze cut; do \
+			go run ./internal/measure failover --latency $$latency --fault $$fault || exit 1; \
+		done; \
+	done
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
