--- a/runtime/ports.go
+++ b/runtime/ports.go
@@ -8,6 +8,7 @@
 	"context"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -56,3 +57,10 @@
 	Decision(d effect.Decide)
 	Observation(o effect.Observation)
 }
+
+// ShardRecorder is a Recorder that also takes in what shards report. The
+// method must not block.
+type ShardRecorder interface {
+	Recorder
+	ShardReport(r event.ShardReport)
+}
--- a/runtime/shard.go
+++ b/runtime/shard.go
@@ -102,6 +102,9 @@
 // sender, so the second send finds room.
 func (s *shard) report(r event.ShardReport) {
 	r.Shard = s.index
+	if rec, ok := s.proxy.Recorder.(ShardRecorder); ok {
+		rec.ShardReport(r)
+	}
 	select {
 	case <-s.reports:
 	default:
