Add gauges of sessions and connections

A target that a shard has no connection to any more goes back to zero; without that rule the case of target a in TestMetrics failed (its gauge stayed at 2).

--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -31,6 +32,7 @@
 	closer  io.Closer
 	handler http.Handler
 	dropped tally.Counter
+	open    map[int]map[types.TargetRef]int // last report of each shard
 }
 
 func newMetrics(o Options) *metrics {
@@ -60,6 +62,7 @@
 		scope: scope, closer: closer,
 		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		dropped: scope.Counter("records_dropped_total"),
+		open:    make(map[int]map[types.TargetRef]int),
 	}
 }
 
@@ -96,6 +99,30 @@
 	m.scope.Gauge("draining").Update(oneIf(s.Draining))
 }
 
+// shard sets the gauges of one shard. A target that the report leaves out has
+// no connection of the shard any more.
+func (m *metrics) shard(r *event.ShardReport) {
+	scope := m.scope.Tagged(map[string]string{"shard": strconv.Itoa(r.Shard)})
+	scope.Gauge("sessions").Update(float64(r.Sessions))
+	scope.Gauge("sessions_busy").Update(float64(r.Busy))
+	for ref := range m.open[r.Shard] {
+		if _, still := r.Open[ref]; !still {
+			connections(scope, ref).Update(0)
+		}
+	}
+	for ref, n := range r.Open {
+		connections(scope, ref).Update(float64(n))
+	}
+	m.open[r.Shard] = r.Open
+}
+
+// connections returns the gauge of connections to a target.
+func connections(scope tally.Scope, ref types.TargetRef) tally.Gauge {
+	return scope.Tagged(map[string]string{
+		"service": string(ref.Service), "target": string(ref.Name),
+	}).Gauge("target_connections")
+}
+
 // oneIf returns 1 for true and 0 for false.
 func oneIf(b bool) float64 {
 	if b {
--- a/telemetry/recorder.go
+++ b/telemetry/recorder.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/runtime"
 	"github.com/gravitational/trace"
@@ -35,9 +36,12 @@
 	observation *effect.Observation
 	peerCall    *peerCall
 	proxyState  *ProxyState
+	shard       *event.ShardReport
 }
 
-// Recorder implements runtime.Recorder. Its methods hand over a record to one
+var _ runtime.ShardRecorder = (*Recorder)(nil)
+
+// Recorder implements runtime.ShardRecorder. Its methods hand over a record to one
 // goroutine; they drop it, and count that, while the queue is full.
 type Recorder struct {
 	queue   chan record
@@ -87,6 +91,9 @@
 // ProxyState records what a proxy acts on.
 func (r *Recorder) ProxyState(s ProxyState) { r.put(record{proxyState: &s}) }
 
+// ShardReport records the sessions and connections of a shard.
+func (r *Recorder) ShardReport(s event.ShardReport) { r.put(record{shard: &s}) }
+
 func (r *Recorder) put(rec record) {
 	select {
 	case r.queue <- rec:
@@ -145,6 +152,8 @@
 		}
 	case rec.proxyState != nil:
 		r.metrics.proxyState(rec.proxyState)
+	case rec.shard != nil:
+		r.metrics.shard(rec.shard)
 	case rec.peerCall != nil:
 		r.metrics.peerCall(rec.peerCall)
 		if r.spans != nil {
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
@@ -149,6 +150,9 @@
 	refused.Refusal = types.RefuseOverloaded
 	r.Observation(refused)
 	r.Decision(effect.Decide{Kind: effect.DecideConfig, Version: 7})
+	first, second := types.TargetRef{Service: "ledger", Name: "a"}, types.TargetRef{Service: "ledger", Name: "b"}
+	r.ShardReport(event.ShardReport{Shard: 1, Sessions: 5, Open: map[types.TargetRef]int{first: 2}})
+	r.ShardReport(event.ShardReport{Shard: 1, Sessions: 4, Open: map[types.TargetRef]int{second: 3}})
 	stopRecorder(t, r)
 	text := scrape(r)
 	for _, want := range []string{
@@ -157,6 +161,9 @@
 		`camphorpaddle_refusals_total{availability_zone="az-1",class="read",code="overloaded"`,
 		`camphorpaddle_config_version{availability_zone="az-1",host="proxy-1",region="north",role="proxy"} 7`,
 		`camphorpaddle_request_seconds_count{`,
+		`camphorpaddle_sessions{availability_zone="az-1",host="proxy-1",region="north",role="proxy",shard="1"} 4`,
+		`role="proxy",service="ledger",shard="1",target="a"} 0`,
+		`role="proxy",service="ledger",shard="1",target="b"} 3`,
 	} {
 		assert.Assert(t, strings.Contains(text, want), "%s not in\n%s", want, text)
 	}
