--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Few targets; see README.md.
 
-.PHONY: build demo test lint ci bench fuzz
+.PHONY: build demo test lint ci bench fuzz measure
 
 build:
 	go build -o bin/ ./cmd/...
@@ -17,6 +17,16 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+# Failover gap and time until a change is in force, from real processes, at the
+# latencies between regions of both deployments.
+measure:
+	for latency in 8ms 12ms; do \
+		go run ./internal/measure config --latency $$latency || exit 1; \
+		for fault in kill freeze cut; do \
+			go run ./internal/measure failover --latency $$latency --fault $$fault || exit 1; \
+		done; \
+	done
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
