--- a/core/limits/divide_test.go
+++ b/core/limits/divide_test.go
@@ -45,6 +45,7 @@
 		assert.Equal(t, sum, total)
 	})
 }
+
 // oneByOne gives out one connection at a time, each to the smallest part that
 // may have it.
 func oneByOne(total int, wants []int) []int {
