Look up what proxies use of a target once a request

Cause: each request searched the last request of every proxy for every target. Change: what a request says of a target is kept by target and proxy. At the large size a request still costs far too much, because each grant names every target.

--- a/core/limits/divider.go
+++ b/core/limits/divider.go
@@ -30,22 +30,15 @@
 	state  *cluster.State
 	leases *lease.Table
 	role   role.Role
-	grants map[types.HostID]map[types.TargetRef][]granted
+	uses   map[types.TargetRef]map[types.HostID]*use
 	news   []effect.Effect // changes of shares since the last step
 }
 
-// granted is a share that a proxy may have taken, or may take yet.
-type granted struct {
-	seq         uint64 // of the grant
-	connections int
-	until       types.Instant // the proxy can't take it later
-}
-
 // New returns a divider that has granted nothing.
 func New(state *cluster.State, leases *lease.Table) *Divider {
 	return &Divider{
 		state: state, leases: leases,
-		grants: make(map[types.HostID]map[types.TargetRef][]granted),
+		uses: make(map[types.TargetRef]map[types.HostID]*use),
 	}
 }
 
@@ -54,11 +47,11 @@
 	switch e := in.Event.(type) {
 	case event.RoleChanged:
 		if d.role.Change(e) {
-			clear(d.grants)
+			clear(d.uses)
 		}
 	case event.Committed:
 		if p := e.Entry.Command.Proxy; p != nil && p.Remove {
-			delete(d.grants, p.Host)
+			d.forget(p.Host)
 		}
 	}
 	news := d.news
@@ -74,12 +67,17 @@
 	if at < 0 {
 		return nil
 	}
+	held := make(map[types.TargetRef]proto.ShareHeld, len(holds[at].Request.Held))
+	for _, h := range holds[at].Request.Held {
+		held[h.Ref] = h
+	}
 	var out []proto.ShareGrant
 	config := d.state.Config()
 	for _, name := range d.state.Services() {
 		svc := config.Services[name]
 		for _, t := range d.state.Group(name).Members {
 			ref := types.TargetRef{Service: name, Name: t.Name}
+			d.use(ref, proxy).report(held[ref], holds[at].Request.Taken, d.leases.Now())
 			out = append(out, proto.ShareGrant{Ref: ref, Share: d.share(svc, ref, holds, at)})
 		}
 	}
@@ -88,80 +86,55 @@
 
 // share decides on the share of the proxy holds[at] and remembers it.
 func (d *Divider) share(svc types.Service, ref types.TargetRef, holds []lease.Hold, at int) types.Share {
+	now := d.leases.Now()
+	uses := d.uses[ref]
 	total := max(0, svc.Connections-controlConnections-spareProbes-len(holds))
 	free := total
+	wants := make([]int, len(holds))
 	for i, h := range holds {
+		u := uses[h.Host]
+		if h.Live && u != nil {
+			wants[i] = max(1, u.wanted)
+		}
 		if i != at {
-			free -= d.bound(h, ref, total)
+			free -= bound(h, u, total, now)
 		}
 	}
-	h := holds[at]
-	n := min(divide(total, wants(holds, ref))[at], max(0, free))
-	d.remember(h, ref, n)
+	n := min(divide(total, wants)[at], max(0, free))
+	d.remember(ref, holds[at], n)
 	return types.Share{Connections: n, Slots: max(1, equal(svc.Slots, len(holds), at))}
 }
 
-// bound returns the most connections that a proxy may hold or come to hold. A
-// proxy that this leader has not heard may hold all of them.
-func (d *Divider) bound(h lease.Hold, ref types.TargetRef, total int) int {
-	switch {
-	case !h.Live:
-		return 0
-	case !h.Known:
-		return total
-	}
-	most := held(h.Request, ref).Share.Connections
-	for _, g := range d.open(h, ref) {
-		most = max(most, g.connections)
-	}
-	return most
-}
-
-// open returns the grants that may still count: the proxy has not confirmed a
-// later one, and has time left to take them.
-func (d *Divider) open(h lease.Hold, ref types.TargetRef) []granted {
-	now := d.leases.Now()
-	var out []granted
-	for _, g := range d.grants[h.Host][ref] {
-		if g.seq > h.Request.Taken && now < g.until {
-			out = append(out, g)
-		}
-	}
-	return out
-}
-
-func (d *Divider) remember(h lease.Hold, ref types.TargetRef, n int) {
-	if d.grants[h.Host] == nil {
-		d.grants[h.Host] = make(map[types.TargetRef][]granted)
-	}
-	if before := held(h.Request, ref).Share.Connections; before != n {
+func (d *Divider) remember(ref types.TargetRef, h lease.Hold, n int) {
+	u := d.use(ref, h.Host)
+	if u.held != n {
 		d.news = append(d.news, effect.Decide{
 			Kind: effect.DecideShare, Service: ref.Service, Target: ref.Name, Host: h.Host,
-			Reason: fmt.Sprintf("%d connections instead of %d", n, before),
+			Reason: fmt.Sprintf("%d connections instead of %d", n, u.held),
 		})
 	}
-	until := d.leases.Now().Add(lease.Duration)
-	d.grants[h.Host][ref] = append(d.open(h, ref), granted{seq: h.Request.Seq, connections: n, until: until})
+	u.open = append(u.open, granted{
+		seq: h.Request.Seq, connections: n, until: d.leases.Now().Add(lease.Duration),
+	})
 }
 
-// held returns what a request says of a target.
-func held(r proto.LeaseRequest, ref types.TargetRef) proto.ShareHeld {
-	for _, s := range r.Held {
-		if s.Ref == ref {
-			return s
-		}
+// use returns what is known of a proxy's use of a target.
+func (d *Divider) use(ref types.TargetRef, proxy types.HostID) *use {
+	uses := d.uses[ref]
+	if uses == nil {
+		uses = make(map[types.HostID]*use)
+		d.uses[ref] = uses
+	}
+	u := uses[proxy]
+	if u == nil {
+		u = &use{}
+		uses[proxy] = u
 	}
-	return proto.ShareHeld{Ref: ref}
+	return u
 }
 
-// wants returns how many connections each proxy could use, with zero for those
-// that can use none.
-func wants(holds []lease.Hold, ref types.TargetRef) []int {
-	out := make([]int, len(holds))
-	for i, h := range holds {
-		if h.Live && h.Known {
-			out[i] = max(1, held(h.Request, ref).Wanted)
-		}
+func (d *Divider) forget(proxy types.HostID) {
+	for _, uses := range d.uses {
+		delete(uses, proxy)
 	}
-	return out
 }
