--- a/core/event/event.go
+++ b/core/event/event.go
@@ -41,6 +41,7 @@
 	DomainSession
 	DomainPool
 	DomainDrain
+	DomainNode
 )
 
 // Events that any part may get.
