Publish positions that no shard waits for together

Cause: each probe's result copied the health of all targets, sorted them and looked through them for alarms. Change: an answer looks at its own target, and a view without news for a waiting shard follows 5 ms after the one before at the earliest.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -3,6 +3,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/lease"
@@ -32,9 +34,16 @@
 	seen    uint64        // version that all shards were known to act on
 	cluster *types.ClusterView
 	until   types.Instant // end of the lease as published
-	changed bool          // something that shards see differs from the last view
+	changed bool          // something that shards wait for differs from the last view
+	moved   bool          // the health of a target does
+	shown   types.Instant // when the last view was published
+	armed   bool          // the timer of the next view is
 }
 
+// publishInterval is the least time between two views of which only positions
+// differ that no shard waits for.
+const publishInterval = 5 * time.Millisecond
+
 // New returns a node without a lease.
 func New(o Options) *Node {
 	n := &Node{
@@ -75,7 +84,10 @@
 	case event.ShardReported:
 		return n.shardReported(e.Report)
 	case event.Probed:
-		n.changed = true
+		n.moved = true
+		n.changed = n.changed || n.waiting()[e.Ref.Service]
+	case event.TimerFired:
+		n.armed = n.armed && e.ID.Domain != event.DomainNode
 	}
 	return nil
 }
@@ -105,18 +117,23 @@
 		n.cluster, n.changed = view, true
 		out = n.prober.SetView(view, n.now)
 	}
-	if n.prober.TakeNews(n.now) {
+	if n.prober.TakeNews() {
 		out = append(out, n.holder.Hurry(n.now)...)
 	}
 	return out
 }
 
-// publish gives the shards a new view if anything in it changed.
+// publish gives the shards a new view if anything in it changed. Positions that
+// no shard waits for are put together.
 func (n *Node) publish() []effect.Effect {
-	if !n.changed || n.cluster == nil {
+	next := n.shown.Add(publishInterval)
+	switch {
+	case n.cluster == nil || !n.changed && !n.moved:
 		return nil
+	case !n.changed && n.now < next:
+		return n.publishAt(next)
 	}
-	n.changed = false
+	n.changed, n.moved, n.shown = false, false, n.now
 	return []effect.Effect{effect.PublishView{View: &types.NodeView{
 		Cluster:    n.cluster,
 		LeaseUntil: n.until,
@@ -125,3 +142,12 @@
 		Draining:   n.draining,
 	}}}
 }
+
+// publishAt arms the timer of the next view, if it is not armed already.
+func (n *Node) publishAt(at types.Instant) []effect.Effect {
+	if n.armed {
+		return nil
+	}
+	n.armed = true
+	return []effect.Effect{effect.ArmTimer{ID: event.TimerID{Domain: event.DomainNode}, At: at}}
+}
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -158,3 +158,22 @@
 	assert.Equal(t, p.pass(300 * ms).Held[0].Wanted, 9)
 	assert.Equal(t, p.pass(500 * ms).Held[0].Wanted, 2)
 }
+
+func TestPositionsThatNobodyWaitsForArePutTogether(t *testing.T) {
+	p := newProxy(t)
+	p.grant(5, types.GroupServing, 1)
+	before := len(p.views)
+	probed := func() { p.step(event.Probed{Ref: ref, AskedAt: p.now}) }
+	for range 3 {
+		p.now += ms
+		probed()
+	}
+	assert.Equal(t, len(p.views), before)
+	p.now += 2 * ms
+	p.step(event.TimerFired{ID: event.TimerID{Domain: event.DomainNode}})
+	assert.Equal(t, len(p.views), before+1)
+	p.report(event.ShardReport{Waiting: []types.ServiceName{service}})
+	p.now += ms
+	probed()
+	assert.Equal(t, len(p.views), before+2, "a shard has to wait for a position that is known")
+}
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -145,17 +145,19 @@
 
 // TakeNews reports whether control should hear at once of what happened since
 // the last call: a target began to fail, failed for long, or came back.
-func (p *Prober) TakeNews(now types.Instant) bool {
-	for _, t := range p.targets {
-		if level := t.alarm(now); level != t.told {
-			t.told, p.news = level, true
-		}
-	}
+func (p *Prober) TakeNews() bool {
 	news := p.news
 	p.news = false
 	return news
 }
 
+// notice remembers a change of a target's alarm for TakeNews.
+func (p *Prober) notice(t *target, now types.Instant) {
+	if level := t.alarm(now); level != t.told {
+		t.told, p.news = level, true
+	}
+}
+
 func (t *target) alarm(now types.Instant) alarm {
 	switch {
 	case t.health.Failing && now.Sub(t.health.FailedAt) >= FailingBound, t.heardAgo(now) >= SilentBound:
@@ -216,7 +218,9 @@
 func (p *Prober) probeAll(now types.Instant) []effect.Effect {
 	out := []effect.Effect{arm(timerAll, now.Add(interval))}
 	for _, ref := range p.refs() {
-		out = append(out, p.probe(ref, p.targets[ref], now)...)
+		t := p.targets[ref]
+		p.notice(t, now)
+		out = append(out, p.probe(ref, t, now)...)
 	}
 	return out
 }
@@ -271,7 +275,8 @@
 		if !t.health.Failing {
 			t.health.Failing, t.health.FailedAt = true, now
 		}
-		return p.probeWaiting(now)
+		p.notice(t, now)
+		return nil
 	}
 	t.health.Failing, t.health.FailedAt = false, 0
 	t.health.HeardAt, t.health.AskedAt = now, e.AskedAt
@@ -283,6 +288,10 @@
 	}
 	t.health.Term, t.health.Primary, t.health.Pos = e.Status.Term, e.Status.Primary, e.Status.Pos
 	p.refresh(e.Ref, t)
+	p.notice(t, now)
+	if !p.waiting[e.Ref.Service] {
+		return nil
+	}
 	return p.probeWaiting(now)
 }
 
--- a/core/probe/prober_test.go
+++ b/core/probe/prober_test.go
@@ -88,17 +88,17 @@
 func TestNewsOfAFailure(t *testing.T) {
 	p, _ := started(1000 * ms)
 	answer(p, primary, 1000*ms, 1003*ms, 1)
-	p.TakeNews(1003 * ms)
+	p.TakeNews()
 	fail := func(now types.Instant) bool {
 		p.Step(event.Input{Now: now, Event: event.Probed{Ref: primary, Err: errors.New("refused")}})
-		return p.TakeNews(now)
+		return p.TakeNews()
 	}
 	assert.Equal(t, fail(1050*ms), true)
 	assert.Equal(t, fail(1100*ms), false)
 	assert.Equal(t, fail(1350*ms), true)
 	assert.Equal(t, fail(1400*ms), false)
 	answer(p, primary, 1400*ms, 1401*ms, 1)
-	assert.Equal(t, p.TakeNews(1401*ms), true)
+	assert.Equal(t, p.TakeNews(), true)
 }
 
 func TestFreshnessEndsWithAPositionThatWentBack(t *testing.T) {
