Give each run of a proxy its own identity

Cause: control waits until every proxy acts on a new term or has lost its lease. A proxy that restarts under the name of a process that still runs, frozen for instance, would confirm in its place. Change: a proxy takes a fresh identity with each start; package identity serves control hosts too. Control forgets the earlier run after its lease. Conclusion: two processes with one configured name are now told apart.

--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/daemon/api"
 	front "github.com/camphorpaddle/camphorpaddle/front/pg"
+	"github.com/camphorpaddle/camphorpaddle/internal/identity"
 	"github.com/camphorpaddle/camphorpaddle/runtime"
 	"github.com/camphorpaddle/camphorpaddle/settings"
 	"github.com/camphorpaddle/camphorpaddle/telemetry"
@@ -26,6 +27,7 @@
 // Proxy is a proxy process.
 type Proxy struct {
 	settings *settings.Daemon
+	host     types.HostID // of this run of the process
 	version  string
 	keys     keys
 	tls      settings.TLSConfigs
@@ -53,6 +55,9 @@
 // open acquires what the proxy needs, in an order that lets release undo it.
 func (p *Proxy) open() (err error) {
 	s := p.settings
+	if p.host, err = identity.New(s.Host); err != nil {
+		return err
+	}
 	if p.keys, err = loadKeys(s.Security); err != nil {
 		return err
 	}
@@ -63,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	if p.recorder, err = newRecorder(s, s.Host, p.clock); err != nil {
+	if p.recorder, err = newRecorder(s, p.host, p.clock); err != nil {
 		return err
 	}
 	if p.http, err = listen(s.Listen.HTTP); err != nil {
@@ -72,10 +77,10 @@
 	if p.callers, err = listen(s.Listen.Callers); err != nil {
 		return err
 	}
-	p.link = wire.NewLink(wireOptions(s, s.Host, p.keys.cluster, p.tls))
+	p.link = wire.NewLink(wireOptions(s, p.host, p.keys.cluster, p.tls))
 	p.proxy = runtime.NewProxy(runtime.ProxyOptions{
 		Control: core.NewProxy(node.Options{
-			Host: s.Host, AvailabilityZone: s.AvailabilityZone, Shards: s.Shards,
+			Host: p.host, AvailabilityZone: s.AvailabilityZone, Shards: s.Shards,
 		}),
 		Shard: p.newShard, Shards: s.Shards,
 		Clock: p.clock, Seed: rand.Uint64,
@@ -88,7 +93,7 @@
 // newShard returns the reducer of one traffic shard.
 func (p *Proxy) newShard(index int) *core.Reducer {
 	return core.NewShard(session.Options{
-		Host: p.settings.Host, AvailabilityZone: p.settings.AvailabilityZone, Index: index,
+		Host: p.host, AvailabilityZone: p.settings.AvailabilityZone, Index: index,
 	})
 }
 
@@ -98,13 +103,13 @@
 func (p *Proxy) Run(ctx context.Context) error {
 	defer p.release()
 	s := p.settings
-	klog.InfoS("starting", "role", "proxy", "host", s.Host, "version", p.version,
+	klog.InfoS("starting", "role", "proxy", "host", p.host, "version", p.version,
 		"availability_zone", s.AvailabilityZone, "callers", p.callers.Addr(), "http", p.http.Addr())
 	httpServer := newHTTPServer(p.http, p.keys, p.tls)
 	p.routes(httpServer)
 	p.link.Start(p.leaseGrant)
 	app := kratos.New(
-		kratos.Name("paddle-proxy"), kratos.Version(p.version), kratos.ID(string(s.Host)),
+		kratos.Name("paddle-proxy"), kratos.Version(p.version), kratos.ID(string(p.host)),
 		kratos.Context(context.WithoutCancel(ctx)), kratos.StopTimeout(s.DrainLimit),
 		kratos.Server(
 			newLoopServer(func(ctx context.Context) error { p.proxy.Run(ctx); return nil }),
@@ -133,17 +138,17 @@
 // drain limit has passed. Another signal meanwhile changes nothing.
 func (p *Proxy) drain() {
 	p.draining.Store(true)
-	klog.InfoS("stopping", "role", "proxy", "host", p.settings.Host,
+	klog.InfoS("stopping", "role", "proxy", "host", p.host,
 		"drain_limit", p.settings.DrainLimit, "reason", "asked to stop")
 	p.proxy.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainLimit)
 	defer cancel()
 	if err := p.front.Shutdown(ctx); err != nil {
-		klog.ErrorS(nil, "sessions_cut_off", "host", p.settings.Host, "drain_limit", p.settings.DrainLimit,
+		klog.ErrorS(nil, "sessions_cut_off", "host", p.host, "drain_limit", p.settings.DrainLimit,
 			"reason", telemetry.Reason(err))
 		return
 	}
-	klog.InfoS("drained", "role", "proxy", "host", p.settings.Host)
+	klog.InfoS("drained", "role", "proxy", "host", p.host)
 }
 
 // release gives back what open acquired.
@@ -175,7 +180,7 @@
 func (p *Proxy) status() api.ProxyStatus {
 	view := p.proxy.View()
 	out := api.ProxyStatus{
-		Host: string(p.settings.Host), Draining: p.draining.Load(), LeaseLive: view.LeaseLive(p.clock()),
+		Host: string(p.host), Draining: p.draining.Load(), LeaseLive: view.LeaseLive(p.clock()),
 	}
 	if view != nil && view.Cluster != nil {
 		out.ViewVersion = view.Cluster.Version
--- a/storage/folder.go
+++ b/storage/folder.go
@@ -1,8 +1,6 @@
 package storage
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"errors"
 	"io/fs"
 	"os"
@@ -11,6 +9,7 @@
 	"syscall"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/internal/identity"
 	"github.com/gravitational/trace"
 )
 
@@ -27,9 +26,6 @@
 // formatVersion is the version of the files. Another one is refused.
 const formatVersion = "camphorpaddle control data 1\n"
 
-// suffixBytes is the length of the random part of an identity.
-const suffixBytes = 6
-
 // folder is a locked data folder.
 type folder struct {
 	path string
@@ -124,7 +120,7 @@
 	if err := f.checkEmpty(); err != nil {
 		return "", err
 	}
-	host, err := newIdentity(name)
+	host, err := identity.New(types.HostID(name))
 	if err != nil {
 		return "", err
 	}
@@ -184,11 +180,3 @@
 		"move the folder away and start with an empty one: the host joins under a new identity. "+
 		"Otherwise restore the folder from a copy", f.path, file, what)
 }
-
-func newIdentity(name string) (types.HostID, error) {
-	b := make([]byte, suffixBytes)
-	if _, err := rand.Read(b); err != nil {
-		return "", trace.Wrap(err, "reading random bytes")
-	}
-	return types.HostID(name + "." + hex.EncodeToString(b)), nil
-}
