Say that a lost commit's outcome is unknown at the end of its session

Cause: a session whose transaction broke was ended with "not run: the transaction was rolled back" even when the broken request was its COMMIT. Change: the end of the session carries the outcome of the refused request. Conclusion: "not run" is said only where it is true.

--- a/core/session/request.go
+++ b/core/session/request.go
@@ -180,7 +180,7 @@
 	s.emit(effect.Decide{Kind: effect.DecideRefuse, Service: c.service, Target: r.target, Host: s.options.Host, Reason: reason})
 	s.finish(r, code)
 	if c.inTransaction() {
-		s.endSession(c, refusal(types.RefuseNotClean, types.NotRun, "the transaction was rolled back: "+reason))
+		s.endSession(c, refusal(types.RefuseNotClean, o, "the connection of the transaction was closed: "+reason))
 		return
 	}
 	s.afterRequest(c)
