Keep a hung disk from holding ever more messages

Each heartbeat left another reply waiting for the disk, and each pre-vote two requests. A reply that says no more than one already held is not held again, and pre-votes, which promise nothing, leave at once.

Seen: in TestHungDiskIsReplaced 109 messages waited after 12 s, now fewer than 10.

--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -59,10 +59,15 @@
 		if v.Learner || v.Host == n.self {
 			continue
 		}
-		n.sendSynced(proto.Message{
+		m := proto.Message{
 			Kind: kind, To: v.Host, Term: term,
 			LogIndex: n.log.last(), LogTerm: n.log.lastTerm(),
-		})
+		}
+		if kind == proto.MsgPreVote {
+			n.send(m)
+		} else {
+			n.sendSynced(m)
+		}
 	}
 	if kind == proto.MsgPreVote {
 		n.handleVoteReply(proto.Message{Kind: proto.MsgPreVoteReply, From: n.self, Term: term})
--- a/core/consensus/failure_test.go
+++ b/core/consensus/failure_test.go
@@ -139,6 +139,7 @@
 	o.cluster.Run(12 * time.Second)
 	_, member := consensus.WithoutHost(l.Voters(), hung.ID())
 	assert.Assert(t, !member)
+	assert.Assert(t, hung.Held() < 10, "%d messages wait for the disk", hung.Held())
 	assert.Assert(t, !learns(l, "d"))
 	assert.Assert(t, o.leader() == l)
 }
--- a/core/consensus/follower.go
+++ b/core/consensus/follower.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "github.com/camphorpaddle/camphorpaddle/core/proto"
+import (
+	"slices"
+
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+)
 
 // handleLeader takes in an append or a snapshot.
 func (n *Node) handleLeader(m proto.Message) {
@@ -17,21 +21,36 @@
 	} else {
 		n.handleAppend(m, &reply)
 	}
-	n.replyRound(m, reply)
-	n.sendSynced(reply)
+	if len(m.Entries) == 0 && !reply.Reject {
+		n.replyRound(reply)
+	}
+	if !n.holds(reply) {
+		n.sendSynced(reply)
+	}
 }
 
 // replyRound acknowledges a heartbeat ahead of the writes under way, with what
 // is synced so far, so that a slow disk does not end the leader's lease.
-func (n *Node) replyRound(m proto.Message, reply proto.Message) {
-	waits := len(n.disk.writes) > 0
-	if !waits || reply.Reject || len(m.Entries) > 0 || n.disk.syncedTerm != n.term {
+func (n *Node) replyRound(reply proto.Message) {
+	if len(n.disk.writes) == 0 || n.disk.syncedTerm != n.term {
 		return
 	}
 	reply.Match = min(reply.Match, n.disk.synced)
 	n.send(reply)
 }
 
+// holds reports whether the last write under way already holds a reply that
+// says as much. It keeps a disk that hangs from holding ever more of them.
+func (n *Node) holds(reply proto.Message) bool {
+	if len(n.disk.writes) == 0 || reply.Reject {
+		return false
+	}
+	held := n.disk.writes[len(n.disk.writes)-1].messages
+	return slices.ContainsFunc(held, func(m proto.Message) bool {
+		return m.Kind == reply.Kind && m.To == reply.To && m.Term == reply.Term && !m.Reject && m.Match == reply.Match
+	})
+}
+
 // handleAppend adds the leader's entries (Raft, section 5.3).
 func (n *Node) handleAppend(m proto.Message, reply *proto.Message) {
 	if m.LogIndex < n.commit {
