--- a/core/promotion/detect.go
+++ b/core/promotion/detect.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/probe"
@@ -14,16 +15,45 @@
 func (m *Manager) driveServing(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	gr.quiesced, gr.ordered = 0, false
 	if reason := m.failed(now, g, gr); reason != "" {
-		return m.beginTerm(now, g, gr, reason)
+		return m.replace(now, g, gr, reason)
 	}
-	if p, ok := g.Target(g.Primary); ok && p.State == types.TargetLeaving && m.canMove(g) {
+	p, _ := g.Target(g.Primary)
+	switch {
+	case p.State != types.TargetLeaving:
+		gr.moves = 0
+	case canMove(g) && (gr.moves == 0 || now.Sub(gr.movedAt) >= moveInterval):
+		gr.moves++
+		gr.movedAt = now
 		return m.propose(now, gr, g.Term, proto.Command{Quiesce: &proto.Quiesce{Service: g.Service, Term: g.Term}})
 	}
 	return m.driveFollowers(now, g, gr)
 }
 
+// replace begins the term after a failed primary. When primaries fail one
+// after the other, it waits longer each time.
+func (m *Manager) replace(now types.Instant, g *types.Group, gr *group, reason string) []effect.Effect {
+	if at := gr.servedAt.Add(gr.patience()); now < at {
+		return []effect.Effect{arm(g.Service, at)}
+	}
+	gr.avoid = g.Primary
+	return m.beginTerm(now, g, gr, reason)
+}
+
+// patience returns how long a primary is kept after its choice, whatever the
+// proxies report.
+func (gr *group) patience() time.Duration {
+	if gr.quick < freeReplacements {
+		return 0
+	}
+	patience := minPatience
+	for range gr.quick - freeReplacements {
+		patience = min(2*patience, maxPatience)
+	}
+	return patience
+}
+
 // canMove reports whether some other member is active.
-func (m *Manager) canMove(g *types.Group) bool {
+func canMove(g *types.Group) bool {
 	for _, t := range g.Members {
 		if t.Name != g.Primary && t.State == types.TargetActive {
 			return true
@@ -35,22 +65,17 @@
 // failed returns why the primary has failed in the eyes of a majority of the
 // proxies that hold a lease, or "".
 func (m *Manager) failed(now types.Instant, g *types.Group, gr *group) string {
-	var live, gone, demoted int
+	var gone, demoted int
+	live := m.leases.Live(now)
 	version := m.state.GroupVersion(g.Service)
-	for _, h := range m.leases.Holds() {
-		if !h.Live {
-			continue
-		}
-		live++
-		r := h.Request
-		report, ok := primaryReport(r, g)
-		if !ok || !m.leases.HeardWithin(r.Proxy, reportBound, now) {
+	for host, s := range gr.suspicions {
+		if s.report.Ref.Name != g.Primary || now.Sub(s.heard) > reportBound || !m.leases.LiveProxy(host, now) {
 			continue
 		}
 		switch {
-		case unreachable(report):
+		case unreachable(s.report):
 			gone++
-		case r.Have >= version && !report.Failing && disowned(report.Status, g):
+		case s.have >= version && disowned(s.report.Status, g):
 			demoted++
 		}
 	}
@@ -70,16 +95,6 @@
 	return fmt.Sprintf("%d of %d proxies hear that the primary is none in this term", demoted, live)
 }
 
-func primaryReport(r proto.LeaseRequest, g *types.Group) (proto.TargetReport, bool) {
-	ref := types.TargetRef{Service: g.Service, Name: g.Primary}
-	for _, report := range r.Reports {
-		if report.Ref == ref {
-			return report, true
-		}
-	}
-	return proto.TargetReport{}, false
-}
-
 func unreachable(r proto.TargetReport) bool {
 	return r.HeardAgo >= probe.SilentBound || r.Failing && r.FailingFor >= probe.FailingBound
 }
@@ -98,7 +113,7 @@
 	}
 	end := gr.quiesced.Add(quiesceBound)
 	if reason := m.failed(now, g, gr); reason != "" {
-		return m.beginTerm(now, g, gr, reason)
+		return m.replace(now, g, gr, reason)
 	}
 	if now >= end || m.quiet(now, g) {
 		gr.ordered = true
