Wait shortly for the replicas' positions before the first floor

Cause: the primary's position alone became the floor when its probe was answered first. A first read now waits at most 10 ms for the members that can lower it.

--- a/core/session/arrival.go
+++ b/core/session/arrival.go
@@ -17,12 +17,18 @@
 // The primary's position, asked for after that, is such a position. Where all
 // acknowledged writes are on a majority, so is the one that only a minority of
 // the members has passed, which lagging replicas reach sooner.
-func (s *Shard) arrivalFloor(c *session) (types.LogPos, bool) {
+//
+// Until patience ends it waits for the members that may still lower the floor.
+func (s *Shard) arrivalFloor(c *session, patience types.Instant) (types.LogPos, bool) {
 	svc, g := s.services[c.service], s.view.Group(c.service)
 	if svc == nil || !s.leaseLive() || !hasPrimary(g) {
 		return types.LogPos{}, false
 	}
-	if pos, ok := s.majorityFloor(svc, g, c.opened); ok {
+	pos, complete, ok := s.majorityFloor(svc, g, c.opened)
+	if !complete && s.now < patience {
+		return types.LogPos{}, false
+	}
+	if ok {
 		return pos, true
 	}
 	h := svc.health(s.view, g.Primary)
@@ -33,25 +39,31 @@
 }
 
 // majorityFloor returns the highest position that a majority may have held
-// when the session opened. A member that is not known may hold anything.
-func (s *Shard) majorityFloor(svc *service, g *types.Group, opened types.Instant) (types.LogPos, bool) {
+// when the session opened, and whether every member that can lower it is known.
+// A member that is not known may hold anything.
+func (s *Shard) majorityFloor(svc *service, g *types.Group, opened types.Instant) (floor types.LogPos, complete, ok bool) {
 	if !s.majorityAlways(svc) {
-		return types.LogPos{}, false
+		return types.LogPos{}, true, false
 	}
 	size := s.groupSize(svc, g)
 	var known []types.LogPos
+	complete = true
 	for _, m := range g.Members {
 		h := s.probed(svc, m.Name)
-		if h.AskedAt >= opened && h.Term == g.Term && !h.Failing && svc.target(m.Name).caughtUp {
+		switch {
+		case h.Failing || h.Term != g.Term || !svc.target(m.Name).caughtUp:
+		case h.AskedAt < opened:
+			complete = false
+		default:
 			known = append(known, h.Pos)
 		}
 	}
 	rank := types.Quorum(size) - (size - len(known))
 	if rank < 1 {
-		return types.LogPos{}, false
+		return types.LogPos{}, complete, false
 	}
 	slices.SortFunc(known, func(a, b types.LogPos) int { return b.Compare(a) })
-	return known[rank-1], true
+	return known[rank-1], complete, true
 }
 
 // majorityAlways reports whether every write of the service waits for a
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -32,7 +32,7 @@
 func (s *Shard) nextDue(c *session) types.Instant {
 	var at types.Instant
 	if r := c.request; r != nil {
-		at = r.due()
+		at = r.due(s.now)
 	}
 	if until, ok := s.transactionUntil(c); ok && (at == 0 || until < at) {
 		at = until
@@ -41,9 +41,14 @@
 }
 
 // due returns when the request's present stage ends.
-func (r *request) due() types.Instant {
+func (r *request) due(now types.Instant) types.Instant {
 	switch r.stage {
-	case stageFloor, stageQueued:
+	case stageFloor:
+		if until := r.patience(); now < until {
+			return until
+		}
+		return r.queueDeadline
+	case stageQueued:
 		return r.queueDeadline
 	case stageBackoff:
 		return r.retryAt
@@ -68,7 +73,7 @@
 		s.endTransaction(c, types.RefuseNotClean, leavingReason(c.conn.Ref.Name))
 		return
 	}
-	if r := c.request; r != nil && s.now >= r.due() {
+	if r := c.request; r != nil && s.requestIsDue(r) {
 		s.requestDue(r)
 		return
 	}
@@ -86,9 +91,19 @@
 	s.endSession(c, refusal(code, types.NotRun, reason))
 }
 
+// requestIsDue reports whether the request's present stage ends now.
+func (s *Shard) requestIsDue(r *request) bool {
+	return s.now >= r.due(s.now) || r.stage == stageFloor && s.now >= r.patience()
+}
+
 func (s *Shard) requestDue(r *request) {
 	switch r.stage {
 	case stageFloor:
+		if s.now < r.queueDeadline {
+			delete(r.service.waiting, r)
+			s.place(r)
+			return
+		}
 		s.refuse(r, s.unavailable(r), r.outcome(), "the group's primary gave no position in time")
 	case stageQueued:
 		s.refuseQueued(r)
--- a/core/session/floor_test.go
+++ b/core/session/floor_test.go
@@ -113,3 +113,73 @@
 	seq = d.write(1)
 	assert.Equal(t, d.refusal(seq).Code, types.RefusalCode(0))
 }
+
+// majorityDriver returns a driver whose profiles all wait for a majority, with
+// all members caught up at offset 10.
+func majorityDriver(t *testing.T) *driver {
+	d := newDriver(t)
+	svc := d.config.Services[svcName]
+	svc.Profiles = []types.ProfileName{"session", "strict", "catalog"}
+	d.config.Services[svcName] = svc
+	d.open(100) // makes the shard follow the service
+	d.write(100)
+	for range 2 {
+		d.probe("a", pos(10))
+		d.probe("b", pos(10))
+		d.probe("c", pos(10))
+	}
+	d.sends = nil
+	return d
+}
+
+func TestFirstFloorIsTheMajoritys(t *testing.T) {
+	cases := []struct {
+		name    string
+		b, c    uint64 // positions after the session opened; zero is not heard
+		away    bool   // c was away before
+		primary bool   // the read needs the primary, which stands at 20
+	}{
+		{"one replica ahead", 15, 12, false, false},
+		{"a replica is not heard", 15, 0, false, true},
+		{"no replica is heard", 0, 0, false, true},
+		{"a replica was away", 15, 12, true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := majorityDriver(t)
+			if c.away {
+				d.health("c", func(h *types.TargetHealth) { h.Failing = true })
+				d.health("c", func(h *types.TargetHealth) { h.Failing = false })
+			}
+			d.open(1)
+			d.read(1)
+			d.probe("a", pos(20))
+			assert.Equal(t, len(d.sends), 0, "it waits for the replicas' positions")
+			if c.b > 0 {
+				d.probe("b", pos(c.b))
+			}
+			if c.c > 0 {
+				d.probe("c", pos(c.c))
+			}
+			d.advance(floorPatience)
+			d.connect()
+			_, name := d.sent()
+			assert.Equal(t, name == "a", c.primary, "went to %s", name)
+		})
+	}
+}
+
+func TestFirstFloorWithoutMajorityIsThePrimarys(t *testing.T) {
+	d := majorityDriver(t)
+	svc := d.config.Services[svcName]
+	svc.Profiles = append(svc.Profiles, "fast")
+	d.config.Services[svcName] = svc
+	d.open(1)
+	d.read(1)
+	d.probe("b", pos(15))
+	d.probe("c", pos(12))
+	d.probe("a", pos(20))
+	d.connect()
+	_, name := d.sent()
+	assert.Equal(t, name, types.TargetName("a"), "a write may be on the primary alone")
+}
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -16,6 +16,9 @@
 	// admissionMargin is how many times the estimated wait must fit into the
 	// queue timeout. Those that are admitted then seldom time out.
 	admissionMargin = 2
+	// floorPatience is how long a request waits for positions that may lower
+	// its session's first floor.
+	floorPatience = 10 * time.Millisecond
 	// maxQueue bounds the requests that wait for one candidate set.
 	maxQueue = 4096
 )
@@ -29,7 +32,7 @@
 // place decides what a request waits for next and puts it there.
 func (s *Shard) place(r *request) {
 	s.dirty[r.service.name] = true
-	if !r.onPrimary() && !s.sessionFloor(r.session) {
+	if !r.onPrimary() && !s.sessionFloor(r.session, r.patience()) {
 		s.wait(r, stageFloor)
 		return
 	}
@@ -43,6 +46,9 @@
 	s.enqueue(r)
 }
 
+// patience returns until when the request waits for a lower floor.
+func (r *request) patience() types.Instant { return min(r.queueDeadline, r.arrived.Add(floorPatience)) }
+
 // refuseLost tells a session once that something it has seen is gone. Its
 // floor is asked for again.
 func (s *Shard) refuseLost(r *request, pos types.LogPos) {
@@ -57,6 +63,7 @@
 func (s *Shard) wait(r *request, st stage) {
 	r.stage = st
 	r.service.waiting[r] = true
+	s.reportWaiting(r.service.name)
 	s.armSession(r.session)
 }
 
--- a/core/session/report.go
+++ b/core/session/report.go
@@ -20,7 +20,9 @@
 	sent  bool
 	armed bool // a timer for the next report is set
 	due   bool // it fired
-	busy  int
+
+	urgent bool // control may wait for the next report
+	busy   int
 }
 
 func (p *reporter) timerFired() { p.armed, p.due = false, true }
@@ -39,7 +41,9 @@
 	}
 	if writing != c.writing {
 		c.writing = writing
-		s.services[c.service].writing += sign(writing)
+		svc := s.services[c.service]
+		svc.writing += sign(writing)
+		s.reportQuiet(svc)
 	}
 }
 
@@ -59,28 +63,58 @@
 // report tells control what changed: at once when control may wait for it,
 // otherwise with the next interval.
 func (s *Shard) report() {
-	r := s.currentReport()
 	p := &s.reports
-	switch {
-	case p.sent && sameReport(r, p.last):
+	if p.sent && !p.due && !p.urgent && !s.draining && s.seen() == p.last.Seen {
+		s.reportLater()
 		return
-	case !p.sent, p.due, s.urgent(r, p.last):
-		p.last, p.sent, p.due = r, true, false
-		s.emit(effect.ReportShard{Report: r})
-	case !p.armed:
-		p.armed = true
-		s.emit(effect.ArmTimer{ID: event.TimerID{Domain: event.DomainDrain}, At: s.now.Add(reportInterval)})
+	}
+	p.due, p.urgent = false, false
+	r := s.currentReport()
+	if p.sent && sameReport(r, p.last) {
+		return
+	}
+	p.last, p.sent = r, true
+	s.emit(effect.ReportShard{Report: r})
+}
+
+func (s *Shard) reportLater() {
+	if s.reports.armed {
+		return
+	}
+	s.reports.armed = true
+	s.emit(effect.ArmTimer{ID: event.TimerID{Domain: event.DomainDrain}, At: s.now.Add(reportInterval)})
+}
+
+// reportWaiting makes the next report go out at once when control does not
+// know that the service waits for positions.
+func (s *Shard) reportWaiting(name types.ServiceName) {
+	if !slices.Contains(s.reports.last.Waiting, name) {
+		s.reports.urgent = true
+	}
+}
+
+// reportQuiet makes the next report go out at once when an ordered change of
+// primary waits for the service's writes to end.
+func (s *Shard) reportQuiet(svc *service) {
+	if g := s.view.Group(svc.name); svc.writing == 0 && g != nil && g.Phase != types.GroupServing {
+		s.reports.urgent = true
 	}
 }
 
+// seen returns the version of the view that the shard acts on.
+func (s *Shard) seen() uint64 {
+	if s.view == nil || s.view.Cluster == nil {
+		return 0
+	}
+	return s.view.Cluster.Version
+}
+
 func (s *Shard) currentReport() event.ShardReport {
 	r := event.ShardReport{
 		Shard: s.options.Index, Sessions: len(s.sessions), Busy: s.reports.busy,
+		Seen:   s.seen(),
 		Wanted: make(map[types.TargetRef]int), Open: make(map[types.TargetRef]int),
 	}
-	if s.view != nil && s.view.Cluster != nil {
-		r.Seen = s.view.Cluster.Version
-	}
 	for _, name := range sortedKeys(s.services) {
 		svc := s.services[name]
 		if len(svc.waiting) > 0 {
@@ -107,28 +141,6 @@
 	}
 }
 
-// urgent reports whether control may wait for what changed from last to r.
-func (s *Shard) urgent(r, last event.ShardReport) bool {
-	switch {
-	case r.Seen != last.Seen, gained(last.Waiting, r.Waiting):
-		return true
-	case s.draining && (r.Sessions == 0 || r.Busy == 0):
-		return true
-	}
-	for _, name := range last.Writing {
-		g := s.view.Group(name)
-		if g != nil && g.Phase != types.GroupServing && !slices.Contains(r.Writing, name) {
-			return true
-		}
-	}
-	return false
-}
-
-// gained reports whether now holds a name that before did not.
-func gained(before, now []types.ServiceName) bool {
-	return slices.ContainsFunc(now, func(n types.ServiceName) bool { return !slices.Contains(before, n) })
-}
-
 func sameReport(a, b event.ShardReport) bool {
 	return a.Seen == b.Seen && a.Sessions == b.Sessions && a.Busy == b.Busy &&
 		slices.Equal(a.Waiting, b.Waiting) && slices.Equal(a.Writing, b.Writing) &&
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -108,11 +108,11 @@
 
 // sessionFloor makes sure that the session has a floor, by its token or by
 // positions that were asked for after it opened.
-func (s *Shard) sessionFloor(c *session) bool {
+func (s *Shard) sessionFloor(c *session, patience types.Instant) bool {
 	if c.floor.known {
 		return true
 	}
-	pos, ok := s.arrivalFloor(c)
+	pos, ok := s.arrivalFloor(c, patience)
 	if ok {
 		c.floor.begin(pos)
 	}
--- a/core/session/share_test.go
+++ b/core/session/share_test.go
@@ -17,6 +17,7 @@
 	sharePause    = 40 * time.Millisecond
 	shareWrites   = 0.1
 	shareTime     = 20 * time.Second
+	shareWarmUp   = 3 * time.Second // until all replicas have caught up once
 	shareMaxAge   = 3 * time.Second
 	shareAim      = 0.95 // of the reads that an all-knowing router sends to replicas
 )
@@ -64,6 +65,8 @@
 	for range shareSessions {
 		l.open()
 	}
+	l.sim.run(l.sim.now.Add(shareWarmUp))
+	l.reads, l.possible, l.served = 0, 0, 0
 	l.sim.run(l.sim.now.Add(shareTime))
 	return l
 }
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -101,7 +101,7 @@
 		switch {
 		case r.stage == stageDurable:
 			s.acknowledge(r)
-		case s.sessionFloor(r.session):
+		case s.sessionFloor(r.session, r.patience()):
 			delete(svc.waiting, r)
 			s.place(r)
 		}
