--- a/wire/dial.go
+++ b/wire/dial.go
@@ -15,9 +15,9 @@
 
 // Times of dialing.
 const (
-	dialTimeout = 3 * time.Second
+	dialTimeout = 2 * time.Second
 	redialMin   = 100 * time.Millisecond
-	redialMax   = 3 * time.Second
+	redialMax   = 2 * time.Second
 )
 
 // Options configures a Mesh or a Link.
@@ -62,7 +62,7 @@
 		c, err := d.dial(ctx, addr)
 		switch {
 		case err != nil:
-			klog.V(1).InfoS("peer_dial_failed", "host", d.self.Host, "address", addr, "reason", err.Error())
+			klog.V(1).InfoS("peer_dial_failed", "host", d.self.Host, "address", addr, "reason", oneLine(err))
 		case c.peer.Host == d.self.Host:
 			_ = c.ws.CloseNow()
 			return // the address is this process
