Wait for the first view in the in-process front

TestDrainingProxyEndsSessions failed in one run of the race detector: a request before the first view is refused.

--- a/front/inproc/example_test.go
+++ b/front/inproc/example_test.go
@@ -58,6 +58,9 @@
 	group.Pause("c", true)
 	proxy := newProxy(group)
 	go proxy.Run(ctx)
+	if err := inproc.Ready(ctx, proxy); err != nil {
+		log.Fatal(err)
+	}
 
 	s, err := inproc.Open(proxy, types.SessionParams{Service: "ledger"})
 	if err != nil {
--- a/front/inproc/inproc.go
+++ b/front/inproc/inproc.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/runtime"
@@ -73,3 +74,21 @@
 
 // Close ends the session.
 func (s *Session) Close() { s.session.Close() }
+
+// readyInterval is how often Ready looks at the proxy's view.
+const readyInterval = 2 * time.Millisecond
+
+// Ready waits until the proxy acts on a view; requests before that are refused
+// as not run.
+func Ready(ctx context.Context, p *runtime.Proxy) error {
+	tick := time.NewTicker(readyInterval)
+	defer tick.Stop()
+	for p.View() == nil {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err(), "waiting for the proxy's first view")
+		}
+	}
+	return nil
+}
--- a/front/inproc/inproc_test.go
+++ b/front/inproc/inproc_test.go
@@ -18,6 +18,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); proxy.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
+	assert.NilError(t, inproc.Ready(ctx, proxy))
 	return ctx, proxy
 }
 
