Place queued requests again only when a service's view changed; test the queue

Before, each new view of any service placed all queued requests again. The queue's test fails with equal weights (orders get half of 100 instead of 75).

--- /dev/null
+++ b/core/pool/queue_test.go
@@ -0,0 +1,42 @@
+package pool
+
+import (
+	"testing"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"gotest.tools/v3/assert"
+)
+
+// TestQueueSharesByWeight floods one profile before another arrives.
+func TestQueueSharesByWeight(t *testing.T) {
+	var q Queue[types.ProfileName]
+	for range 300 {
+		q.Push("catalog", 1, "catalog")
+	}
+	for range 100 {
+		q.Pop()
+	}
+	for range 200 {
+		q.Push("orders", 3, "orders")
+	}
+	got := make(map[types.ProfileName]int)
+	for range 100 {
+		v, _ := q.Pop()
+		got[v]++
+	}
+	assert.Assert(t, got["orders"] >= 74 && got["orders"] <= 76, "%v of 100", got)
+}
+
+func TestQueueForgetsRemovedEntries(t *testing.T) {
+	var q Queue[int]
+	var entries []*Entry[int]
+	for i := range 10 {
+		entries = append(entries, q.Push("p", 1, i))
+	}
+	for _, i := range []int{0, 5, 5, 9} {
+		q.Remove("p", entries[i])
+	}
+	assert.Equal(t, q.Len(), 7)
+	assert.DeepEqual(t, q.Drain(), []int{1, 2, 3, 4, 6, 7, 8})
+	assert.Equal(t, q.Len(), 0)
+}
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -35,6 +35,7 @@
 	mustReach types.LogPos       // position after which it is caught up
 	last      types.TargetHealth // its probe in the last view
 	awayUntil types.Instant      // when it was last seen to be away
+	placedAt  types.TargetHealth // its probe when the queued requests were last placed
 }
 
 // service returns the state of a service and creates it with its targets.
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -22,11 +22,26 @@
 		s.followCatchUp(svc)
 		s.dropReplaced(svc)
 		s.replaceWaiting(svc)
-		s.replaceQueued(svc)
+		if s.changedFor(svc) {
+			s.replaceQueued(svc)
+		}
 		svc.group = s.view.Group(name)
 	}
 }
 
+// changedFor reports whether the new view tells anything new of the service's
+// targets.
+func (s *Shard) changedFor(svc *service) bool {
+	changed := svc.group != s.view.Group(svc.name)
+	for _, name := range sortedKeys(svc.targets) {
+		t := svc.targets[name]
+		h := s.probed(svc, name)
+		changed = changed || h != t.placedAt
+		t.placedAt = h
+	}
+	return changed
+}
+
 // updateTargets gives each member its address and share, and takes both from
 // targets that are gone. A target that leaves keeps only the connections that
 // belong to sessions.
