Give up the request of a caller that leaves

Cause: the front did not read while a request waited, so that the requests of callers which had given up kept their place in the queue. Change: a request that waits for more than 20 ms has its connection watched for Terminate or the end; the reader takes one message at a time, so that nothing is buffered behind it. Requests that were sent ahead are served.

--- a/front/pg/caller.go
+++ b/front/pg/caller.go
@@ -25,6 +25,7 @@
 type caller struct {
 	server   *Server
 	conn     net.Conn
+	reader   *callerReader
 	backend  *pgproto3.Backend
 	params   types.SessionParams
 	settings settings
@@ -50,7 +51,8 @@
 // use makes conn the connection of the caller.
 func (c *caller) use(conn net.Conn) {
 	c.conn = conn
-	c.backend = pgproto3.NewBackend(conn, conn)
+	c.reader = newCallerReader(conn)
+	c.backend = pgproto3.NewBackend(c.reader, conn)
 	c.backend.SetMaxBodyLen(c.server.config.MaxMessage)
 }
 
@@ -219,7 +221,7 @@
 	if c.tx != types.TxIdle {
 		request.Class = c.txClass
 	}
-	answer, err := c.session.Do(c.ctx, request)
+	answer, err := c.do(request)
 	var refusal *types.Refusal
 	switch {
 	case errors.As(err, &refusal):
@@ -239,6 +241,21 @@
 	return c.reply(reply.Messages)
 }
 
+// do waits for the answer to a request. It gives the request up when the
+// caller leaves.
+func (c *caller) do(r types.Request) (types.Answer, error) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	release := c.reader.watch(cancel)
+	defer func() {
+		release()
+		if c.endRefusal() != nil {
+			c.conn.SetReadDeadline(time.Now())
+		}
+	}()
+	return c.session.Do(ctx, r)
+}
+
 // answered notes what an answer says of the session.
 func (c *caller) answered(answer types.Answer, class types.Class) {
 	if c.tx == types.TxIdle {
--- a/front/pg/fake_test.go
+++ b/front/pg/fake_test.go
@@ -25,6 +25,8 @@
 type fakeShard struct {
 	address  types.Address
 	refuse   map[types.RequestSeq]types.Refusal
+	hold     types.RequestSeq     // a request that gets no answer
+	closed   chan types.SessionID // sessions whose caller left
 	draining bool
 
 	sessions map[types.SessionID]*fakeSession
@@ -47,6 +49,7 @@
 
 func newFakeShard(address string) *fakeShard {
 	return &fakeShard{
+		closed:   make(chan types.SessionID, 10_000),
 		address:  types.Address(address),
 		sessions: make(map[types.SessionID]*fakeSession),
 		waiting:  make(map[types.ConnID]effect.SendTarget),
@@ -61,6 +64,7 @@
 		f.record(func() { f.params = append(f.params, e.Params) })
 	case event.SessionClosed:
 		delete(f.sessions, e.Session)
+		f.closed <- e.Session
 		return closeConns(e.Session)
 	case event.RequestArrived:
 		f.record(func() { f.requests = append(f.requests, e.Request) })
@@ -87,6 +91,9 @@
 	if r, ok := f.refuse[e.Request.Seq]; ok {
 		return []effect.Effect{effect.RefuseCaller{Session: e.Session, Seq: e.Request.Seq, Refusal: r}}
 	}
+	if e.Request.Seq == f.hold {
+		return nil
+	}
 	s := f.sessions[e.Session]
 	if s.end {
 		return []effect.Effect{effect.RefuseCaller{Session: e.Session, Seq: e.Request.Seq, Refusal: stopping}}
--- a/front/pg/server_test.go
+++ b/front/pg/server_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	_ "github.com/lib/pq"
 	"gotest.tools/v3/assert"
 
@@ -245,6 +246,37 @@
 	exec(t, conn, "SET TRANSACTION READ ONLY")
 }
 
+// TestCallerThatLeavesGivesUp closes the connection while its request waits.
+func TestCallerThatLeavesGivesUp(t *testing.T) {
+	p := startPath(t, Config{}, func(f *fakeShard) { f.hold = 2 })
+	conn := connect(t, p, "")
+	exec(t, conn, "SELECT 1")
+	ctx, cancel := context.WithTimeout(t.Context(), 3*watchAfter)
+	defer cancel()
+	_, err := conn.Exec(ctx, "SELECT 2")
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Equal(t, <-p.shard.closed, types.SessionID(1))
+}
+
+// TestSlowRequestsKeepTheirSession runs requests that are watched, one after
+// the other and several sent at once.
+func TestSlowRequestsKeepTheirSession(t *testing.T) {
+	p := startPath(t, Config{}, nil)
+	conn := connect(t, p, "")
+	for range 3 {
+		exec(t, conn, "SELECT pg_sleep(0.03)")
+	}
+	raw := dialRaw(t, p.address)
+	for range 3 {
+		raw.frontend.Send(&pgproto3.Query{String: "SELECT pg_sleep(0.03)"})
+	}
+	for range 3 {
+		answers, err := raw.answers()
+		assert.NilError(t, err)
+		assert.Equal(t, len(answers), 4)
+	}
+}
+
 // TestShutdownFinishesWhatIsInFlight drains while one session is idle and one
 // has a transaction open.
 func TestShutdownFinishesWhatIsInFlight(t *testing.T) {
--- a/front/pg/startup.go
+++ b/front/pg/startup.go
@@ -55,6 +55,7 @@
 	if err := c.welcome(msg.ProtocolVersion); err != nil {
 		return false, trace.Wrap(err)
 	}
+	c.reader.startupDone()
 	return true, trace.Wrap(c.conn.SetDeadline(time.Time{}))
 }
 
