--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -33,24 +33,41 @@
 	// quiesceBound is how long an ordered change waits for work under way.
 	quiesceBound = 2 * time.Second
 	// catchUpBound is how long an ordered change waits for its target to
-	// reach the furthest position.
-	catchUpBound = 500 * time.Millisecond
+	// reach the furthest position. It doubles with each try, up to
+	// maxCatchUpBound.
+	catchUpBound    = 500 * time.Millisecond
+	maxCatchUpBound = 4 * time.Second
+	// moveInterval is the time between two tries to replace a primary that
+	// leaves.
+	moveInterval = 10 * time.Second
 	// catchUpInterval is the time between two looks at a target that catches
 	// up.
 	catchUpInterval = 20 * time.Millisecond
+	// calmAfter is how long a primary has to serve until its failure is not
+	// counted together with the one before.
+	calmAfter = 30 * time.Second
+	// minPatience and maxPatience bound how long a primary is kept after
+	// freeReplacements in quick succession.
+	minPatience = time.Second
+	maxPatience = 8 * time.Second
 	// reportBound is the age up to which a proxy's report counts.
 	reportBound = 600 * time.Millisecond
 )
 
+// freeReplacements is how many primaries may be replaced in quick succession
+// without a pause.
+const freeReplacements = 3
+
 // Manager drives the promotions of all groups while this host leads.
 type Manager struct {
-	state  *cluster.State
-	leases *lease.Table
-	role   role.Role
-	groups map[types.ServiceName]*group
-	timers map[uint64]types.ServiceName
-	calls  map[uint64]call
-	last   uint64 // number of the last call to a target
+	state   *cluster.State
+	leases  *lease.Table
+	role    role.Role
+	groups  map[types.ServiceName]*group
+	timers  map[uint64]types.ServiceName
+	calls   map[uint64]call
+	waiting map[types.ServiceName]bool // groups whose next step waits for proxies
+	last    uint64                     // number of the last call to a target
 }
 
 // group is what the leader remembers of one group beside its replicated state.
@@ -58,10 +75,16 @@
 	proposedAt types.Instant // of the command under way; zero if none
 	proposed   types.Term    // term that it is about
 	prefer     types.TargetName
-	demoted    types.Instant // since when the primary says that it is none
-	run        *run          // the promotion under way
-	quiesced   types.Instant // when the quiesce was first seen
-	ordered    bool          // the next term is an ordered change
+	suspicions map[types.HostID]suspicion
+	demoted    types.Instant    // since when the primary says that it is none
+	run        *run             // the promotion under way
+	quiesced   types.Instant    // when the quiesce was first seen
+	ordered    bool             // the next term is an ordered change
+	avoid      types.TargetName // the primary that the proxies can't reach
+	servedAt   types.Instant    // when the last primary was chosen
+	quick      int              // primaries chosen in quick succession before it
+	moves      int              // tries to replace a primary that leaves
+	movedAt    types.Instant    // last of them
 	followers  map[types.TargetName]*follower
 }
 
@@ -80,6 +103,8 @@
 		groups: make(map[types.ServiceName]*group),
 		timers: make(map[uint64]types.ServiceName),
 		calls:  make(map[uint64]call),
+
+		waiting: make(map[types.ServiceName]bool),
 	}
 }
 
@@ -91,7 +116,7 @@
 	case event.Committed:
 		return m.committed(in.Now, e.Entry.Command)
 	case event.LeaseRequested:
-		return m.driveAll(in.Now)
+		return m.reported(in.Now, e.Request)
 	case event.TargetReplied:
 		return m.replied(in.Now, e)
 	case event.TimerFired:
@@ -109,6 +134,7 @@
 	clear(m.groups)
 	clear(m.timers)
 	clear(m.calls)
+	clear(m.waiting)
 	return m.driveAll(now)
 }
 
@@ -139,13 +165,25 @@
 	if g == nil || g.Term != c.Term {
 		return nil
 	}
+	gr.countServed(now)
 	gr.followers = make(map[types.TargetName]*follower)
+	clear(gr.suspicions)
 	for _, t := range g.Members {
 		gr.followers[t.Name] = &follower{open: t.Name != c.Primary}
 	}
 	return m.drive(now, c.Service)
 }
 
+// countServed counts primaries that were chosen in quick succession.
+func (gr *group) countServed(now types.Instant) {
+	if gr.servedAt == 0 || now.Sub(gr.servedAt) >= calmAfter {
+		gr.quick = 0
+	} else {
+		gr.quick++
+	}
+	gr.servedAt = now
+}
+
 // settled returns a group whose proposal has been committed.
 func (m *Manager) settled(service types.ServiceName) *group {
 	gr := m.group(service)
@@ -167,8 +205,12 @@
 	if !m.role.Leading {
 		return nil
 	}
+	return m.driveEach(now, m.state.Services())
+}
+
+func (m *Manager) driveEach(now types.Instant, services []types.ServiceName) []effect.Effect {
 	var out []effect.Effect
-	for _, name := range m.state.Services() {
+	for _, name := range services {
 		out = append(out, m.drive(now, name)...)
 	}
 	return out
@@ -182,6 +224,10 @@
 		return nil
 	}
 	gr := m.group(service)
+	delete(m.waiting, service)
+	if g.Phase == types.GroupQuiescing || g.Phase == types.GroupFencing {
+		m.waiting[service] = true
+	}
 	switch g.Phase {
 	case types.GroupForming:
 		return m.driveForming(now, g, gr)
