--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/internal/cmdline"
@@ -39,6 +41,15 @@
 					})
 				},
 			},
+			{
+				Name: "writes", Usage: "time of a write for each durability",
+				Flags: []cli.Flag{runs, lag, latency},
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return inLab(ctx, cmd, func(ctx context.Context, l *lab.Lab) error {
+						return writes(ctx, l, cmd.Int("runs"))
+					})
+				},
+			},
 			{
 				Name: "config", Usage: "time until a change is in force on every proxy",
 				Flags: []cli.Flag{runs, lag, latency},
@@ -54,6 +65,8 @@
 
 // inLab runs a measurement in a lab of the size of one deployment.
 func inLab(ctx context.Context, cmd *cli.Command, do func(context.Context, *lab.Lab) error) error {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	dir, err := os.MkdirTemp("", "camphorpaddle-measure-")
 	if err != nil {
 		return trace.ConvertSystemError(err)
