--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -25,6 +25,9 @@
 	defaultRuns = 20
 )
 
+// services are the services of configFile.
+var services = []string{service, "spares-ledger-orders", "spares-ledger-catalog"}
+
 func main() {
 	runs := &cli.IntFlag{Name: "runs", Value: defaultRuns, Usage: "number of runs"}
 	latency := &cli.DurationFlag{Name: "latency", Usage: "one way, added to every connection between processes"}
@@ -50,6 +53,13 @@
 					})
 				},
 			},
+			{
+				Name: "idle", Usage: "what control costs processes that no caller uses",
+				Flags: []cli.Flag{lag, latency, &cli.IntFlag{Name: "services", Value: 1, Usage: "1 to 3 services"}},
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return inLab(ctx, cmd, func(ctx context.Context, l *lab.Lab) error { return idle(ctx, l) })
+				},
+			},
 			{
 				Name: "config", Usage: "time until a change is in force on every proxy",
 				Flags: []cli.Flag{runs, lag, latency},
@@ -78,10 +88,7 @@
 	}
 	l, err := lab.Start(ctx, lab.Config{
 		Dir: dir, Controls: 3, Proxies: 4, ConfigFile: config, Latency: cmd.Duration("latency"),
-		Services: []lab.Service{{
-			Name: service, Members: 3, Slots: 3, Connections: 20,
-			ConnectCost: 12 * time.Millisecond, Lag: cmd.Duration("lag"),
-		}},
+		Services: labServices(cmd),
 	})
 	if err != nil {
 		return err
@@ -90,6 +97,18 @@
 	return do(ctx, l)
 }
 
+// labServices returns the services of the lab, one unless a flag says more.
+func labServices(cmd *cli.Command) []lab.Service {
+	var out []lab.Service
+	for _, name := range services[:max(1, min(cmd.Int("services"), len(services)))] {
+		out = append(out, lab.Service{
+			Name: name, Members: 3, Slots: 3, Connections: 20,
+			ConnectCost: 12 * time.Millisecond, Lag: cmd.Duration("lag"),
+		})
+	}
+	return out
+}
+
 // printFigures prints the smallest, the middle and the largest duration.
 func printFigures(what string, took []time.Duration) {
 	slices.Sort(took)
