--- a/daemon/control.go
+++ b/daemon/control.go
@@ -155,7 +155,7 @@
 
 func newRecorder(s *settings.Daemon, host types.HostID, clock runtime.Clock) (*telemetry.Recorder, error) {
 	return telemetry.New(telemetry.Options{
-		Role: s.Role.String(), Host: host, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
+		Role: s.Role.String(), Name: string(s.Host), Host: host, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
 		Clock: clock, TraceEndpoint: s.Trace.Endpoint, TraceSample: s.Trace.Sample,
 	})
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -50,7 +50,7 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: metricPrefix,
 		Tags: map[string]string{
-			"role": o.Role, "host": string(o.Host),
+			"role": o.Role, "host": o.Name,
 			"availability_zone": string(o.AvailabilityZone), "region": o.Region,
 		},
 		CachedReporter:         reporter,
--- a/telemetry/recorder.go
+++ b/telemetry/recorder.go
@@ -22,7 +22,8 @@
 // Options configures a Recorder.
 type Options struct {
 	Role             string
-	Host             types.HostID
+	Name             string       // configured name of the host, in metrics
+	Host             types.HostID // identity of the process, in logs and spans
 	AvailabilityZone types.AvailabilityZone
 	Region           string
 	Clock            runtime.Clock // of the instants in observations
--- a/telemetry/spans.go
+++ b/telemetry/spans.go
@@ -36,7 +36,8 @@
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(o.TraceSample))),
 		sdktrace.WithResource(resource.NewSchemaless(
 			attribute.String("service.name", "camphorpaddle-"+o.Role),
-			attribute.String("host.name", string(o.Host)),
+			attribute.String("service.instance.id", string(o.Host)),
+			attribute.String("host.name", o.Name),
 			attribute.String("cloud.availability_zone", string(o.AvailabilityZone)),
 			attribute.String("cloud.region", o.Region),
 		)),
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -20,7 +20,7 @@
 
 func testOptions() Options {
 	return Options{
-		Role: "proxy", Host: "proxy-1", AvailabilityZone: "az-1", Region: "north",
+		Role: "proxy", Name: "proxy-1", Host: "proxy-1.5f39c98b9b2a", AvailabilityZone: "az-1", Region: "north",
 		Clock:       func() types.Instant { return types.Instant(time.Second) },
 		TraceSample: 1,
 	}
@@ -45,11 +45,11 @@
 	}{
 		{
 			effect.Decide{Kind: effect.DecideTermServing, Service: "ledger", Target: "member-2", Term: 3, Reason: "furthest"},
-			"[role proxy host proxy-1 availability_zone az-1 service ledger target member-2 term 3 reason furthest]",
+			"[role proxy host proxy-1.5f39c98b9b2a availability_zone az-1 service ledger target member-2 term 3 reason furthest]",
 		},
 		{
 			effect.Decide{Kind: effect.DecideConfig, Version: 7, Host: "control-1", Reason: "two\n  lines"},
-			"[role proxy host proxy-1 availability_zone az-1 about_host control-1 version 7 reason two lines]",
+			"[role proxy host proxy-1.5f39c98b9b2a availability_zone az-1 about_host control-1 version 7 reason two lines]",
 		},
 	}
 	for _, tt := range tests {
