--- a/settings/decode.go
+++ b/settings/decode.go
@@ -13,6 +13,9 @@
 	"gopkg.in/yaml.v3"
 )
 
+// maxFindings bounds the findings that are reported of one file.
+const maxFindings = 200
+
 // decoder collects the findings of one file.
 type decoder struct {
 	file     string
@@ -39,6 +42,11 @@
 		}
 		return a.Column - b.Column
 	})
+	if more := len(d.findings) - maxFindings; more > 0 {
+		last := d.findings[maxFindings]
+		last.Path, last.Message = "", fmt.Sprintf("%d more findings from here on", more)
+		return &InvalidError{Findings: append(d.findings[:maxFindings:maxFindings], last)}
+	}
 	return &InvalidError{Findings: d.findings}
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -102,6 +102,13 @@
 	}
 }
 
+func TestFindingsAreBounded(t *testing.T) {
+	_, err := ParseConfig("f", []byte(strings.Repeat("a: b\n", maxFindings+50)))
+	got := findings(t, err)
+	assert.Equal(t, len(got), maxFindings+1)
+	assert.Equal(t, got[maxFindings], "f:199:1: 52 more findings from here on")
+}
+
 func TestDaemonFindings(t *testing.T) {
 	text := `
 host: Entry_1
