Serve reads by age while a group has no primary

Before, all reads waited for the next primary. Reads by age of sessions with a floor go on at replicas of the term before; such reads check the session's writes only.

--- a/core/session/acknowledge.go
+++ b/core/session/acknowledge.go
@@ -102,6 +102,10 @@
 // raiseFloor makes the session's later reads cover what this answer showed.
 func (s *Shard) raiseFloor(r *request) {
 	f := &r.session.floor
+	g := s.view.Group(r.service.name)
+	if f.known && g != nil && !g.History.Survives(f.seen, g.Term) {
+		f.lost = f.seen // a read by age comes before the one that is told
+	}
 	switch {
 	case !r.positioned:
 	case r.replica:
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -62,15 +62,25 @@
 		return
 	}
 	r.stage, r.step, r.sentAt = stageRunning, st, s.now
-	if g := s.view.Group(r.service.name); g != nil {
-		r.sentTerm = g.Term
-	}
+	r.sentTerm = s.termOf(r)
 	s.emit(effect.SendTarget{
 		Conn: r.conn.ID, Seq: r.conn.Begin(), Operations: r.operations(), Trace: r.Trace,
 	})
 	s.armSession(r.session)
 }
 
+// termOf returns the term in which the request's target is taken to be.
+func (s *Shard) termOf(r *request) types.Term {
+	g := s.view.Group(r.service.name)
+	switch {
+	case g == nil:
+		return 0
+	case r.replica && !hasPrimary(g):
+		return readableTerm(g, r.profile)
+	}
+	return g.Term
+}
+
 // operations returns what the request's step asks of the target. Every
 // exchange that may be the last ends with the target's position.
 func (r *request) operations() []types.Operation {
--- a/core/session/floor_test.go
+++ b/core/session/floor_test.go
@@ -101,6 +101,26 @@
 	}
 }
 
+// TestReadsByAgeGoOnWithoutPrimary covers the time between two primaries.
+func TestReadsByAgeGoOnWithoutPrimary(t *testing.T) {
+	for _, c := range []struct {
+		profile types.ProfileName
+		served  bool
+	}{{"catalog", true}, {"session", false}} {
+		d := newDriver(t)
+		token := pos(0)
+		d.step(openWith(1, types.SessionParams{Service: svcName, Token: &token}))
+		d.ask(1, types.Request{Profile: "strict", Class: types.ClassRead})
+		d.answer(0, types.TxIdle)
+		d.setView(func(v *types.NodeView, g *types.Group) { g.Term, g.Phase, g.Primary = 2, types.GroupFencing, "" })
+		seq := d.ask(1, types.Request{Profile: c.profile, Class: types.ClassRead})
+		e, name := d.sent()
+		assert.Equal(t, name != "a", c.served)
+		d.answerAs(e, types.TxIdle, types.TargetStatus{Term: 1, Pos: pos(0)})
+		assert.Equal(t, d.answered(seq), c.served)
+	}
+}
+
 func TestLostWriteIsToldOnce(t *testing.T) {
 	d := newDriver(t)
 	d.open(1)
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -36,7 +36,7 @@
 		s.wait(r, stageFloor)
 		return
 	}
-	if pos, lost := s.lostFloor(r.session); lost {
+	if pos, lost := s.lostFloor(r); lost {
 		s.refuseLost(r, pos)
 		return
 	}
@@ -123,9 +123,9 @@
 	}
 	var names []types.TargetName
 	g := s.view.Group(r.service.name)
-	if hasPrimary(g) {
+	if term := readableTerm(g, r.profile); term != 0 {
 		for _, t := range g.Members {
-			if s.replicaServes(r, g, t) {
+			if s.replicaServes(r, g, t, term) {
 				names = append(names, t.Name)
 			}
 		}
@@ -144,14 +144,27 @@
 	return strings.Join(parts, "\x00")
 }
 
+// readableTerm returns the term in which replicas may serve reads of the
+// profile, or zero. Reads by age go on in the last term that had a primary
+// while the next one has none.
+func readableTerm(g *types.Group, p types.Profile) types.Term {
+	switch {
+	case hasPrimary(g):
+		return g.Term
+	case g == nil || p.Freshness != types.FreshAge || g.Phase != types.GroupFencing || len(g.History) == 0:
+		return 0
+	}
+	return g.History[len(g.History)-1].Term
+}
+
 // replicaServes reports whether the member is a replica that may serve the
 // read now.
-func (s *Shard) replicaServes(r *request, g *types.Group, t types.Target) bool {
+func (s *Shard) replicaServes(r *request, g *types.Group, t types.Target, term types.Term) bool {
 	if t.Name == g.Primary || t.State != types.TargetActive {
 		return false
 	}
 	h := r.service.health(s.view, t.Name)
-	if h.Failing || h.Term != g.Term || !r.service.target(t.Name).pool.Reachable() {
+	if h.Failing || h.Primary || h.Term != term || !r.service.target(t.Name).pool.Reachable() {
 		return false
 	}
 	if r.profile.Freshness == types.FreshAge && !fresh(h, s.now, r.profile.MaxAge) {
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -34,6 +34,7 @@
 	known   bool
 	written types.LogPos // own writes, and what was acknowledged before the session opened
 	seen    types.LogPos // what the session wrote or may have read
+	lost    types.LogPos // what it has seen and was lost, until it is told
 }
 
 func (f *floor) begin(pos types.LogPos) {
@@ -119,14 +120,18 @@
 	return ok
 }
 
-// lostFloor returns the position that the session has seen and a promotion
+// lostFloor returns the position that the request must cover and a promotion
 // has lost.
-func (s *Shard) lostFloor(c *session) (types.LogPos, bool) {
-	g := s.view.Group(c.service)
-	if !c.floor.known || !hasPrimary(g) || g.History.Survives(c.floor.seen, g.Term) {
+func (s *Shard) lostFloor(r *request) (types.LogPos, bool) {
+	g, f := s.view.Group(r.service.name), r.session.floor
+	if f.lost != (types.LogPos{}) && r.profile.Freshness != types.FreshAge {
+		return f.lost, true
+	}
+	pos := f.bound(r.profile)
+	if !f.known || !hasPrimary(g) || g.History.Survives(pos, g.Term) {
 		return types.LogPos{}, false
 	}
-	return c.floor.seen, true
+	return pos, true
 }
 
 // hasPrimary reports whether the group's primary may acknowledge writes.
