--- a/core/session/machine_test.go
+++ b/core/session/machine_test.go
@@ -33,7 +33,7 @@
 	os.Exit(m.Run())
 }
 
-const modelLease = 300 * time.Millisecond
+const modelLease = 100 * time.Millisecond
 
 // world is the model: three targets, control, two proxies and three users who
 // go from proxy to proxy.
--- a/core/session/session_test.go
+++ b/core/session/session_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"gotest.tools/v3/assert"
 )
@@ -86,6 +87,23 @@
 	assert.Equal(t, d.refusal(second).Outcome, types.NotRun)
 }
 
+func TestNothingIsSentWithoutLease(t *testing.T) {
+	d := newDriver(t)
+	d.share("a", types.Share{Connections: 1, Slots: 1})
+	d.open(1)
+	d.open(2)
+	d.ask(2, types.Request{ID: "charge-1"})
+	d.lastSeq++
+	d.step(event.RequestArrived{Session: 1, Request: types.Request{Seq: d.lastSeq}}) // no connection is free yet
+	d.now = d.view.LeaseUntil
+	d.answerStep(-1, 0, false)
+	d.connect()
+	assert.Equal(t, len(d.sends), 1, "sent after the lease ran out")
+	d.advance(time.Second)
+	assert.Equal(t, d.refusal(d.lastSeq).Code, types.RefuseNoLease)
+	assert.Equal(t, d.refusal(d.lastSeq).Outcome, types.NotRun)
+}
+
 func TestFloorIsAskedAfterArrival(t *testing.T) {
 	d := newDriver(t)
 	d.open(1)
