shared: Record the term of the entry that a term begins after

ServeTerm carries it from the promotion's answer, and the replicated state leaves out the terms that the group's log has left (TermHistory.Begin). Entries without it are applied as before. core/cluster, core/promotion and core/systemtest pass; no test in core/cluster covers the new branch yet.

--- a/core/cluster/apply.go
+++ b/core/cluster/apply.go
@@ -166,7 +166,7 @@
 	}
 	next := *g
 	next.Phase, next.Primary = types.GroupServing, c.Primary
-	next.History = append(slices.Clone(g.History), types.TermStart{Term: c.Term, Offset: c.Start})
+	next.History = beginTerm(g.History, c)
 	if extra := len(next.History) - maxTermStarts; extra > 0 {
 		next.History = next.History[extra:]
 	}
@@ -177,6 +177,16 @@
 	})
 }
 
+// beginTerm adds the start of a term. Without the term of the entry before it,
+// nothing is known of a fork.
+func beginTerm(h types.TermHistory, c proto.ServeTerm) types.TermHistory {
+	start := types.TermStart{Term: c.Term, Offset: c.Start}
+	if c.Last == 0 {
+		return append(slices.Clone(h), start)
+	}
+	return h.Begin(start, c.Last)
+}
+
 func (s *State) applyProxy(c proto.SetProxy) {
 	if c.Remove {
 		delete(s.proxies, c.Host)
--- a/core/promotion/run.go
+++ b/core/promotion/run.go
@@ -38,7 +38,7 @@
 	avoid   types.TargetName                   // the primary that the proxies can't reach
 	chosen  types.TargetName
 	replyBy types.Instant // when the chosen member has answered at the latest
-	start   uint64        // position at which the chosen member was promoted
+	start   types.LogPos  // position at which the chosen member was promoted
 }
 
 // begun starts the promotion of a term that was just committed.
@@ -209,13 +209,13 @@
 	if e.Err != nil || e.Result.Err != types.TargetErrNone || s.Term != g.Term || !s.Primary {
 		return m.giveUp(now, g, gr)
 	}
-	r.stage, r.start = stageServe, s.Pos.Offset
+	r.stage, r.start = stageServe, s.Pos
 	return m.serve(now, g, gr)
 }
 
 func (m *Manager) serve(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	out := m.propose(now, gr, g.Term, proto.Command{ServeTerm: &proto.ServeTerm{
-		Service: g.Service, Term: g.Term, Primary: gr.run.chosen, Start: gr.run.start,
+		Service: g.Service, Term: g.Term, Primary: gr.run.chosen, Start: gr.run.start.Offset, Last: gr.run.start.Term,
 	}})
 	return append(out, arm(g.Service, now.Add(repeatAfter)))
 }
--- a/core/proto/command.go
+++ b/core/proto/command.go
@@ -71,7 +71,8 @@
 	Service types.ServiceName
 	Term    types.Term
 	Primary types.TargetName
-	Start   uint64 // last offset before the term
+	Start   uint64     // last offset before the term
+	Last    types.Term // term of the entry at Start
 }
 
 // SetProxy records that a proxy may hold a lease, or no longer.
