Hold declared reads to their word

Cause: a request that was declared a read may be sent again, but on the primary nothing kept it from writing; a write under paddle.read could land twice. Change: outside a transaction a declared read runs between BEGIN READ ONLY and COMMIT in the same round trip; a plain BEGIN gets READ ONLY added. The adapter no longer takes 25006 of a declared read for a replaced primary.

--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -33,6 +33,23 @@
 	assert.Equal(t, tag.String(), "DELETE 0")
 }
 
+// TestDeclaredReadDoesNotWrite declares a write as a read, on the primary.
+func TestDeclaredReadDoesNotWrite(t *testing.T) {
+	ctx, l := start(t, 3, 1)
+	createTable(ctx, t, l.Proxies[0])
+	conn := connect(ctx, t, l.Proxies[0], "&paddle.profile=strict&paddle.read=on")
+	for _, sql := range []string{"INSERT INTO orders (id) VALUES (1)", "BEGIN", "INSERT INTO orders (id) VALUES (1)"} {
+		_, err := conn.Exec(ctx, sql)
+		if sql == "BEGIN" {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.Equal(t, code(err), "25006")
+	}
+	execute(ctx, t, conn, "ROLLBACK")
+	assert.Equal(t, countThroughPq(ctx, t, l.Proxies[0], 1), 0)
+}
+
 // TestLeavingPrimaryHandsOver asks the primary to leave. Every write is taken
 // meanwhile, and the process ends on its own.
 func TestLeavingPrimaryHandsOver(t *testing.T) {
--- a/front/pg/caller.go
+++ b/front/pg/caller.go
@@ -171,6 +171,9 @@
 	case stmtRefused:
 		return c.replyError(newError(codeNotSupported, "not run: %s is not served through the proxy", st.name))
 	default:
+		if st.kind == stmtBegin && c.tx == types.TxIdle && c.settings.isRead(st) {
+			sql = withReadOnly(sql)
+		}
 		messages, err := (&pgproto3.Query{String: sql}).Encode(nil)
 		if err != nil {
 			return trace.Wrap(err)
@@ -221,6 +224,8 @@
 	if c.tx != types.TxIdle {
 		request.Class = c.txClass
 	}
+	b.payload.Read = request.Class == types.ClassRead
+	b.payload.ReadOnly = c.guards(b.statement, request)
 	answer, err := c.do(request)
 	var refusal *types.Refusal
 	switch {
@@ -241,6 +246,13 @@
 	return c.reply(reply.Messages)
 }
 
+// guards reports whether a request is to run in a read-only transaction of its
+// own. What was declared a read may be sent again, so it must not write.
+func (c *caller) guards(st statement, r types.Request) bool {
+	begins := st.kind == stmtBegin || st.kind == stmtBeginRead || st.kind == stmtBeginWrite
+	return r.Class == types.ClassRead && c.tx == types.TxIdle && r.ID == "" && !begins
+}
+
 // do waits for the answer to a request. It gives the request up when the
 // caller leaves.
 func (c *caller) do(r types.Request) (types.Answer, error) {
--- a/front/pg/statement.go
+++ b/front/pg/statement.go
@@ -12,6 +12,7 @@
 
 const (
 	stmtOther      statementKind = iota // sent to a target as it is
+	stmtBegin                           // begins a transaction, of which it says no more
 	stmtBeginRead                       // begins a transaction that only reads
 	stmtBeginWrite                      // begins a transaction that may write
 	stmtLocal                           // SET, SHOW or RESET of a session setting
@@ -75,10 +76,10 @@
 	return statement{}
 }
 
-// matchBegin recognises BEGIN and START TRANSACTION with an access mode.
+// matchBegin recognises BEGIN and START TRANSACTION.
 func matchBegin(tokens []sqltoken.Token) statement {
 	words := lowered(tokens)
-	mode := stmtOther
+	mode := stmtBegin
 	for i := 1; i+1 < len(words); i++ {
 		switch {
 		case words[i] == "read" && words[i+1] == "only":
@@ -145,6 +146,12 @@
 	return ok
 }
 
+// withReadOnly returns a statement that begins a transaction with the access
+// mode added.
+func withReadOnly(begin string) string {
+	return strings.Join(append(lowered(scan(begin)), "read", "only"), " ")
+}
+
 // scan splits a statement and drops the semicolons at its end.
 func scan(sql string) []sqltoken.Token {
 	tokens := sqltoken.Scan(sql)
--- a/target/pg/answer.go
+++ b/target/pg/answer.go
@@ -36,6 +36,39 @@
 	msgCommandComplete: true, msgEmptyQuery: true, msgPortalSuspended: true,
 }
 
+// readOperation reads the answer to an operation, with those to the statements
+// of ours around it.
+func (c *Conn) readOperation(op types.Operation, budget int) (*answer, error) {
+	if !isReadOnly(op) {
+		return c.readAnswer(op, budget)
+	}
+	if err := c.readOwn(types.OpBegin); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	a, err := c.readAnswer(op, budget)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	err = c.readOwn(types.OpCommit)
+	a.tx = types.TxIdle
+	return a, trace.Wrap(err)
+}
+
+// readOwn reads the answer to a statement of ours that must not fail.
+func (c *Conn) readOwn(kind types.OperationKind) error {
+	a, err := c.readAnswer(types.Operation{Kind: kind}, c.maxReply)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if a.err != nil {
+		return trace.Errorf("the target answered %s: %s", a.err.Code, a.err.Message)
+	}
+	if kind == types.OpCommit && a.tx != types.TxIdle {
+		return trace.BadParameter("a transaction is open after its end")
+	}
+	return nil
+}
+
 // readAnswer reads the messages up to ReadyForQuery.
 func (c *Conn) readAnswer(op types.Operation, budget int) (*answer, error) {
 	a := &answer{}
--- a/target/pg/batch.go
+++ b/target/pg/batch.go
@@ -9,6 +9,12 @@
 	// HiddenParses tells for each Parse message, in order, whether the front
 	// added it. The caller must not see the answer to such a message.
 	HiddenParses []bool
+	// Read reports that the messages were declared a read. That the target
+	// refuses them as a write then says nothing of the target's role.
+	Read bool
+	// ReadOnly runs the messages in a read-only transaction of their own, which
+	// the caller does not see. No transaction may be open.
+	ReadOnly bool
 }
 
 // Reply is the payload of an answer: the messages of the target without the
--- a/target/pg/conn.go
+++ b/target/pg/conn.go
@@ -124,7 +124,7 @@
 	results := make([]types.Result, 0, len(ops))
 	budget := c.maxReply
 	for _, op := range ops {
-		answer, err := c.readAnswer(op, budget)
+		answer, err := c.readOperation(op, budget)
 		if err != nil {
 			return nil, trace.Wrap(err, "reading the target's answer")
 		}
--- a/target/pg/conn_test.go
+++ b/target/pg/conn_test.go
@@ -111,6 +111,26 @@
 	assert.Equal(t, r[1].Err, types.TargetErrNone)
 }
 
+// TestReadsAreHeldToTheirWord runs a write that was declared a read.
+func TestReadsAreHeldToTheirWord(t *testing.T) {
+	conn := dial(t, Config{}, startMember(t).Address())
+	promoted(t, conn)
+	write, read := query(t, "INSERT INTO stock (id) VALUES (1)"), query(t, "SELECT id FROM stock")
+	for _, op := range []types.Operation{write, read} {
+		batch := op.Payload.(*Batch)
+		batch.Read, batch.ReadOnly = true, true
+	}
+	position := types.Operation{Kind: types.OpPosition}
+	r := exchange(t, conn, write, position, read, position)
+	assert.Equal(t, r[0].Err, types.TargetErrStatement, "the target was taken for a replica")
+	assert.Equal(t, r[0].Tx, types.TxIdle)
+	assert.Assert(t, strings.Contains(string(r[0].Payload.(*Reply).Messages), codeReadOnly))
+	assert.Equal(t, r[2].Err, types.TargetErrNone)
+	assert.Equal(t, r[2].Tx, types.TxIdle)
+	assert.Assert(t, strings.Contains(string(r[2].Payload.(*Reply).Messages), "SELECT 0"))
+	assert.Equal(t, r[3].Status.Pos, types.LogPos{Term: 1, Offset: 1})
+}
+
 // TestLargeBatchDoesNotBlock sends more than the buffers of both ends hold to a
 // target that reads nothing before it has written as much.
 func TestLargeBatchDoesNotBlock(t *testing.T) {
--- a/target/pg/operation.go
+++ b/target/pg/operation.go
@@ -41,7 +41,7 @@
 		if !ok {
 			return nil, trace.BadParameter("payload %T is not of the PostgreSQL front", op.Payload)
 		}
-		return append(dst, batch.Messages...), nil
+		return appendBatch(dst, batch)
 	}
 	sql, err := statement(op)
 	if err != nil {
@@ -50,6 +50,27 @@
 	return (&pgproto3.Query{String: sql}).Encode(dst)
 }
 
+// appendBatch appends the messages of a caller, between the statements of a
+// read-only transaction if need be.
+func appendBatch(dst []byte, batch *Batch) ([]byte, error) {
+	if !batch.ReadOnly {
+		return append(dst, batch.Messages...), nil
+	}
+	dst, err := (&pgproto3.Query{String: "BEGIN READ ONLY"}).Encode(dst)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	dst = append(dst, batch.Messages...)
+	return (&pgproto3.Query{String: "COMMIT"}).Encode(dst)
+}
+
+// isReadOnly reports whether an operation has a read-only transaction of its
+// own around it.
+func isReadOnly(op types.Operation) bool {
+	batch, ok := op.Payload.(*Batch)
+	return ok && op.Kind == types.OpCaller && batch.ReadOnly
+}
+
 // statement returns the SQL text of an operation of ours.
 func statement(op types.Operation) (string, error) {
 	switch op.Kind {
@@ -91,7 +112,7 @@
 
 // result decodes the answer to op.
 func (a *answer) result(op types.Operation) (types.Result, error) {
-	result := types.Result{Tx: a.tx, Err: a.errorKind(op.Kind)}
+	result := types.Result{Tx: a.tx, Err: a.errorKind(op)}
 	if op.Kind == types.OpCaller {
 		result.Payload = &a.reply
 		return result, nil
@@ -104,15 +125,17 @@
 }
 
 // errorKind classes the target's error.
-func (a *answer) errorKind(kind types.OperationKind) types.TargetErrorKind {
+func (a *answer) errorKind(op types.Operation) types.TargetErrorKind {
+	batch, ok := op.Payload.(*Batch)
+	read := ok && batch.Read
 	switch {
-	case a.err == nil && kind == types.OpCommit && a.tag != tagCommit:
+	case a.err == nil && op.Kind == types.OpCommit && a.tag != tagCommit:
 		return types.TargetErrStatement
 	case a.err == nil:
 		return types.TargetErrNone
-	case kind == types.OpClaim && a.err.Code == codeUniqueViolation:
+	case op.Kind == types.OpClaim && a.err.Code == codeUniqueViolation:
 		return types.TargetErrDuplicate
-	case a.err.Code == codeReadOnly:
+	case a.err.Code == codeReadOnly && !read:
 		return types.TargetErrReadOnly
 	case a.err.Code == CodeStaleTerm:
 		return types.TargetErrStaleTerm
