End repeated failures of working primaries within the aim

The pause is meant for primaries that no proxy reaches. Change: a primary that a proxy has reached in its term is kept for 2 s at most. A test fails primaries in a row, each after a second of work.

--- a/core/promotion/failover_test.go
+++ b/core/promotion/failover_test.go
@@ -272,6 +272,21 @@
 	assert.Assert(t, w.serving(2))
 }
 
+// TestFailuresInARowAreOverInTime kills one primary after the other, each after
+// a second of work.
+func TestFailuresInARowAreOverInTime(t *testing.T) {
+	const bound = 3 * time.Second // the aim for the longest failover
+	w := started(t)
+	for term := types.Term(2); term < 12; term++ {
+		old := w.primary()
+		w.cutProxies(old.name)
+		gap, ok := w.run(2*bound, func() bool { return w.serving(term) })
+		assert.Assert(t, ok && gap <= bound, "failover to term %d took %v", term, gap)
+		w.cut = map[string]bool{}
+		w.Run(time.Second)
+	}
+}
+
 func TestServiceThatIsConfiguredAgain(t *testing.T) {
 	w := started(t)
 	w.primary().write(4)
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -48,9 +48,11 @@
 	// counted together with the one before.
 	calmAfter = 30 * time.Second
 	// minPatience and maxPatience bound how long a primary is kept after
-	// freeReplacements in quick succession.
-	minPatience = time.Second
-	maxPatience = 8 * time.Second
+	// freeReplacements in quick succession. One that a proxy has reached is
+	// kept for provenPatience at most: its failure is a new one.
+	minPatience    = time.Second
+	provenPatience = 2 * time.Second
+	maxPatience    = 8 * time.Second
 	// reportBound is the age up to which a proxy's report counts.
 	reportBound = 600 * time.Millisecond
 )
@@ -84,6 +86,7 @@
 	avoid      types.TargetName // the primary that the proxies can't reach
 	servedAt   types.Instant    // when the last primary was chosen
 	quick      int              // primaries chosen in quick succession before it
+	proven     types.Term       // last term whose primary a proxy has reached
 	moves      int              // tries to replace a primary that leaves
 	movedAt    types.Instant    // last of them
 	followers  map[types.TargetName]*follower
--- a/core/promotion/suspect.go
+++ b/core/promotion/suspect.go
@@ -48,6 +48,9 @@
 func (m *Manager) suspect(now types.Instant, g *types.Group, r proto.LeaseRequest, report proto.TargetReport) bool {
 	gr := m.group(g.Service)
 	_, before := gr.suspicions[r.Proxy]
+	if !report.Failing && !disowned(report.Status, g) {
+		gr.proven = g.Term
+	}
 	if !unreachable(report) && (report.Failing || !disowned(report.Status, g)) {
 		delete(gr.suspicions, r.Proxy)
 		return before
