Check configuration changes in the random system test

Operators change the configuration through any control host, race with changes of one base and resend them. The oracle has one successor for each base, one answer for each change, no view that goes back, and every proxy on the new version, or without a lease, within 2 s.

--- a/core/systemtest/system_test.go
+++ b/core/systemtest/system_test.go
@@ -65,6 +65,7 @@
 		}
 		w.cluster.Run(askGap)
 		if rep, ok := w.replies[w.calls]; ok && rep.Err == proto.OpErrNone {
+			w.operators.version = rep.Change.Version
 			return
 		}
 	}
@@ -191,9 +192,13 @@
 			"isolate": m.isolate,
 			"heal":    func(*rapid.T) { m.cluster.Heal() },
 			"lag":     m.changeLag,
+			"change":  m.changeConfig,
+			"race":    m.raceChanges,
+			"resend":  m.resendChange,
 		})
 		m.recover()
 		m.checkAllServe()
+		m.operators.settled()
 	})
 }
 
--- a/core/systemtest/world_test.go
+++ b/core/systemtest/world_test.go
@@ -37,16 +37,17 @@
 
 // world is a whole system in virtual time.
 type world struct {
-	t       tester
-	cluster *coretest.Cluster
-	oracle  *oracle
-	proxies map[types.HostID]*proxy
-	targets map[types.TargetName]*target
-	conns   map[connKey]*conn
-	leading types.HostID // control host that was last elected
-	terms   []effect.Decide
-	calls   uint64
-	replies map[uint64]proto.OperatorReply
+	t         tester
+	cluster   *coretest.Cluster
+	oracle    *oracle
+	operators *operators
+	proxies   map[types.HostID]*proxy
+	targets   map[types.TargetName]*target
+	conns     map[connKey]*conn
+	leading   types.HostID // control host that was last elected
+	terms     []effect.Decide
+	calls     uint64
+	replies   map[uint64]proto.OperatorReply
 }
 
 // proxy is a proxy with one shard. Both are hosts of the cluster.
@@ -79,6 +80,7 @@
 		conns: make(map[connKey]*conn), replies: make(map[uint64]proto.OperatorReply),
 	}
 	w.oracle = newOracle(w)
+	w.operators = newOperators(w)
 	w.cluster = coretest.NewCluster(seed, w.build)
 	w.cluster.Network.DelayMin, w.cluster.Network.DelayMax = time.Millisecond, 2*time.Millisecond
 	w.cluster.Effect = w.execute
@@ -171,11 +173,13 @@
 	case effect.PublishView:
 		p := w.proxyOf(h)
 		p.view = e.View
+		w.operators.published(p.id, e)
 		w.cluster.Hand(p.shard(), event.ViewChanged{})
 	case effect.ReportShard:
 		w.cluster.Hand(w.proxyOf(h).id, event.ShardReported{Report: e.Report})
 	case effect.ReplyOperator:
 		w.replies[e.Call] = e.Reply
+		w.operators.replied(h.ID, e.Call, e.Reply)
 	case effect.Decide:
 		w.decided(h, e)
 	default:
