Check leaving targets and stopping proxies in the system test

Targets announce that they leave, also in the random test: no new work is sent to one later than 4 s after its announcement, or after the end of cuts; open transactions go on. A proxy that is asked to stop answers what is in flight, transactions included, and refuses new sessions with not run.

--- a/core/coretest/cluster.go
+++ b/core/coretest/cluster.go
@@ -128,6 +128,9 @@
 // Heal ends all cuts.
 func (c *Cluster) Heal() { c.Network.cut = make(map[link]bool) }
 
+// Healed reports whether no messages are cut off.
+func (c *Cluster) Healed() bool { return len(c.Network.cut) == 0 }
+
 // Now returns the virtual time.
 func (c *Cluster) Now() time.Duration { return c.now }
 
--- a/core/systemtest/oracle_test.go
+++ b/core/systemtest/oracle_test.go
@@ -55,6 +55,7 @@
 	answers  int
 	reads    int
 	refusals map[types.RefusalCode]int
+	ends     []types.Refusal // of sessions
 	txns     []*transaction
 	commits  int // acknowledged
 }
@@ -242,7 +243,8 @@
 	o.notRun[id] = true
 }
 
-func (o *oracle) ended(p *proxy, id types.SessionID) {
+func (o *oracle) ended(p *proxy, id types.SessionID, r types.Refusal) {
+	o.ends = append(o.ends, r)
 	key := sessionKey{p.id, p.run, id}
 	if c, ok := o.sessions[key]; ok {
 		delete(o.sessions, key)
--- a/core/systemtest/system_test.go
+++ b/core/systemtest/system_test.go
@@ -75,6 +75,7 @@
 func (w *world) announcement(t *target) proto.Announcement {
 	return proto.Announcement{
 		Service: service, Name: t.name, Address: types.Address(t.name), AvailabilityZone: "z",
+		Leaving: t.left != nil,
 	}
 }
 
@@ -84,7 +85,7 @@
 	for _, id := range w.proxyIDs() {
 		p := w.proxies[id]
 		h := w.cluster.Hosts[p.id]
-		if h.Stepper == nil {
+		if h.Stepper == nil || p.draining {
 			continue
 		}
 		g := p.view.Group(service)
@@ -191,7 +192,10 @@
 			"freeze":  m.freeze,
 			"cut":     m.cut,
 			"isolate": m.isolate,
-			"heal":    func(*rapid.T) { m.cluster.Heal() },
+			"heal":    func(*rapid.T) { m.heal() },
+			"leave":   m.leave,
+			"stay":    m.stay,
+			"drain":   m.drain,
 			"lag":     m.changeLag,
 			"change":  m.changeConfig,
 			"race":    m.raceChanges,
@@ -407,9 +411,14 @@
 
 // recover ends all failures.
 func (m *machine) recover() {
-	m.cluster.Heal()
+	m.heal()
 	for _, t := range m.targets {
-		t.lag = usualLag
+		t.lag, t.left = usualLag, nil
+	}
+	for _, p := range m.proxies {
+		if p.draining {
+			m.stop(p.id)
+		}
 	}
 	for _, id := range m.hosts() {
 		m.start(id)
--- a/core/systemtest/target_test.go
+++ b/core/systemtest/target_test.go
@@ -68,6 +68,7 @@
 	ops   []types.Operation
 	reply func([]types.Result)
 	close bool // the connection was closed
+	sent  time.Duration
 }
 
 // target is a member of the database group. Its log outlives a crash.
@@ -80,6 +81,7 @@
 	lag     time.Duration // of what it replicates
 	log     []entry
 	open    map[connKey]*txn // nil outside a transaction
+	left    *departure       // set while it announces that it leaves
 }
 
 func (t *target) host() types.HostID { return types.HostID(t.name) }
@@ -91,6 +93,7 @@
 			delete(t.open, e.conn)
 			return nil
 		}
+		t.checkLeaving(e)
 		results := make([]types.Result, len(e.ops))
 		for i, op := range e.ops {
 			t.checkOwner(e.conn, op)
--- a/core/systemtest/world_test.go
+++ b/core/systemtest/world_test.go
@@ -48,6 +48,7 @@
 	elected   map[types.HostID]bool // and has not stepped down
 	terms     []effect.Decide
 	calls     uint64
+	healed    time.Duration // when the last cuts ended
 	replies   map[uint64]proto.OperatorReply
 }
 
@@ -56,6 +57,8 @@
 	id   types.HostID
 	run  int
 	view *types.NodeView
+
+	draining bool
 }
 
 func (p *proxy) shard() types.HostID { return p.id + "/shard" }
@@ -124,7 +127,7 @@
 
 func (w *world) startProxy(p *proxy) {
 	p.run++
-	p.view = nil
+	p.view, p.draining = nil, false
 	w.cluster.Start(p.shard())
 	w.cluster.Start(p.id)
 }
@@ -139,6 +142,7 @@
 func (w *world) build(h *coretest.Host) coretest.Stepper {
 	if t, ok := w.targets[types.TargetName(h.ID)]; ok {
 		clear(t.open)
+		t.left = nil
 		return t
 	}
 	for _, p := range w.proxies {
@@ -214,7 +218,7 @@
 	case effect.RefuseCaller:
 		w.oracle.refused(p, e)
 	case effect.EndSession:
-		w.oracle.ended(p, e.Session)
+		w.oracle.ended(p, e.Session, e.Refusal)
 	}
 }
 
@@ -248,6 +252,7 @@
 		w.cluster.Schedule(2*w.cluster.Delay(), fail)
 		return
 	}
+	sent := w.cluster.Now()
 	reply := func(results []types.Result) {
 		if w.cluster.Connected(t.host(), from) {
 			w.cluster.Schedule(w.cluster.Delay(), func() { done(results) })
@@ -255,7 +260,7 @@
 	}
 	w.cluster.Schedule(w.cluster.Delay(), func() {
 		if w.cluster.Connected(from, t.host()) {
-			w.cluster.Hand(t.host(), exchange{Event: event.Start{}, conn: conn, ops: ops, reply: reply})
+			w.cluster.Hand(t.host(), exchange{Event: event.Start{}, conn: conn, ops: ops, reply: reply, sent: sent})
 		}
 	})
 }
