Lose control hosts in the system test

The random test has a spare control host and loses disks: the host comes back under a new identity once earlier losses are repaired, which takes at most 40 s from the end of all failures.

--- a/core/systemtest/system_test.go
+++ b/core/systemtest/system_test.go
@@ -172,6 +172,7 @@
 func TestPromisesUnderFailures(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{world: newWorld(t, rapid.Uint64().Draw(t, "seed"), 3, 3, 3)}
+		m.addSpare()
 		m.waitServing()
 		for range 4 {
 			m.oracle.newCaller()
@@ -196,6 +197,7 @@
 			"leave":   m.leave,
 			"stay":    m.stay,
 			"drain":   m.drain,
+			"lose":    m.loseDisk,
 			"lag":     m.changeLag,
 			"change":  m.changeConfig,
 			"race":    m.raceChanges,
--- a/core/systemtest/world_test.go
+++ b/core/systemtest/world_test.go
@@ -48,6 +48,7 @@
 	elected   map[types.HostID]bool // and has not stepped down
 	terms     []effect.Decide
 	calls     uint64
+	spares    int           // control hosts added to the first ones
 	healed    time.Duration // when the last cuts ended
 	replies   map[uint64]proto.OperatorReply
 }
