--- a/front/pg/caller.go
+++ b/front/pg/caller.go
@@ -25,6 +25,7 @@
 type caller struct {
 	server   *Server
 	conn     net.Conn
+	reader   *callerReader
 	backend  *pgproto3.Backend
 	params   types.SessionParams
 	settings settings
@@ -50,7 +51,8 @@
 // use makes conn the connection of the caller.
 func (c *caller) use(conn net.Conn) {
 	c.conn = conn
-	c.backend = pgproto3.NewBackend(conn, conn)
+	c.reader = newCallerReader(conn)
+	c.backend = pgproto3.NewBackend(c.reader, conn)
 	c.backend.SetMaxBodyLen(c.server.config.MaxMessage)
 }
 
@@ -169,6 +171,9 @@
 	case stmtRefused:
 		return c.replyError(newError(codeNotSupported, "not run: %s is not served through the proxy", st.name))
 	default:
+		if st.kind == stmtBegin && c.tx == types.TxIdle && c.settings.isRead(st) {
+			sql = withReadOnly(sql)
+		}
 		messages, err := (&pgproto3.Query{String: sql}).Encode(nil)
 		if err != nil {
 			return trace.Wrap(err)
@@ -219,7 +224,9 @@
 	if c.tx != types.TxIdle {
 		request.Class = c.txClass
 	}
-	answer, err := c.session.Do(c.ctx, request)
+	b.payload.Read = request.Class == types.ClassRead
+	b.payload.ReadOnly = c.guards(b.statement, request)
+	answer, err := c.do(request)
 	var refusal *types.Refusal
 	switch {
 	case errors.As(err, &refusal):
@@ -239,6 +246,28 @@
 	return c.reply(reply.Messages)
 }
 
+// guards reports whether a request is to run in a read-only transaction of its
+// own. What was declared a read may be sent again, so it must not write.
+func (c *caller) guards(st statement, r types.Request) bool {
+	begins := st.kind == stmtBegin || st.kind == stmtBeginRead || st.kind == stmtBeginWrite
+	return r.Class == types.ClassRead && c.tx == types.TxIdle && r.ID == "" && !begins
+}
+
+// do waits for the answer to a request. It gives the request up when the
+// caller leaves.
+func (c *caller) do(r types.Request) (types.Answer, error) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	release := c.reader.watch(cancel)
+	defer func() {
+		release()
+		if c.endRefusal() != nil {
+			c.conn.SetReadDeadline(time.Now())
+		}
+	}()
+	return c.session.Do(ctx, r)
+}
+
 // answered notes what an answer says of the session.
 func (c *caller) answered(answer types.Answer, class types.Class) {
 	if c.tx == types.TxIdle {
