Check that the end of a session tells the truth about its commit

The oracle takes a session's end with not run, right after a commit of unknown outcome, as a promise. TestCrashWithinTransaction also crashes once the target has applied the commit.

--- a/core/systemtest/oracle_test.go
+++ b/core/systemtest/oracle_test.go
@@ -26,6 +26,7 @@
 	acked   []writeID // its own acknowledged writes
 	repeat  *request  // a request with an id whose outcome is unknown
 	txn     *transaction
+	open    *transaction // its commit was the last request, with an unknown outcome
 }
 
 // request is a request of a caller under way.
@@ -114,6 +115,7 @@
 // send lets a caller send a request.
 func (o *oracle) send(c *caller, r request, payload types.Payload) {
 	c.seq++
+	c.open = nil
 	r.seq, r.issued = c.seq, o.world.cluster.Now()
 	r.own, r.all = slices.Clip(c.acked), slices.Clip(o.ackedIn)
 	c.request = &r
@@ -250,6 +252,9 @@
 		delete(o.sessions, key)
 		c.session = nil
 		o.giveUp(c)
+		if x := c.open; x != nil && r.Code == types.RefuseNotClean && r.Outcome == types.NotRun {
+			o.txnNotRun(c.name, x, r.Error())
+		}
 	}
 }
 
--- a/core/systemtest/transaction_test.go
+++ b/core/systemtest/transaction_test.go
@@ -12,6 +12,10 @@
 // thinkTime bounds the pause of a caller within a transaction.
 const thinkTime = 30 * time.Millisecond
 
+// commitApplied stands for the time after the last of four statements at which
+// the target has applied the commit and its answer is on the way.
+const commitApplied = 5
+
 // transaction is a caller's transaction of two writes.
 type transaction struct {
 	writes     [2]writeID
@@ -87,7 +91,9 @@
 	c.txn = nil
 	if !x.committing || r.Outcome == types.NotRun {
 		o.txnNotRun(c.name, x, r.Error())
+		return
 	}
+	c.open = x
 }
 
 // abandonTxn ends the transaction of a session that is gone.
@@ -124,7 +130,7 @@
 }
 
 // TestCrashWithinTransaction crashes the proxy or the primary after each
-// statement of a transaction while another caller works.
+// statement of a transaction, and once the commit is applied.
 func TestCrashWithinTransaction(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
@@ -133,8 +139,8 @@
 		{"proxy", func(*machine) types.HostID { return "proxy-1" }},
 		{"primary", func(m *machine) types.HostID { return m.serving().host() }},
 	} {
-		for step := 1; step <= 4; step++ {
-			t.Run(fmt.Sprintf("%s at statement %d", tc.name, step), func(t *testing.T) { crashAtStatement(t, uint64(step), tc.crash) })
+		for step := 1; step <= commitApplied; step++ {
+			t.Run(fmt.Sprintf("%s at step %d", tc.name, step), func(t *testing.T) { crashAtStatement(t, uint64(step), tc.crash) })
 		}
 	}
 }
@@ -146,8 +152,12 @@
 	m.oracle.open(c, m.proxies["proxy-1"])
 	m.oracle.begin(c)
 	x := c.txn
-	if !m.cluster.RunUntil(time.Second, func() bool { return x.step == int(step) }) {
-		t.Fatalf("the transaction did not come to statement %d", step)
+	reached := func() bool { return x.step == int(step) }
+	if step == commitApplied {
+		reached = func() bool { return m.oracle.runs[x.writes[0]] }
+	}
+	if !m.cluster.RunUntil(time.Second, reached) {
+		t.Fatalf("the transaction did not come to step %d", step)
 	}
 	lost := crash(m)
 	m.stop(lost)
