--- a/core/systemtest/system_test.go
+++ b/core/systemtest/system_test.go
@@ -65,6 +65,7 @@
 		}
 		w.cluster.Run(askGap)
 		if rep, ok := w.replies[w.calls]; ok && rep.Err == proto.OpErrNone {
+			w.operators.version = rep.Change.Version
 			return
 		}
 	}
@@ -74,6 +75,7 @@
 func (w *world) announcement(t *target) proto.Announcement {
 	return proto.Announcement{
 		Service: service, Name: t.name, Address: types.Address(t.name), AvailabilityZone: "z",
+		Leaving: t.left != nil,
 	}
 }
 
@@ -83,7 +85,7 @@
 	for _, id := range w.proxyIDs() {
 		p := w.proxies[id]
 		h := w.cluster.Hosts[p.id]
-		if h.Stepper == nil {
+		if h.Stepper == nil || p.draining {
 			continue
 		}
 		g := p.view.Group(service)
@@ -170,6 +172,7 @@
 func TestPromisesUnderFailures(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{world: newWorld(t, rapid.Uint64().Draw(t, "seed"), 3, 3, 3)}
+		m.addSpare()
 		m.waitServing()
 		for range 4 {
 			m.oracle.newCaller()
@@ -180,6 +183,7 @@
 			"once":    m.callOnce,
 			"read":    m.callRead,
 			"roam":    m.roam,
+			"begin":   m.callBegin,
 			"busy":    m.busy,
 			"split":   m.split,
 			"strand":  m.strand,
@@ -189,11 +193,19 @@
 			"freeze":  m.freeze,
 			"cut":     m.cut,
 			"isolate": m.isolate,
-			"heal":    func(*rapid.T) { m.cluster.Heal() },
+			"heal":    func(*rapid.T) { m.heal() },
+			"leave":   m.leave,
+			"stay":    m.stay,
+			"drain":   m.drain,
+			"lose":    m.loseDisk,
 			"lag":     m.changeLag,
+			"change":  m.changeConfig,
+			"race":    m.raceChanges,
+			"resend":  m.resendChange,
 		})
 		m.recover()
 		m.checkAllServe()
+		m.operators.settled()
 	})
 }
 
@@ -204,7 +216,7 @@
 // idle returns a caller with a session and no request under way, or nil.
 func (m *machine) idle(t *rapid.T) *caller {
 	c := rapid.SampledFrom(m.oracle.callers).Draw(t, "caller")
-	if c.request != nil {
+	if c.request != nil || c.txn != nil {
 		return nil
 	}
 	if c.session == nil && !m.oracle.open(c, m.proxy(t)) {
@@ -243,7 +255,7 @@
 func (m *machine) busy(t *rapid.T) {
 	for range rapid.IntRange(5, 60).Draw(t, "rounds") {
 		for i, c := range m.oracle.callers {
-			if c.request != nil || c.session == nil && !m.oracle.open(c, m.anyProxy()) {
+			if c.request != nil || c.txn != nil || c.session == nil && !m.oracle.open(c, m.anyProxy()) {
 				continue
 			}
 			m.callAny(c, i == 0 && m.stranded)
@@ -257,6 +269,8 @@
 	switch {
 	case onlyReads:
 		m.oracle.read(c, "strict")
+	case m.cluster.Random()%6 == 0:
+		m.oracle.begin(c)
 	case m.cluster.Random()%3 == 0:
 		m.oracle.read(c, profileNames[m.cluster.Random()%uint64(len(profileNames))])
 	default:
@@ -399,9 +413,14 @@
 
 // recover ends all failures.
 func (m *machine) recover() {
-	m.cluster.Heal()
+	m.heal()
 	for _, t := range m.targets {
-		t.lag = usualLag
+		t.lag, t.left = usualLag, nil
+	}
+	for _, p := range m.proxies {
+		if p.draining {
+			m.stop(p.id)
+		}
 	}
 	for _, id := range m.hosts() {
 		m.start(id)
--- a/core/systemtest/world_test.go
+++ b/core/systemtest/world_test.go
@@ -37,16 +37,20 @@
 
 // world is a whole system in virtual time.
 type world struct {
-	t       tester
-	cluster *coretest.Cluster
-	oracle  *oracle
-	proxies map[types.HostID]*proxy
-	targets map[types.TargetName]*target
-	conns   map[connKey]*conn
-	leading types.HostID // control host that was last elected
-	terms   []effect.Decide
-	calls   uint64
-	replies map[uint64]proto.OperatorReply
+	t         tester
+	cluster   *coretest.Cluster
+	oracle    *oracle
+	operators *operators
+	proxies   map[types.HostID]*proxy
+	targets   map[types.TargetName]*target
+	conns     map[connKey]*conn
+	leading   types.HostID          // control host that was last elected
+	elected   map[types.HostID]bool // and has not stepped down
+	terms     []effect.Decide
+	calls     uint64
+	spares    int           // control hosts added to the first ones
+	healed    time.Duration // when the last cuts ended
+	replies   map[uint64]proto.OperatorReply
 }
 
 // proxy is a proxy with one shard. Both are hosts of the cluster.
@@ -54,6 +58,8 @@
 	id   types.HostID
 	run  int
 	view *types.NodeView
+
+	draining bool
 }
 
 func (p *proxy) shard() types.HostID { return p.id + "/shard" }
@@ -77,8 +83,10 @@
 	w := &world{
 		t: t, proxies: make(map[types.HostID]*proxy), targets: make(map[types.TargetName]*target),
 		conns: make(map[connKey]*conn), replies: make(map[uint64]proto.OperatorReply),
+		elected: make(map[types.HostID]bool),
 	}
 	w.oracle = newOracle(w)
+	w.operators = newOperators(w)
 	w.cluster = coretest.NewCluster(seed, w.build)
 	w.cluster.Network.DelayMin, w.cluster.Network.DelayMax = time.Millisecond, 2*time.Millisecond
 	w.cluster.Effect = w.execute
@@ -120,7 +128,7 @@
 
 func (w *world) startProxy(p *proxy) {
 	p.run++
-	p.view = nil
+	p.view, p.draining = nil, false
 	w.cluster.Start(p.shard())
 	w.cluster.Start(p.id)
 }
@@ -135,6 +143,7 @@
 func (w *world) build(h *coretest.Host) coretest.Stepper {
 	if t, ok := w.targets[types.TargetName(h.ID)]; ok {
 		clear(t.open)
+		t.left = nil
 		return t
 	}
 	for _, p := range w.proxies {
@@ -171,11 +180,13 @@
 	case effect.PublishView:
 		p := w.proxyOf(h)
 		p.view = e.View
+		w.operators.published(p.id, e)
 		w.cluster.Hand(p.shard(), event.ViewChanged{})
 	case effect.ReportShard:
 		w.cluster.Hand(w.proxyOf(h).id, event.ShardReported{Report: e.Report})
 	case effect.ReplyOperator:
 		w.replies[e.Call] = e.Reply
+		w.operators.replied(h.ID, e.Call, e.Reply)
 	case effect.Decide:
 		w.decided(h, e)
 	default:
@@ -186,7 +197,9 @@
 func (w *world) decided(h *coretest.Host, e effect.Decide) {
 	switch e.Kind {
 	case effect.DecideLeader:
-		w.leading = h.ID
+		w.leading, w.elected[h.ID] = h.ID, true
+	case effect.DecideStepDown:
+		w.elected[h.ID] = false
 	case effect.DecideTermBegun:
 		w.terms = append(w.terms, e)
 	}
@@ -206,7 +219,7 @@
 	case effect.RefuseCaller:
 		w.oracle.refused(p, e)
 	case effect.EndSession:
-		w.oracle.ended(p, e.Session)
+		w.oracle.ended(p, e.Session, e.Refusal)
 	}
 }
 
@@ -240,6 +253,7 @@
 		w.cluster.Schedule(2*w.cluster.Delay(), fail)
 		return
 	}
+	sent := w.cluster.Now()
 	reply := func(results []types.Result) {
 		if w.cluster.Connected(t.host(), from) {
 			w.cluster.Schedule(w.cluster.Delay(), func() { done(results) })
@@ -247,7 +261,7 @@
 	}
 	w.cluster.Schedule(w.cluster.Delay(), func() {
 		if w.cluster.Connected(from, t.host()) {
-			w.cluster.Hand(t.host(), exchange{Event: event.Start{}, conn: conn, ops: ops, reply: reply})
+			w.cluster.Hand(t.host(), exchange{Event: event.Start{}, conn: conn, ops: ops, reply: reply, sent: sent})
 		}
 	})
 }
