Lose and repeat messages and let clocks drift in the random test

Messages between the system's processes and announcements are lost or repeated, up to one in five each, and the clocks of control hosts and proxies run up to 4% fast or slow, another one with each start. The bound of the age of reads takes the drift into account, since the age is counted on the proxy's clock.

--- a/core/systemtest/oracle_test.go
+++ b/core/systemtest/oracle_test.go
@@ -206,7 +206,7 @@
 	switch r.profile {
 	case "strict":
 	case "catalog":
-		bound = catalogAge
+		bound = catalogAge + time.Duration(o.world.drifts*float64(catalogAge))
 	default:
 		return
 	}
--- a/core/systemtest/system_test.go
+++ b/core/systemtest/system_test.go
@@ -171,7 +171,7 @@
 // random failures, several at a time.
 func TestPromisesUnderFailures(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &machine{world: newWorld(t, rapid.Uint64().Draw(t, "seed"), 3, 3, 3)}
+		m := &machine{world: newDriftingWorld(t, rapid.Uint64().Draw(t, "seed"), maxDrift, 3, 3, 3)}
 		m.addSpare()
 		m.waitServing()
 		for range 4 {
@@ -199,6 +199,7 @@
 			"drain":   m.drain,
 			"lose":    m.loseDisk,
 			"lag":     m.changeLag,
+			"network": m.network,
 			"change":  m.changeConfig,
 			"race":    m.raceChanges,
 			"resend":  m.resendChange,
@@ -411,9 +412,17 @@
 	m.targets[name].lag = rapid.SampledFrom([]time.Duration{5 * time.Millisecond, 100 * time.Millisecond, 2 * time.Second}).Draw(t, "lag")
 }
 
+// network loses and repeats messages between the system's processes, and
+// announcements.
+func (m *machine) network(t *rapid.T) {
+	m.cluster.Network.DropPercent = rapid.IntRange(0, 20).Draw(t, "drop")
+	m.cluster.Network.RepeatPercent = rapid.IntRange(0, 20).Draw(t, "repeat")
+}
+
 // recover ends all failures.
 func (m *machine) recover() {
 	m.heal()
+	m.cluster.Network.DropPercent, m.cluster.Network.RepeatPercent = 0, 0
 	for _, t := range m.targets {
 		t.lag, t.left = usualLag, nil
 	}
--- a/core/systemtest/target_test.go
+++ b/core/systemtest/target_test.go
@@ -81,6 +81,7 @@
 	lag     time.Duration // of what it replicates
 	log     []entry
 	open    map[connKey]*txn // nil outside a transaction
+	starts  int              // connections end with each
 	left    *departure       // set while it announces that it leaves
 }
 
--- a/core/systemtest/world_test.go
+++ b/core/systemtest/world_test.go
@@ -27,6 +27,7 @@
 	connectCost = 12 * time.Millisecond
 	announceGap = 500 * time.Millisecond
 	pullGap     = 2 * time.Millisecond
+	maxDrift    = 0.04 // of a clock, either way
 )
 
 // tester is the part of testing.T and rapid.T that a world needs.
@@ -48,6 +49,7 @@
 	elected   map[types.HostID]bool // and has not stepped down
 	terms     []effect.Decide
 	calls     uint64
+	drifts    float64       // largest drift of a clock
 	spares    int           // control hosts added to the first ones
 	healed    time.Duration // when the last cuts ended
 	replies   map[uint64]proto.OperatorReply
@@ -60,6 +62,7 @@
 	view *types.NodeView
 
 	draining bool
+	drift    float64 // of the clock that its loops share
 }
 
 func (p *proxy) shard() types.HostID { return p.id + "/shard" }
@@ -79,9 +82,16 @@
 
 var errBroken = errors.New("connection broken")
 
+// newWorld returns a configured system whose clocks run alike.
 func newWorld(t tester, seed uint64, controls, proxies, targets int) *world {
+	return newDriftingWorld(t, seed, 0, controls, proxies, targets)
+}
+
+// newDriftingWorld returns a configured system. The clock of each host runs
+// faster or slower by up to drift, another one with each start.
+func newDriftingWorld(t tester, seed uint64, drift float64, controls, proxies, targets int) *world {
 	w := &world{
-		t: t, proxies: make(map[types.HostID]*proxy), targets: make(map[types.TargetName]*target),
+		t: t, drifts: drift, proxies: make(map[types.HostID]*proxy), targets: make(map[types.TargetName]*target),
 		conns: make(map[connKey]*conn), replies: make(map[uint64]proto.OperatorReply),
 		elected: make(map[types.HostID]bool),
 	}
@@ -128,7 +138,7 @@
 
 func (w *world) startProxy(p *proxy) {
 	p.run++
-	p.view, p.draining = nil, false
+	p.view, p.draining, p.drift = nil, false, w.drift()
 	w.cluster.Start(p.shard())
 	w.cluster.Start(p.id)
 }
@@ -139,21 +149,33 @@
 	w.cluster.Start(t.host())
 }
 
+// drift draws how fast a clock runs.
+func (w *world) drift() float64 {
+	if w.drifts == 0 {
+		return 0
+	}
+	return w.drifts * (float64(w.cluster.Random()%201)/100 - 1)
+}
+
 // build makes the reducer of a host.
 func (w *world) build(h *coretest.Host) coretest.Stepper {
 	if t, ok := w.targets[types.TargetName(h.ID)]; ok {
 		clear(t.open)
 		t.left = nil
+		t.starts++
 		return t
 	}
 	for _, p := range w.proxies {
 		switch h.ID {
 		case p.id:
+			h.Drift = p.drift
 			return core.NewProxy(node.Options{Host: p.id, AvailabilityZone: "z", Shards: 1})
 		case p.shard():
+			h.Drift = p.drift
 			return core.NewShard(session.Options{Host: p.id, AvailabilityZone: "z"})
 		}
 	}
+	h.Drift = w.drift()
 	return core.NewControlHost(proto.Voter{Host: h.ID}, h.Disk)
 }
 
@@ -259,7 +281,11 @@
 			w.cluster.Schedule(w.cluster.Delay(), func() { done(results) })
 		}
 	}
+	starts := t.starts
 	w.cluster.Schedule(w.cluster.Delay(), func() {
+		if conn != (connKey{}) && t.starts != starts {
+			return
+		}
 		if w.cluster.Connected(from, t.host()) {
 			w.cluster.Hand(t.host(), exchange{Event: event.Start{}, conn: conn, ops: ops, reply: reply, sent: sent})
 		}
