Acknowledge only what the current term's entries cover

Cause: a write of term 1 that only its primary held reached a majority in term 3 and was acknowledged there by its id; the member with an entry of term 2 came back, was the furthest and was promoted, and the write was gone (figure 8 of the Raft paper). Change: a promoted target writes an entry of its term at once and answers with the position before it; nothing durable is acknowledged on a position of an earlier term. Expected positions in tests are one further, since the log now begins with that entry; none is looser.

--- a/core/session/acknowledge.go
+++ b/core/session/acknowledge.go
@@ -84,8 +84,12 @@
 }
 
 // durable reports whether a majority of the group holds the request's
-// position in the current term.
+// position, and the position is of the current term: what a majority holds of
+// an earlier one can still be replaced by a member of a term in between.
 func (s *Shard) durable(svc *service, g *types.Group, r *request) bool {
+	if r.status.Pos.Term != g.Term {
+		return false
+	}
 	holders := 1 // the primary
 	for _, m := range g.Members {
 		if m.Name == g.Primary {
--- a/core/systemtest/scenario_test.go
+++ b/core/systemtest/scenario_test.go
@@ -85,8 +85,8 @@
 	w.isolatePair("proxy-1", old.host())
 	w.oracle.write(inside, "")
 	w.cluster.Run(askGap)
-	if len(old.log) != 1 {
-		t.Fatalf("the old primary holds %d entries, not the one of its proxy", len(old.log))
+	if len(old.log) != 2 {
+		t.Fatalf("the old primary holds %d entries, not the one that began its term and the one of its proxy", len(old.log))
 	}
 	w.cluster.Run(afterPromotion)
 	if len(inside.acked) != 0 {
--- a/core/systemtest/target_test.go
+++ b/core/systemtest/target_test.go
@@ -77,6 +77,7 @@
 	name    types.TargetName
 	term    types.Term
 	primary bool
+	began   types.TargetStatus // before the first entry of its term
 	leader  types.TargetName
 	lag     time.Duration // of what it replicates
 	log     []entry
@@ -260,8 +261,13 @@
 	if term < t.term || term == t.term && !t.primary {
 		return types.Result{Err: types.TargetErrStaleTerm, Status: t.status()}
 	}
+	if term == t.term {
+		return types.Result{Status: t.began}
+	}
 	t.term, t.primary, t.leader = term, true, ""
-	return types.Result{Status: t.status()}
+	t.began = t.status()
+	t.append(entry{}) // tells its log from that of an earlier primary
+	return types.Result{Status: t.began}
 }
 
 func (t *target) follow(op types.Operation) types.Result {
--- a/core/types/operation.go
+++ b/core/types/operation.go
@@ -13,7 +13,7 @@
 	OpClaim                             // record RequestID; fails if it is there
 	OpRecordAnswer                      // store the answer beside RequestID
 	OpLookup                            // return the stored answer of RequestID
-	OpPromote                           // become the primary of Term
+	OpPromote                           // become the primary of Term and write its first entry
 	OpFollow                            // follow Leader in Term
 )
 
@@ -45,7 +45,7 @@
 	Payload Payload
 	Err     TargetErrorKind
 	Tx      TxStatus
-	Status  TargetStatus // OpPosition, OpPromote, OpFollow
+	Status  TargetStatus // OpPosition, OpFollow; OpPromote: before the first entry of the term
 	Found   bool         // OpLookup
 }
 
--- a/front/pg/server_test.go
+++ b/front/pg/server_test.go
@@ -212,7 +212,7 @@
 	assert.Equal(t, show("paddle.floor"), "")
 	exec(t, conn, "PADDLE PROMOTE TERM 1")
 	exec(t, conn, "CREATE TABLE stock (id BIGINT PRIMARY KEY)")
-	assert.Equal(t, show("paddle.floor"), "1:1")
+	assert.Equal(t, show("paddle.floor"), "1:2")
 	assert.Equal(t, show("paddle.profile"), "strict")
 	_, err := conn.Exec(t.Context(), "SET paddle.floor = '9:9'")
 	assert.Equal(t, pgError(t, err).Code, codeUndefinedParameter)
--- a/standin/group.go
+++ b/standin/group.go
@@ -5,19 +5,22 @@
 // streamBatchEntries bounds the entries of one message of a stream.
 const streamBatchEntries = 256
 
-// promote makes the member the primary of a term.
+// promote makes the member the primary of a term. Its first entry tells its
+// log from that of an earlier primary; the answer is the position before it.
 func (m *member) promote(s promoteStatement) result {
 	switch {
 	case s.term < m.term, s.term == m.term && !m.primary:
 		return m.stale(s.term)
 	case s.term == m.term:
-		return m.position()
+		return m.began
 	}
 	m.abortWrites()
 	m.term, m.primary, m.leader = s.term, true, ""
 	m.epoch++
 	m.emit(unfollow{})
-	return m.position()
+	m.began = m.position()
+	m.appendEntry(nil)
+	return m.began
 }
 
 // follow makes the member a replica of a leader in a term. Entries of older
--- a/standin/member.go
+++ b/standin/member.go
@@ -17,6 +17,7 @@
 	memberOptions
 	term    uint64
 	primary bool
+	began   result // position before the first entry of its term as primary
 	leader  string // address of the member that is followed
 	epoch   uint64 // numbers the changes of the leader
 	log     transactionLog
@@ -188,14 +189,19 @@
 		m.rollback(c)
 		return nil
 	}
-	_, offset := m.log.last()
-	m.log.add(entry{Term: m.term, Offset: offset + 1, Written: m.wall, Changes: tx.changes})
-	m.ledger.apply(tx.changes)
+	m.appendEntry(tx.changes)
 	m.rollback(c)
-	m.feedStreams()
 	return nil
 }
 
+// appendEntry writes the next entry of the member's own term.
+func (m *member) appendEntry(changes []change) {
+	_, offset := m.log.last()
+	m.log.add(entry{Term: m.term, Offset: offset + 1, Written: m.wall, Changes: changes})
+	m.ledger.apply(changes)
+	m.feedStreams()
+}
+
 // checkLeft reports a leaving member that has nothing under way.
 func (m *member) checkLeft() {
 	if !m.leaving || m.primary || m.busy > 0 {
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -210,8 +210,8 @@
 		exec(t, conns[0], "INSERT INTO stock (id) VALUES ($1)", i)
 	}
 	waitCount(t, conns[1], 600)
-	assert.Equal(t, position(t, conns[0]), "1 primary 1:601")
-	assert.Equal(t, position(t, conns[1]), "1 replica 1:601")
+	assert.Equal(t, position(t, conns[0]), "1 primary 1:602")
+	assert.Equal(t, position(t, conns[1]), "1 replica 1:602")
 	_, err := conns[1].Exec(t.Context(), "INSERT INTO stock (id) VALUES (-1)")
 	assert.Equal(t, errorCode(err), codeReadOnly)
 }
@@ -221,7 +221,7 @@
 	waitCount(t, conns[1], 0)
 	exec(t, conns[1], "PADDLE LAG '1h'")
 	exec(t, conns[0], "INSERT INTO stock (id) VALUES (1)")
-	assert.Equal(t, position(t, conns[1]), "1 replica 1:1")
+	assert.Equal(t, position(t, conns[1]), "1 replica 1:2")
 }
 
 // TestReplacedPrimaryLosesWhatNobodyHas cuts the old primary off by a lag of
@@ -243,13 +243,13 @@
 	for _, i := range []int{0, 2} {
 		control := dial(t, members[i])
 		exec(t, control, "PADDLE LAG '0s'")
-		order := fmt.Sprintf("PADDLE FOLLOW 'second' '%s' TERM 2 START 2", members[1].Address())
+		order := fmt.Sprintf("PADDLE FOLLOW 'second' '%s' TERM 2 START 3", members[1].Address())
 		exec(t, control, order)
 		exec(t, control, order)
 		_, err := control.Exec(t.Context(), "PADDLE PROMOTE TERM 2")
 		assert.Equal(t, errorCode(err), codeStaleTerm)
 		waitCount(t, control, 2)
-		assert.Equal(t, position(t, control), "2 replica 2:3")
+		assert.Equal(t, position(t, control), "2 replica 2:5")
 	}
 	_, err := conns[0].Exec(t.Context(), "COMMIT")
 	assert.Equal(t, errorCode(err), codeReadOnly)
--- a/target/pg/conn_test.go
+++ b/target/pg/conn_test.go
@@ -63,7 +63,7 @@
 	promoted(t, conn)
 	r := exchange(t, conn, types.Operation{Kind: types.OpPromote}, types.Operation{Kind: types.OpPosition})
 	assert.Equal(t, r[0].Err, types.TargetErrStaleTerm)
-	assert.Equal(t, r[1].Status, types.TargetStatus{Term: 1, Primary: true, Pos: types.LogPos{Term: 1, Offset: 1}})
+	assert.Equal(t, r[1].Status, types.TargetStatus{Term: 1, Primary: true, Pos: types.LogPos{Term: 1, Offset: 2}})
 
 	other := dial(t, Config{}, follower.Address())
 	r = exchange(t, other, types.Operation{
@@ -128,7 +128,7 @@
 	assert.Equal(t, r[2].Err, types.TargetErrNone)
 	assert.Equal(t, r[2].Tx, types.TxIdle)
 	assert.Assert(t, strings.Contains(string(r[2].Payload.(*Reply).Messages), "SELECT 0"))
-	assert.Equal(t, r[3].Status.Pos, types.LogPos{Term: 1, Offset: 1})
+	assert.Equal(t, r[3].Status.Pos, types.LogPos{Term: 1, Offset: 2})
 }
 
 // TestLargeBatchDoesNotBlock sends more than the buffers of both ends hold to a
