--- a/core/cluster/state_test.go
+++ b/core/cluster/state_test.go
@@ -8,6 +8,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	_ "github.com/camphorpaddle/camphorpaddle/internal/testseed"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
--- a/core/consensus/rapid_test.go
+++ b/core/consensus/rapid_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/camphorpaddle/camphorpaddle/core/coretest"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	_ "github.com/camphorpaddle/camphorpaddle/internal/testseed"
 	"pgregory.net/rapid"
 )
 
