--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -2,7 +2,7 @@
 # Runs every native fuzz target in turn, each for FUZZTIME (default 60s), then
 # the tests of every package under core that uses rapid, with FUZZCHECKS checks
 # (default 2000) of each property and the seed FUZZSEED (default 1). Prints
-# what each one found.
+# what each one found. FUZZTIMEOUT (default 30m) bounds the tests of a package.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
