--- a/core/session/acknowledge.go
+++ b/core/session/acknowledge.go
@@ -61,7 +61,7 @@
 }
 
 // judgeReplica accepts an answer when the replica stands in the term that it
-// stood in when it was chosen, and still covers the session's floor.
+// stood in when it was chosen, and still holds what it was chosen for.
 func (s *Shard) judgeReplica(r *request) verdict {
 	g := s.view.Group(r.service.name)
 	if !r.positioned && r.answer.Tx != types.TxIdle {
@@ -70,7 +70,7 @@
 	if g == nil || !r.positioned || r.status.Term != r.sentTerm {
 		return replaced(r)
 	}
-	if !g.History.Covers(r.status.Pos, r.session.floor.bound(r.profile)) {
+	if !g.History.Covers(r.status.Pos, r.chosenAt) {
 		return verdict{code: types.RefuseReplaced, reason: fmt.Sprintf("replica %s has lost entries", r.target)}
 	}
 	return verdict{ok: true}
--- a/core/session/actions_test.go
+++ b/core/session/actions_test.go
@@ -267,7 +267,7 @@
 		return
 	}
 	st := m.status()
-	if m.primary {
+	if m.name == w.group.Primary && m.term == w.group.Term {
 		m.freshAt = w.now
 	}
 	v := w.nextView(p)
@@ -284,7 +284,7 @@
 	if m.primary || w.wiped() || w.group.Phase != types.GroupServing || m.term != w.group.Term || rapid.IntRange(0, 3).Draw(t, "rarely") != 0 {
 		return
 	}
-	m.log = nil
+	m.log, m.freshAt = nil, 0
 	m.breakConns()
 	m.wiped = map[int]bool{0: true, 1: true}
 	m.mustReach = len(w.member(w.group.Primary).log)
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -63,6 +63,7 @@
 	}
 	r.stage, r.step, r.sentAt = stageRunning, st, s.now
 	r.sentTerm = s.termOf(r)
+	r.chosenAt = r.service.health(s.view, r.target).Pos
 	s.emit(effect.SendTarget{
 		Conn: r.conn.ID, Seq: r.conn.Begin(), Operations: r.operations(), Trace: r.Trace,
 	})
--- a/core/session/floor_test.go
+++ b/core/session/floor_test.go
@@ -58,6 +58,19 @@
 	assert.Equal(t, d.refusal(seq).Code, types.RefuseReplaced)
 }
 
+// TestReplicaThatLostEntriesIsNotBelieved covers a replica that restarted
+// without its data since its last probe.
+func TestReplicaThatLostEntriesIsNotBelieved(t *testing.T) {
+	d := newDriver(t)
+	d.probe("b", pos(5))
+	d.probe("c", pos(5))
+	token := pos(0)
+	d.step(openWith(1, types.SessionParams{Service: svcName, Token: &token}))
+	seq := d.ask(1, types.Request{Profile: "session", Class: types.ClassRead})
+	d.answer(3, types.TxIdle)
+	assert.Equal(t, d.refusal(seq).Code, types.RefuseReplaced)
+}
+
 func TestFloorRisesWithWritesAndReads(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -50,7 +50,8 @@
 	step    step
 
 	sentAt   types.Instant
-	sentTerm types.Term // of the target when it was sent
+	sentTerm types.Term   // of the target when it was sent
+	chosenAt types.LogPos // position of the replica when it was sent
 
 	answer     types.Answer       // once the target answered
 	status     types.TargetStatus // of the target after the answer
