Keep a voter's promise in terms that it learns of otherwise

A host that had just heard its leader learnt of a later term from the rejection of its own pre-vote; the vote in that term then passed by the check, which covered only requests that raise the term. Ruled out: clock drift (0 to 2% there), stale rounds, the change of voters. Change: the check covers the current term too, but for a vote that was granted already.

--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -84,7 +84,8 @@
 
 // handleVote answers a vote or a pre-vote (Raft, sections 5.2 and 5.4.1; thesis, 9.6).
 func (n *Node) handleVote(m proto.Message) {
-	if m.Term > n.term && n.sticky() {
+	granted := m.Kind == proto.MsgVote && m.Term == n.term && n.vote == m.From
+	if m.Term >= n.term && n.sticky() && !granted {
 		return // the request must not even raise the term
 	}
 	if m.Kind == proto.MsgVote && m.Term > n.term {
--- a/core/consensus/paper_test.go
+++ b/core/consensus/paper_test.go
@@ -171,6 +171,22 @@
 	assert.Equal(t, h.receive(ask).Kind, proto.MsgVoteReply)
 }
 
+// TestVoterKeepsItsPromiseInALaterTerm has a voter hear its leader and then
+// learn of a later term from a host that rejects its pre-vote. It must not vote
+// in that term either while the leader may rely on having been heard.
+func TestVoterKeepsItsPromiseInALaterTerm(t *testing.T) {
+	h := newHandled(3, 3)
+	h.receive(proto.Message{Kind: proto.MsgAppend, Term: 3, LogIndex: 2, LogTerm: 3, Round: 1})
+	heard := h.now
+	h.receive(proto.Message{Kind: proto.MsgPreVoteReply, Term: 4, Reject: true})
+	assert.Equal(t, h.Term(), proto.ControlTerm(4))
+	ask := proto.Message{Kind: proto.MsgVote, Term: 4, LogIndex: 2, LogTerm: 3}
+	h.now = heard.Add(consensus.ElectionTimeoutMin) - 1
+	assert.Equal(t, h.receive(ask).Kind, proto.MessageKind(0))
+	h.now = heard.Add(consensus.ElectionTimeoutMin)
+	assert.Assert(t, !h.receive(ask).Reject)
+}
+
 // TestInstallSnapshot covers section 7: entries after a snapshot stay only when
 // the log agrees with it.
 func TestInstallSnapshot(t *testing.T) {
