Measure the memory of idle sessions

Cause: docs/CAPACITY.md needs the memory of a session through the whole proxy, not the reducer's part alone. Change: measure sessions.

--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -60,6 +60,13 @@
 					return inLab(ctx, cmd, func(ctx context.Context, l *lab.Lab) error { return idle(ctx, l) })
 				},
 			},
+			{
+				Name: "sessions", Usage: "memory of a proxy against its idle sessions",
+				Flags: []cli.Flag{lag, latency},
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return inLab(ctx, cmd, func(ctx context.Context, l *lab.Lab) error { return sessions(ctx, l) })
+				},
+			},
 			{
 				Name: "config", Usage: "time until a change is in force on every proxy",
 				Flags: []cli.Flag{runs, lag, latency},
