Use the field's terms for three parts

Change: operator.Handler, membership.Tracker, backoff and deadlines. No behaviour changes. Conclusion: names only.

--- a/core/membership/place.go
+++ b/core/membership/place.go
@@ -23,7 +23,7 @@
 }
 
 // mayJoin reports whether a new target may take a free place.
-func (k *Keeper) mayJoin(g *types.Group) bool {
+func (k *Tracker) mayJoin(g *types.Group) bool {
 	if len(g.History) == 0 {
 		return true
 	}
@@ -40,7 +40,7 @@
 }
 
 // readReports follows the positions in groups that have a free place.
-func (k *Keeper) readReports(now types.Instant, reports []proto.TargetReport) {
+func (k *Tracker) readReports(now types.Instant, reports []proto.TargetReport) {
 	if !k.role.Leading {
 		return
 	}
@@ -59,7 +59,7 @@
 	}
 }
 
-func (k *Keeper) readPosition(now types.Instant, g *types.Group, r proto.TargetReport) {
+func (k *Tracker) readPosition(now types.Instant, g *types.Group, r proto.TargetReport) {
 	p, ok := k.places[g.Service]
 	if !ok {
 		p = place{since: now, caught: make(map[types.TargetName]types.LogPos)}
--- a/core/membership/keeper.go
+++ b/core/membership/tracker.go
@@ -29,8 +29,8 @@
 	repeatAfter = time.Second
 )
 
-// Keeper turns announcements into commands while this host leads.
-type Keeper struct {
+// Tracker turns announcements into commands while this host leads.
+type Tracker struct {
 	state    *cluster.State
 	role     role.Role
 	since    types.Instant // when this host became leader
@@ -51,9 +51,9 @@
 	at     types.Instant
 }
 
-// New returns a keeper that has heard nothing.
-func New(state *cluster.State) *Keeper {
-	return &Keeper{
+// New returns a tracker that has heard nothing.
+func New(state *cluster.State) *Tracker {
+	return &Tracker{
 		state:    state,
 		heard:    make(map[types.TargetRef]heard),
 		proposed: make(map[types.TargetRef]proposal),
@@ -62,35 +62,35 @@
 }
 
 // Step takes in one event.
-func (k *Keeper) Step(in event.Input) []effect.Effect {
+func (t *Tracker) Step(in event.Input) []effect.Effect {
 	switch e := in.Event.(type) {
 	case event.RoleChanged:
-		return k.changeRole(in.Now, e)
+		return t.changeRole(in.Now, e)
 	case event.LeaseRequested:
-		k.readReports(in.Now, e.Request.Reports)
-		return k.hearAll(in.Now, e.Request.Announcements)
+		t.readReports(in.Now, e.Request.Reports)
+		return t.hearAll(in.Now, e.Request.Announcements)
 	case event.OperatorCalled:
 		if e.Request.Announce != nil {
-			return k.hearAll(in.Now, []proto.Announcement{*e.Request.Announce})
+			return t.hearAll(in.Now, []proto.Announcement{*e.Request.Announce})
 		}
 	case event.Committed:
-		return k.committed(in.Now, e.Entry.Command)
+		return t.committed(in.Now, e.Entry.Command)
 	case event.TimerFired:
 		if e.ID.Domain == event.DomainMembership {
-			return k.sweep(in.Now)
+			return t.sweep(in.Now)
 		}
 	}
 	return nil
 }
 
-func (k *Keeper) changeRole(now types.Instant, e event.RoleChanged) []effect.Effect {
-	if !k.role.Change(e) {
+func (t *Tracker) changeRole(now types.Instant, e event.RoleChanged) []effect.Effect {
+	if !t.role.Change(e) {
 		return nil
 	}
-	clear(k.heard)
-	clear(k.proposed)
-	clear(k.places)
-	k.since = now
+	clear(t.heard)
+	clear(t.proposed)
+	clear(t.places)
+	t.since = now
 	if !e.Leading {
 		return nil
 	}
@@ -101,57 +101,57 @@
 	return effect.ArmTimer{ID: event.TimerID{Domain: event.DomainMembership}, At: now.Add(sweepInterval)}
 }
 
-func (k *Keeper) hearAll(now types.Instant, list []proto.Announcement) []effect.Effect {
-	if !k.role.Leading {
+func (t *Tracker) hearAll(now types.Instant, list []proto.Announcement) []effect.Effect {
+	if !t.role.Leading {
 		return nil
 	}
 	var out []effect.Effect
 	for _, a := range list {
-		out = append(out, k.hear(now, a)...)
+		out = append(out, t.hear(now, a)...)
 	}
 	return out
 }
 
 // hear keeps the latest announcement of a target and acts on it.
-func (k *Keeper) hear(now types.Instant, a proto.Announcement) []effect.Effect {
+func (t *Tracker) hear(now types.Instant, a proto.Announcement) []effect.Effect {
 	ref := types.TargetRef{Service: a.Service, Name: a.Name}
 	at := now.Add(-a.Age)
-	if last, ok := k.heard[ref]; ok && last.at > at {
+	if last, ok := t.heard[ref]; ok && last.at > at {
 		return nil
 	}
-	if k.state.Group(a.Service) == nil {
+	if t.state.Group(a.Service) == nil {
 		return nil
 	}
-	k.heard[ref] = heard{announcement: a, at: at}
-	return k.settle(now, ref)
+	t.heard[ref] = heard{announcement: a, at: at}
+	return t.settle(now, ref)
 }
 
 // settle proposes what the last announcement of a target calls for.
-func (k *Keeper) settle(now types.Instant, ref types.TargetRef) []effect.Effect {
-	g := k.state.Group(ref.Service)
+func (t *Tracker) settle(now types.Instant, ref types.TargetRef) []effect.Effect {
+	g := t.state.Group(ref.Service)
 	if g == nil {
 		return nil
 	}
-	last, known := k.heard[ref]
+	last, known := t.heard[ref]
 	member, joined := g.Target(ref.Name)
 	if joined {
-		return k.propose(now, ref, proto.SetMember{Service: ref.Service, Target: k.wanted(now, member, last, known)})
+		return t.propose(now, ref, proto.SetMember{Service: ref.Service, Target: t.wanted(now, member, last, known)})
 	}
 	if !known || last.announcement.Leaving || now.Sub(last.at) >= SilentAfter {
 		return nil
 	}
-	if len(g.Members) >= k.state.Config().Services[ref.Service].Members {
-		return k.makeRoom(now, g)
+	if len(g.Members) >= t.state.Config().Services[ref.Service].Members {
+		return t.makeRoom(now, g)
 	}
-	if !k.mayJoin(g) {
+	if !t.mayJoin(g) {
 		return nil
 	}
-	return k.propose(now, ref, proto.SetMember{Service: ref.Service, Target: target(last.announcement)})
+	return t.propose(now, ref, proto.SetMember{Service: ref.Service, Target: target(last.announcement)})
 }
 
 // wanted returns a member as its last announcement makes it.
-func (k *Keeper) wanted(now types.Instant, member types.Target, last heard, known bool) types.Target {
-	silentSince := k.since
+func (t *Tracker) wanted(now types.Instant, member types.Target, last heard, known bool) types.Target {
+	silentSince := t.since
 	if known {
 		silentSince = last.at
 		drained := member.Drained
@@ -178,71 +178,71 @@
 // makeRoom proposes to remove a member that has been gone for long, so that
 // another target can take its place. A group that has served must have a
 // primary then, which holds every acknowledged write.
-func (k *Keeper) makeRoom(now types.Instant, g *types.Group) []effect.Effect {
+func (t *Tracker) makeRoom(now types.Instant, g *types.Group) []effect.Effect {
 	if g.Phase != types.GroupServing && len(g.History) > 0 {
 		return nil
 	}
 	for _, m := range g.Members {
 		ref := types.TargetRef{Service: g.Service, Name: m.Name}
-		at := max(k.heard[ref].at, k.since)
+		at := max(t.heard[ref].at, t.since)
 		if m.State == types.TargetActive || m.Name == g.Primary || now.Sub(at) < replaceAfter {
 			continue
 		}
-		return k.propose(now, ref, proto.SetMember{Service: g.Service, Target: m, Remove: true})
+		return t.propose(now, ref, proto.SetMember{Service: g.Service, Target: m, Remove: true})
 	}
 	return nil
 }
 
 // propose replicates a change of a member, unless it is so already or the same
 // change is under way.
-func (k *Keeper) propose(now types.Instant, ref types.TargetRef, c proto.SetMember) []effect.Effect {
-	if current, ok := k.state.Group(ref.Service).Target(ref.Name); ok && !c.Remove && current == c.Target {
+func (t *Tracker) propose(now types.Instant, ref types.TargetRef, c proto.SetMember) []effect.Effect {
+	if current, ok := t.state.Group(ref.Service).Target(ref.Name); ok && !c.Remove && current == c.Target {
 		return nil
 	}
-	if last, ok := k.proposed[ref]; ok && last.member == c && now.Sub(last.at) < repeatAfter {
+	if last, ok := t.proposed[ref]; ok && last.member == c && now.Sub(last.at) < repeatAfter {
 		return nil
 	}
-	k.proposed[ref] = proposal{member: c, at: now}
+	t.proposed[ref] = proposal{member: c, at: now}
 	return []effect.Effect{effect.Propose{Command: proto.Command{Member: &c}}}
 }
 
 // committed acts on announcements that came before the change they needed.
-func (k *Keeper) committed(now types.Instant, c proto.Command) []effect.Effect {
-	if !k.role.Leading || c.Member == nil {
+func (t *Tracker) committed(now types.Instant, c proto.Command) []effect.Effect {
+	if !t.role.Leading || c.Member == nil {
 		return nil
 	}
 	ref := types.TargetRef{Service: c.Member.Service, Name: c.Member.Target.Name}
-	delete(k.proposed, ref)
+	delete(t.proposed, ref)
 	if !c.Member.Remove {
-		return k.settle(now, ref)
+		return t.settle(now, ref)
 	}
-	delete(k.heard, ref)
+	delete(t.heard, ref)
 	var out []effect.Effect
-	for _, other := range k.refs() {
+	for _, other := range t.refs() {
 		if other.Service == ref.Service {
-			out = append(out, k.settle(now, other)...)
+			out = append(out, t.settle(now, other)...)
 		}
 	}
 	return out
 }
 
 // sweep looks for members that have gone silent.
-func (k *Keeper) sweep(now types.Instant) []effect.Effect {
-	if !k.role.Leading {
+func (t *Tracker) sweep(now types.Instant) []effect.Effect {
+	if !t.role.Leading {
 		return nil
 	}
 	out := []effect.Effect{armSweep(now)}
-	for _, name := range k.state.Services() {
-		for _, m := range k.state.Group(name).Members {
-			out = append(out, k.settle(now, types.TargetRef{Service: name, Name: m.Name})...)
+	for _, name := range t.state.Services() {
+		for _, m := range t.state.Group(name).Members {
+			out = append(out, t.settle(now, types.TargetRef{Service: name, Name: m.Name})...)
 		}
 	}
 	return out
 }
 
 // refs returns the targets that were heard, in order.
-func (k *Keeper) refs() []types.TargetRef {
-	return slices.SortedFunc(maps.Keys(k.heard), func(a, b types.TargetRef) int {
+func (t *Tracker) refs() []types.TargetRef {
+	return slices.SortedFunc(maps.Keys(t.heard), func(a, b types.TargetRef) int {
 		return strings.Compare(a.String(), b.String())
 	})
 }
--- a/core/operator/calls.go
+++ b/core/operator/calls.go
@@ -10,20 +10,20 @@
 
 // change replicates a change of the configuration. One that is known already
 // is answered at once.
-func (d *Desk) change(call uint64, c proto.ChangeConfig) []effect.Effect {
+func (h *Handler) change(call uint64, c proto.ChangeConfig) []effect.Effect {
 	if c.ID == "" || c.Config == nil {
 		return done(call, proto.OperatorReply{
 			Err: proto.OpErrRefused, Reason: "the change lacks an id or a configuration",
 		})
 	}
-	if result, ok := d.state.Answer(c); ok {
+	if result, ok := h.state.Answer(c); ok {
 		return done(call, changeReply(result))
 	}
-	return d.await(call, proto.Command{Change: &c}, func(done proto.Command) (proto.OperatorReply, bool) {
+	return h.await(call, proto.Command{Change: &c}, func(done proto.Command) (proto.OperatorReply, bool) {
 		if done.Change == nil || done.Change.ID != c.ID {
 			return proto.OperatorReply{}, false
 		}
-		result, ok := d.state.Answer(c)
+		result, ok := h.state.Answer(c)
 		return changeReply(result), ok
 	})
 }
@@ -37,8 +37,8 @@
 }
 
 // drain takes a target out of work, or back in.
-func (d *Desk) drain(call uint64, c proto.Drain) []effect.Effect {
-	g := d.state.Group(c.Ref.Service)
+func (h *Handler) drain(call uint64, c proto.Drain) []effect.Effect {
+	g := h.state.Group(c.Ref.Service)
 	if g == nil {
 		return done(call, notFound("no such service"))
 	}
@@ -48,16 +48,16 @@
 	}
 	t.Drained = c.On
 	command := proto.Command{Member: &proto.SetMember{Service: c.Ref.Service, Target: t, Operator: true}}
-	return d.await(call, command, func(done proto.Command) (proto.OperatorReply, bool) {
+	return h.await(call, command, func(done proto.Command) (proto.OperatorReply, bool) {
 		if done.Member == nil || done.Member.Service != c.Ref.Service || done.Member.Target.Name != c.Ref.Name {
 			return proto.OperatorReply{}, false
 		}
-		return d.drained(c)
+		return h.drained(c)
 	})
 }
 
-func (d *Desk) drained(c proto.Drain) (proto.OperatorReply, bool) {
-	g := d.state.Group(c.Ref.Service)
+func (h *Handler) drained(c proto.Drain) (proto.OperatorReply, bool) {
+	g := h.state.Group(c.Ref.Service)
 	if g == nil {
 		return notFound("no such service"), true
 	}
@@ -70,8 +70,8 @@
 
 // promote begins an ordered change of primary and answers once the group has
 // a primary in a later term.
-func (d *Desk) promote(call uint64, c proto.Promote) []effect.Effect {
-	g := d.state.Group(c.Service)
+func (h *Handler) promote(call uint64, c proto.Promote) []effect.Effect {
+	g := h.state.Group(c.Service)
 	if g == nil {
 		return done(call, notFound("no such service"))
 	}
@@ -82,7 +82,7 @@
 		return done(call, proto.OperatorReply{})
 	}
 	command := proto.Command{Quiesce: &proto.Quiesce{Service: c.Service, Term: g.Term, To: c.To}}
-	return d.await(call, command, func(done proto.Command) (proto.OperatorReply, bool) {
+	return h.await(call, command, func(done proto.Command) (proto.OperatorReply, bool) {
 		if done.ServeTerm == nil || done.ServeTerm.Service != c.Service || done.ServeTerm.Term <= g.Term {
 			return proto.OperatorReply{}, false
 		}
@@ -114,9 +114,9 @@
 }
 
 // removeHost takes a control host out of the voters.
-func (d *Desk) removeHost(call uint64, c proto.RemoveHost) []effect.Effect {
+func (h *Handler) removeHost(call uint64, c proto.RemoveHost) []effect.Effect {
 	isHost := func(v proto.Voter) bool { return v.Host == c.Host }
-	voters := d.state.Voters()
+	voters := h.state.Voters()
 	if !slices.ContainsFunc(voters, isHost) {
 		return done(call, notFound("no such control host"))
 	}
@@ -125,7 +125,7 @@
 		return done(call, proto.OperatorReply{Err: proto.OpErrRefused, Reason: "the last control host stays"})
 	}
 	command := proto.Command{Voters: &proto.SetVoters{Voters: rest}}
-	return d.await(call, command, func(done proto.Command) (proto.OperatorReply, bool) {
+	return h.await(call, command, func(done proto.Command) (proto.OperatorReply, bool) {
 		gone := done.Voters != nil && !slices.ContainsFunc(done.Voters.Voters, isHost)
 		return proto.OperatorReply{}, gone
 	})
--- a/core/operator/operator.go
+++ b/core/operator/operator.go
@@ -16,8 +16,8 @@
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
-// Desk holds the calls that wait for their commands to be committed.
-type Desk struct {
+// Handler holds the calls that wait for their commands to be committed.
+type Handler struct {
 	self    types.HostID
 	state   *cluster.State
 	leases  *lease.Table
@@ -29,98 +29,98 @@
 // that settled the call.
 type waiter func(c proto.Command) (proto.OperatorReply, bool)
 
-// New returns a desk without calls.
-func New(self types.HostID, state *cluster.State, leases *lease.Table) *Desk {
-	return &Desk{self: self, state: state, leases: leases, waiting: make(map[uint64]waiter)}
+// New returns a handler without calls.
+func New(self types.HostID, state *cluster.State, leases *lease.Table) *Handler {
+	return &Handler{self: self, state: state, leases: leases, waiting: make(map[uint64]waiter)}
 }
 
 // Step takes in one event.
-func (d *Desk) Step(in event.Input) []effect.Effect {
+func (h *Handler) Step(in event.Input) []effect.Effect {
 	switch e := in.Event.(type) {
 	case event.RoleChanged:
-		return d.changeRole(e)
+		return h.changeRole(e)
 	case event.OperatorCalled:
-		return d.call(in.Now, e.Call, e.Request)
+		return h.call(in.Now, e.Call, e.Request)
 	case event.Committed:
-		return d.committed(e.Entry.Command)
+		return h.committed(e.Entry.Command)
 	}
 	return nil
 }
 
 // changeRole gives up the calls under way when this host stops leading: their
 // commands may be committed yet, or never.
-func (d *Desk) changeRole(e event.RoleChanged) []effect.Effect {
-	led := d.role.Leading
-	if !d.role.Change(e) || !led {
+func (h *Handler) changeRole(e event.RoleChanged) []effect.Effect {
+	led := h.role.Leading
+	if !h.role.Change(e) || !led {
 		return nil
 	}
 	var out []effect.Effect
-	for _, call := range slices.Sorted(maps.Keys(d.waiting)) {
+	for _, call := range slices.Sorted(maps.Keys(h.waiting)) {
 		out = append(out, reply(call, proto.OperatorReply{
 			Err: proto.OpErrUnknown, Leader: e.Leader,
 			Reason: "this host stopped leading before the call was committed",
 		}))
 	}
-	clear(d.waiting)
+	clear(h.waiting)
 	return out
 }
 
-func (d *Desk) call(now types.Instant, call uint64, r proto.OperatorRequest) []effect.Effect {
+func (h *Handler) call(now types.Instant, call uint64, r proto.OperatorRequest) []effect.Effect {
 	if r.Status != nil {
-		return done(call, proto.OperatorReply{Leader: d.role.Leader, Status: d.status(now)})
+		return done(call, proto.OperatorReply{Leader: h.role.Leader, Status: h.status(now)})
 	}
-	if !d.role.Leading {
+	if !h.role.Leading {
 		return done(call, proto.OperatorReply{
-			Err: proto.OpErrNotLeader, Leader: d.role.Leader, Reason: "this host does not lead",
+			Err: proto.OpErrNotLeader, Leader: h.role.Leader, Reason: "this host does not lead",
 		})
 	}
 	switch {
 	case r.Change != nil:
-		return d.change(call, *r.Change)
+		return h.change(call, *r.Change)
 	case r.Drain != nil:
-		return d.drain(call, *r.Drain)
+		return h.drain(call, *r.Drain)
 	case r.Promote != nil:
-		return d.promote(call, *r.Promote)
+		return h.promote(call, *r.Promote)
 	case r.RemoveHost != nil:
-		return d.removeHost(call, *r.RemoveHost)
+		return h.removeHost(call, *r.RemoveHost)
 	case r.Announce != nil:
-		return d.announce(call, *r.Announce)
+		return h.announce(call, *r.Announce)
 	}
 	return done(call, proto.OperatorReply{Err: proto.OpErrRefused, Reason: "the request is empty"})
 }
 
 // await proposes a command and keeps the call until w answers it.
-func (d *Desk) await(call uint64, c proto.Command, w waiter) []effect.Effect {
-	d.waiting[call] = w
+func (h *Handler) await(call uint64, c proto.Command, w waiter) []effect.Effect {
+	h.waiting[call] = w
 	return []effect.Effect{effect.Propose{Command: c}}
 }
 
-func (d *Desk) committed(c proto.Command) []effect.Effect {
+func (h *Handler) committed(c proto.Command) []effect.Effect {
 	var out []effect.Effect
-	for _, call := range slices.Sorted(maps.Keys(d.waiting)) {
-		if answer, ok := d.waiting[call](c); ok {
-			delete(d.waiting, call)
+	for _, call := range slices.Sorted(maps.Keys(h.waiting)) {
+		if answer, ok := h.waiting[call](c); ok {
+			delete(h.waiting, call)
 			out = append(out, reply(call, answer))
 		}
 	}
 	return out
 }
 
-func (d *Desk) announce(call uint64, a proto.Announcement) []effect.Effect {
-	if d.state.Group(a.Service) == nil {
+func (h *Handler) announce(call uint64, a proto.Announcement) []effect.Effect {
+	if h.state.Group(a.Service) == nil {
 		return done(call, proto.OperatorReply{Err: proto.OpErrNotFound, Reason: "no such service"})
 	}
-	return done(call, proto.OperatorReply{Leader: d.role.Leader})
+	return done(call, proto.OperatorReply{Leader: h.role.Leader})
 }
 
-func (d *Desk) status(now types.Instant) *proto.Status {
+func (h *Handler) status(now types.Instant) *proto.Status {
 	st := &proto.Status{
-		Host: d.self, Leader: d.role.Leader, Term: d.role.Term,
-		Commit: d.state.Applied(), Applied: d.state.Applied(), ConfigSince: d.state.ConfigSince(),
-		Voters: d.state.Voters(), State: d.state.Snapshot(), Proxies: d.leases.Status(),
+		Host: h.self, Leader: h.role.Leader, Term: h.role.Term,
+		Commit: h.state.Applied(), Applied: h.state.Applied(), ConfigSince: h.state.ConfigSince(),
+		Voters: h.state.Voters(), State: h.state.Snapshot(), Proxies: h.leases.Status(),
 	}
 	latest := make(map[types.TargetRef]proto.TargetReport)
-	for _, r := range d.leases.Requests(now) {
+	for _, r := range h.leases.Requests(now) {
 		for _, report := range r.Reports {
 			old, ok := latest[report.Ref]
 			if !ok || report.HeardAgo < old.HeardAgo {
--- a/core/operator/operator_test.go
+++ b/core/operator/operator_test.go
@@ -21,7 +21,7 @@
 // host is a control host whose proposals wait until the test commits them.
 type host struct {
 	state    *cluster.State
-	desk     *operator.Desk
+	handler  *operator.Handler
 	proposed []proto.Command
 	replies  map[uint64]proto.OperatorReply
 	index    uint64
@@ -29,7 +29,7 @@
 
 func newHost() *host {
 	h := &host{state: cluster.New(), replies: map[uint64]proto.OperatorReply{}}
-	h.desk = operator.New("c1", h.state, lease.NewTable("c1", h.state, leads{}))
+	h.handler = operator.New("c1", h.state, lease.NewTable("c1", h.state, leads{}))
 	h.role(true, 1)
 	return h
 }
@@ -44,7 +44,7 @@
 
 func (h *host) step(ev event.Event) {
 	h.state.Step(event.Input{Event: ev})
-	for _, eff := range h.desk.Step(event.Input{Event: ev}) {
+	for _, eff := range h.handler.Step(event.Input{Event: ev}) {
 		switch e := eff.(type) {
 		case effect.Propose:
 			h.proposed = append(h.proposed, e.Command)
--- a/core/promotion/detect.go
+++ b/core/promotion/detect.go
@@ -32,28 +32,28 @@
 // replace begins the term after a failed primary. When primaries fail one
 // after the other, it waits longer each time.
 func (m *Manager) replace(now types.Instant, g *types.Group, gr *group, reason string) []effect.Effect {
-	if at := gr.servedAt.Add(gr.patience(g.Term)); now < at {
+	if at := gr.servedAt.Add(gr.backoff(g.Term)); now < at {
 		return []effect.Effect{arm(g.Service, at)}
 	}
 	gr.avoid = g.Primary
 	return m.beginTerm(now, g, gr, reason)
 }
 
-// patience returns how long the primary of a term is kept after its choice,
+// backoff returns how long the primary of a term is kept after its choice,
 // whatever the proxies report.
-func (gr *group) patience(term types.Term) time.Duration {
+func (gr *group) backoff(term types.Term) time.Duration {
 	if gr.quick < freeReplacements {
 		return 0
 	}
-	limit := maxPatience
+	limit := maxBackoff
 	if gr.proven == term {
-		limit = provenPatience
+		limit = provenBackoff
 	}
-	patience := minPatience
+	backoff := minBackoff
 	for range gr.quick - freeReplacements {
-		patience = min(2*patience, limit)
+		backoff = min(2*backoff, limit)
 	}
-	return patience
+	return backoff
 }
 
 // canMove reports whether some other member is active.
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -44,15 +44,15 @@
 	// catchUpInterval is the time between two looks at a target that catches
 	// up.
 	catchUpInterval = 20 * time.Millisecond
-	// calmAfter is how long a primary has to serve until its failure is not
+	// stableAfter is how long a primary has to serve until its failure is not
 	// counted together with the one before.
-	calmAfter = 30 * time.Second
-	// minPatience and maxPatience bound how long a primary is kept after
+	stableAfter = 30 * time.Second
+	// minBackoff and maxBackoff bound how long a primary is kept after
 	// freeReplacements in quick succession. One that a proxy has reached is
-	// kept for provenPatience at most: its failure is a new one.
-	minPatience    = time.Second
-	provenPatience = 2 * time.Second
-	maxPatience    = 8 * time.Second
+	// kept for provenBackoff at most: its failure is a new one.
+	minBackoff    = time.Second
+	provenBackoff = 2 * time.Second
+	maxBackoff    = 8 * time.Second
 	// reportBound is the age up to which a proxy's report counts.
 	reportBound = 600 * time.Millisecond
 )
@@ -181,7 +181,7 @@
 
 // countServed counts primaries that were chosen in quick succession.
 func (gr *group) countServed(now types.Instant) {
-	if gr.servedAt == 0 || now.Sub(gr.servedAt) >= calmAfter {
+	if gr.servedAt == 0 || now.Sub(gr.servedAt) >= stableAfter {
 		gr.quick = 0
 	} else {
 		gr.quick++
--- a/core/session/arrival.go
+++ b/core/session/arrival.go
@@ -18,14 +18,14 @@
 // acknowledged writes are on a majority, so is the one that only a minority of
 // the members has passed, which lagging replicas reach sooner.
 //
-// Until patience ends it waits for the members that may still lower the floor.
-func (s *Shard) arrivalFloor(c *session, patience types.Instant) (types.LogPos, bool) {
+// Until deadline it waits for the members that may still lower the floor.
+func (s *Shard) arrivalFloor(c *session, deadline types.Instant) (types.LogPos, bool) {
 	svc, g := s.services[c.service], s.view.Group(c.service)
 	if svc == nil || !s.leaseLive() || !hasPrimary(g) {
 		return types.LogPos{}, false
 	}
 	pos, complete, ok := s.majorityFloor(svc, g, c.opened)
-	if !complete && s.now < patience {
+	if !complete && s.now < deadline {
 		return types.LogPos{}, false
 	}
 	if ok {
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -44,7 +44,7 @@
 func (r *request) due(now types.Instant) types.Instant {
 	switch r.stage {
 	case stageFloor:
-		if until := r.patience(); now < until {
+		if until := r.floorDeadline(); now < until {
 			return until
 		}
 		return r.queueDeadline
@@ -93,7 +93,7 @@
 
 // requestIsDue reports whether the request's present stage ends now.
 func (s *Shard) requestIsDue(r *request) bool {
-	return s.now >= r.due(s.now) || r.stage == stageFloor && s.now >= r.patience()
+	return s.now >= r.due(s.now) || r.stage == stageFloor && s.now >= r.floorDeadline()
 }
 
 func (s *Shard) requestDue(r *request) {
--- a/core/session/floor_test.go
+++ b/core/session/floor_test.go
@@ -194,7 +194,7 @@
 			if c.c > 0 {
 				d.probe("c", pos(c.c))
 			}
-			d.advance(floorPatience)
+			d.advance(floorTimeout)
 			d.connect()
 			_, name := d.sent()
 			assert.Equal(t, name == "a", c.primary, "went to %s", name)
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -16,9 +16,9 @@
 	// admissionMargin is how many times the estimated wait must fit into the
 	// queue timeout. Those that are admitted then seldom time out.
 	admissionMargin = 2
-	// floorPatience is how long a request waits for positions that may lower
+	// floorTimeout is how long a request waits for positions that may lower
 	// its session's first floor.
-	floorPatience = 10 * time.Millisecond
+	floorTimeout = 10 * time.Millisecond
 	// maxQueue bounds the requests that wait for one candidate set.
 	maxQueue = 4096
 )
@@ -32,7 +32,7 @@
 // place decides what a request waits for next and puts it there.
 func (s *Shard) place(r *request) {
 	s.dirty[r.service.name] = true
-	if !r.onPrimary() && !s.sessionFloor(r.session, r.patience()) {
+	if !r.onPrimary() && !s.sessionFloor(r.session, r.floorDeadline()) {
 		s.wait(r, stageFloor)
 		return
 	}
@@ -46,8 +46,10 @@
 	s.enqueue(r)
 }
 
-// patience returns until when the request waits for a lower floor.
-func (r *request) patience() types.Instant { return min(r.queueDeadline, r.arrived.Add(floorPatience)) }
+// floorDeadline returns until when the request waits for a lower floor.
+func (r *request) floorDeadline() types.Instant {
+	return min(r.queueDeadline, r.arrived.Add(floorTimeout))
+}
 
 // refuseLost tells a session once that something it has seen is gone. Its
 // floor is asked for again.
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -109,11 +109,11 @@
 
 // sessionFloor makes sure that the session has a floor, by its token or by
 // positions that were asked for after it opened.
-func (s *Shard) sessionFloor(c *session, patience types.Instant) bool {
+func (s *Shard) sessionFloor(c *session, deadline types.Instant) bool {
 	if c.floor.known {
 		return true
 	}
-	pos, ok := s.arrivalFloor(c, patience)
+	pos, ok := s.arrivalFloor(c, deadline)
 	if ok {
 		c.floor.begin(pos)
 	}
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -116,7 +116,7 @@
 		switch {
 		case r.stage == stageDurable:
 			s.acknowledge(r)
-		case s.sessionFloor(r.session, r.patience()):
+		case s.sessionFloor(r.session, r.floorDeadline()):
 			delete(svc.waiting, r)
 			s.place(r)
 		}
