Refuse at once to remove the last voter

Cause: removing the only voter while learners remained was proposed, which consensus drops, so the operator got no answer but 'unknown'. Change: the call uses the rule of consensus. Figures: TestLastVoterStays failed before (no reply, one proposal) and passes now. Conclusion: one rule in one place.

--- a/core/operator/calls.go
+++ b/core/operator/calls.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/camphorpaddle/camphorpaddle/core/consensus"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
@@ -120,9 +121,9 @@
 	if !slices.ContainsFunc(voters, isHost) {
 		return done(call, notFound("no such control host"))
 	}
-	rest := slices.DeleteFunc(slices.Clone(voters), isHost)
-	if len(rest) == 0 {
-		return done(call, proto.OperatorReply{Err: proto.OpErrRefused, Reason: "the last control host stays"})
+	rest, ok := consensus.WithoutHost(voters, c.Host)
+	if !ok {
+		return done(call, proto.OperatorReply{Err: proto.OpErrRefused, Reason: "the last voter stays"})
 	}
 	command := proto.Command{Voters: &proto.SetVoters{Voters: rest}}
 	return h.await(call, command, func(done proto.Command) (proto.OperatorReply, bool) {
--- a/core/operator/operator_test.go
+++ b/core/operator/operator_test.go
@@ -148,3 +148,21 @@
 		assert.Equal(t, reply.Err, c.want, c.name)
 	}
 }
+
+// TestLastVoterStays refuses to remove the only voter at once, also while
+// learners remain, which consensus would never accept.
+func TestLastVoterStays(t *testing.T) {
+	h := newHost()
+	h.commit(proto.Command{Voters: &proto.SetVoters{Voters: []proto.Voter{
+		{Host: "c1"}, {Host: "c2", Learner: true},
+	}}})
+	remove := proto.OperatorRequest{RemoveHost: &proto.RemoveHost{Host: "c1"}}
+	h.step(event.OperatorCalled{Call: 1, Request: remove})
+	assert.Equal(t, h.replies[1].Err, proto.OpErrRefused)
+	assert.Equal(t, len(h.proposed), 0)
+	remove.RemoveHost = &proto.RemoveHost{Host: "c2"}
+	h.step(event.OperatorCalled{Call: 2, Request: remove})
+	assert.Equal(t, len(h.proposed), 1)
+	h.commit(h.proposed[0])
+	assert.Equal(t, h.replies[2].Err, proto.OpErrNone)
+}
