Go on accepting callers after a shortage of descriptors

Cause: the front ended, and the proxy with it, when accept failed for want of file descriptors. Change: such an error is logged and accept is tried again after 50 ms. Conclusion: sessions that are open go on meanwhile.

--- a/front/pg/server.go
+++ b/front/pg/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -14,6 +15,9 @@
 	"github.com/camphorpaddle/camphorpaddle/runtime"
 )
 
+// acceptPause is the time until the next try after a failed accept.
+const acceptPause = 50 * time.Millisecond
+
 // Defaults of Config.
 const (
 	DefaultMaxSessions    = 10_000
@@ -99,10 +103,30 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil {
+		switch {
+		case err == nil:
+			s.accept(conn)
+		case passes(err):
+			klog.InfoS("accept_failed", "reason", err.Error())
+			wait(ctx, acceptPause)
+		default:
 			return trace.Wrap(err, "accepting callers")
 		}
-		s.accept(conn)
+	}
+}
+
+// passes reports whether an error of accept says nothing of the listener: the
+// process is short of file descriptors, or the caller left already.
+func passes(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
