Build the run and check commands of the daemons in one place

Cause: both mains repeated them line by line. Change: cmdline.RunCommand and CheckCommand. The examples of both deployments pass their checks as before. Conclusion: the mains are as thin as meant.

--- a/cmd/paddle-control/main.go
+++ b/cmd/paddle-control/main.go
@@ -31,8 +31,8 @@
 				Name: "init", Usage: "set up the data folder of the first control host of a new cluster",
 				Flags: []cli.Flag{cmdline.ConfigFlag()}, Action: initialize,
 			},
-			{Name: "run", Usage: "run the control host", Flags: []cli.Flag{cmdline.ConfigFlag()}, Action: run},
-			{Name: "check", Usage: "check the settings file and end", Flags: []cli.Flag{cmdline.ConfigFlag()}, Action: check},
+			cmdline.RunCommand("run the control host", settings.RoleControl, daemon.NewControl),
+			cmdline.CheckCommand("control host", settings.RoleControl),
 		},
 	})
 }
@@ -49,24 +49,3 @@
 	_, err = fmt.Fprintf(cmd.Root().Writer, "data folder %s set up for control host %s\n", s.DataFolder, host)
 	return err
 }
-
-func run(ctx context.Context, cmd *cli.Command) error {
-	s, err := cmdline.DaemonSettings(cmd, settings.RoleControl)
-	if err != nil {
-		return err
-	}
-	c, err := daemon.NewControl(s, cmd.Root().Version)
-	if err != nil {
-		return err
-	}
-	return c.Run(ctx)
-}
-
-func check(_ context.Context, cmd *cli.Command) error {
-	s, err := cmdline.DaemonSettings(cmd, settings.RoleControl)
-	if err != nil {
-		return err
-	}
-	_, err = fmt.Fprintf(cmd.Root().Writer, "%s: valid settings of control host %s\n", cmd.String("config"), s.Host)
-	return err
-}
--- a/cmd/paddle-proxy/main.go
+++ b/cmd/paddle-proxy/main.go
@@ -2,9 +2,6 @@
 package main
 
 import (
-	"context"
-	"fmt"
-
 	"github.com/camphorpaddle/camphorpaddle/daemon"
 	"github.com/camphorpaddle/camphorpaddle/internal/cmdline"
 	"github.com/camphorpaddle/camphorpaddle/settings"
@@ -28,29 +25,8 @@
 		Usage:       "database proxy with session consistency",
 		Description: description,
 		Commands: []*cli.Command{
-			{Name: "run", Usage: "serve callers", Flags: []cli.Flag{cmdline.ConfigFlag()}, Action: run},
-			{Name: "check", Usage: "check the settings file and end", Flags: []cli.Flag{cmdline.ConfigFlag()}, Action: check},
+			cmdline.RunCommand("serve callers", settings.RoleProxy, daemon.NewProxy),
+			cmdline.CheckCommand("proxy", settings.RoleProxy),
 		},
 	})
 }
-
-func run(ctx context.Context, cmd *cli.Command) error {
-	s, err := cmdline.DaemonSettings(cmd, settings.RoleProxy)
-	if err != nil {
-		return err
-	}
-	p, err := daemon.NewProxy(s, cmd.Root().Version)
-	if err != nil {
-		return err
-	}
-	return p.Run(ctx)
-}
-
-func check(_ context.Context, cmd *cli.Command) error {
-	s, err := cmdline.DaemonSettings(cmd, settings.RoleProxy)
-	if err != nil {
-		return err
-	}
-	_, err = fmt.Fprintf(cmd.Root().Writer, "%s: valid settings of proxy %s\n", cmd.String("config"), s.Host)
-	return err
-}
