--- a/core/cluster/apply.go
+++ b/core/cluster/apply.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -87,7 +88,7 @@
 		next.Members = without(g.Members, c.Target.Name)
 	case known && old == c.Target:
 		return nil
-	case !known && len(g.Members) >= s.ledger.Config().Services[c.Service].Members:
+	case !known && s.full(g):
 		return nil
 	default:
 		next.Members = withMember(g.Members, c.Target)
@@ -99,6 +100,12 @@
 	})
 }
 
+// full reports whether a group has as many members as are configured.
+func (s *State) full(g *types.Group) bool {
+	svc := s.ledger.Config().Services[g.Service]
+	return svc.Members > 0 && len(g.Members) >= svc.Members
+}
+
 // settleDrain keeps what operators decide apart from what targets announce, so
 // that neither undoes a change of the other that was committed before it.
 func settleDrain(c proto.SetMember, old types.Target, known bool) types.Target {
@@ -166,6 +173,7 @@
 	}
 	next := *g
 	next.Phase, next.Primary = types.GroupServing, c.Primary
+	next.LogTerm = c.LogTerm
 	next.History = beginTerm(g.History, c)
 	if extra := len(next.History) - maxTermStarts; extra > 0 {
 		next.History = next.History[extra:]
@@ -180,7 +188,7 @@
 // beginTerm adds the start of a term. Without the term of the entry before it,
 // nothing is known of a fork.
 func beginTerm(h types.TermHistory, c proto.ServeTerm) types.TermHistory {
-	start := types.TermStart{Term: c.Term, Offset: c.Start}
+	start := types.TermStart{Term: cmp.Or(c.LogTerm, c.Term), Offset: c.Start}
 	if c.Last == 0 {
 		return append(slices.Clone(h), start)
 	}
--- a/core/configuration/ledger.go
+++ b/core/configuration/ledger.go
@@ -66,6 +66,9 @@
 // Answer returns the answer to a change that was applied before. It reports
 // false for an id that is not known.
 func (l *Ledger) Answer(c proto.ChangeConfig) (proto.ChangeResult, bool) {
+	if c.Number != 0 {
+		return numbered(l.config.Version), c.Number <= l.config.Version
+	}
 	rec, ok := l.records[c.ID]
 	if !ok {
 		return proto.ChangeResult{}, false
@@ -84,16 +87,31 @@
 	if known, ok := l.Answer(c); ok {
 		return known, false
 	}
+	if c.Number != 0 {
+		l.take(c, c.Number)
+		return numbered(c.Number), true
+	}
 	result := l.decide(c)
 	if result.Accepted {
-		config := *c.Config
-		config.Version = result.Version
-		l.config, l.source = &config, c.Source
+		l.take(c, result.Version)
 	}
 	l.record(proto.ChangeRecord{Result: result, Digest: digest(c), Author: c.Author})
 	return result, result.Accepted
 }
 
+// take puts the configuration of a change in force.
+func (l *Ledger) take(c proto.ChangeConfig, version uint64) {
+	config := *c.Config
+	config.Version = version
+	l.config, l.source = &config, c.Source
+}
+
+// numbered is the answer to a change that carries the operator's own version:
+// all of them are accepted, and the highest is in force.
+func numbered(inForce uint64) proto.ChangeResult {
+	return proto.ChangeResult{Accepted: true, Version: inForce}
+}
+
 func (l *Ledger) decide(c proto.ChangeConfig) proto.ChangeResult {
 	current := l.config.Version
 	switch {
@@ -138,7 +156,7 @@
 	h := xxhash.New()
 	fmt.Fprintf(h, "%d\x00%q", c.Base, c.Source)
 	if c.Config != nil {
-		fmt.Fprintf(h, "\x00%+v\x00%+v", c.Config.Services, c.Config.Profiles)
+		fmt.Fprintf(h, "\x00%+v\x00%+v\x00%+v", c.Config.Services, c.Config.Profiles, c.Config.Routes)
 	}
 	return h.Sum64()
 }
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -5,6 +5,7 @@
 package consensus
 
 import (
+	"slices"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -74,6 +75,7 @@
 
 	lead     leadership
 	reported effect.ChangeRole
+	hosts    []types.Address // made known last
 }
 
 // New returns a node that begins with what was saved. Without any voter in
@@ -142,6 +144,7 @@
 	n.apply()
 	n.flush()
 	n.reportRole()
+	n.reportHosts()
 	return n.out
 }
 
@@ -226,6 +229,17 @@
 	}
 }
 
+// reportHosts makes the addresses of the control hosts known when they changed,
+// so that this host can reach those that joined without it.
+func (n *Node) reportHosts() {
+	hosts := proto.Addresses(n.log.voters())
+	if len(hosts) == 0 || slices.Equal(hosts, n.hosts) {
+		return
+	}
+	n.hosts = hosts
+	n.emit(effect.KnowHosts{Addresses: hosts})
+}
+
 func (n *Node) emit(e effect.Effect) { n.out = append(n.out, e) }
 
 func (n *Node) arm(key uint64, d time.Duration) {
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -22,6 +22,9 @@
 	}
 	// StopTimer cancels a timer.
 	StopTimer struct{ ID event.TimerID }
+	// KnowHosts names the addresses of the control hosts, as far as they are
+	// known.
+	KnowHosts struct{ Addresses []types.Address }
 	// Decide records a decision that an operator would ask about.
 	Decide struct {
 		Kind    Decision
@@ -138,6 +141,9 @@
 		Seq        uint64
 		Operations []types.Operation
 		Trace      types.TraceContext
+		// Before is the instant from which on nothing may be sent any more;
+		// zero sets no bound.
+		Before types.Instant
 	}
 	// CloseTarget drops a connection. Whatever still comes on it is dropped.
 	CloseTarget struct{ Conn types.ConnID }
@@ -183,6 +189,7 @@
 
 func (ArmTimer) isEffect()      {}
 func (StopTimer) isEffect()     {}
+func (KnowHosts) isEffect()     {}
 func (Decide) isEffect()        {}
 func (SendPeer) isEffect()      {}
 func (Persist) isEffect()       {}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -104,6 +104,7 @@
 		Ref     types.TargetRef
 		AskedAt types.Instant
 		Err     error
+		Busy    bool // the target answered that it has no room to say more
 		Status  types.TargetStatus
 	}
 	// Announced is an announcement that a target made to this proxy.
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -35,6 +36,7 @@
 	cluster *types.ClusterView
 	shares  map[types.TargetRef]types.Share
 	taken   uint64 // number of the grant that brought shares
+	hosts   []types.Address
 }
 
 // NewHolder returns a holder without a lease. fill completes a request with
@@ -137,7 +139,7 @@
 	}
 	h.forgetBefore(g.Seq)
 	h.leader, h.term = e.From, g.Term
-	var out []effect.Effect
+	out := h.learnHosts(g.Hosts)
 	if g.Seq == h.seq {
 		out = append(out, effect.StopTimer{ID: timerID(timerAnswer)})
 	}
@@ -148,6 +150,15 @@
 	return append(out, h.extend(now, sentAt, g)...)
 }
 
+// learnHosts makes the addresses of the control hosts known when they changed.
+func (h *Holder) learnHosts(hosts []types.Address) []effect.Effect {
+	if len(hosts) == 0 || slices.Equal(hosts, h.hosts) {
+		return nil
+	}
+	h.hosts = hosts
+	return []effect.Effect{effect.KnowHosts{Addresses: hosts}}
+}
+
 // forgetBefore drops the requests before seq: an older grant has nothing to
 // add. Request seq itself may be answered again, with a newer view.
 func (h *Holder) forgetBefore(seq uint64) {
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -93,7 +93,7 @@
 }
 
 func (t *Table) request(r proto.LeaseRequest) []effect.Effect {
-	if !t.surelyLeads() {
+	if !t.SurelyLeads() {
 		return t.refuse(r)
 	}
 	p := t.proxies[r.Proxy]
@@ -122,7 +122,9 @@
 // stale reports whether seq is at or shortly before last.
 func stale(seq, last uint64) bool { return last-seq < staleWindow }
 
-func (t *Table) surelyLeads() bool { return t.role.Leading && t.now < t.lead.LeadsUntil() }
+// SurelyLeads reports whether this host leads and no other can have been elected
+// by the event that is under way.
+func (t *Table) SurelyLeads() bool { return t.role.Leading && t.now < t.lead.LeadsUntil() }
 
 func (t *Table) refuse(r proto.LeaseRequest) []effect.Effect {
 	g := proto.LeaseGrant{Proxy: r.Proxy, Seq: r.Seq, SentAt: r.SentAt, Term: t.role.Term, NotLeader: true}
@@ -154,7 +156,7 @@
 		return nil
 	}
 	p.proposed = false
-	if !p.waiting || !t.surelyLeads() {
+	if !p.waiting || !t.SurelyLeads() {
 		return nil
 	}
 	p.waiting = false
@@ -169,7 +171,7 @@
 	}
 	g := proto.LeaseGrant{
 		Proxy: p.request.Proxy, Seq: p.request.Seq, SentAt: p.request.SentAt,
-		Term: t.role.Term, View: t.state.Update(p.request.Have),
+		Term: t.role.Term, View: t.state.Update(p.request.Have), Hosts: proto.Addresses(t.state.Voters()),
 	}
 	p.sent = t.state.View().Version
 	if !p.request.Draining && t.keepsUp(p) {
@@ -195,7 +197,7 @@
 // push sends a new view to the proxies that hold a lease, as a further answer
 // to their last request. It brings no time and no shares.
 func (t *Table) push() []effect.Effect {
-	if !t.surelyLeads() {
+	if !t.SurelyLeads() {
 		return nil
 	}
 	version := t.state.View().Version
--- a/core/limits/divider.go
+++ b/core/limits/divider.go
@@ -78,12 +78,21 @@
 		for _, t := range d.state.Group(name).Members {
 			ref := types.TargetRef{Service: name, Name: t.Name}
 			d.use(ref, proxy).report(held[ref], holds[at].Request.Taken, d.leases.Now())
-			out = append(out, proto.ShareGrant{Ref: ref, Share: d.share(svc, ref, holds, at)})
+			out = append(out, proto.ShareGrant{Ref: ref, Share: d.share(slotsOf(svc, t), ref, holds, at)})
 		}
 	}
 	return out
 }
 
+// slotsOf returns the service with the slots that the target announced, if it
+// did.
+func slotsOf(svc types.Service, t types.Target) types.Service {
+	if t.Slots > 0 {
+		svc.Slots = t.Slots
+	}
+	return svc
+}
+
 // share decides on the share of the proxy holds[at] and remembers it.
 func (d *Divider) share(svc types.Service, ref types.TargetRef, holds []lease.Hold, at int) types.Share {
 	now := d.leases.Now()
--- a/core/membership/place.go
+++ b/core/membership/place.go
@@ -53,7 +53,7 @@
 			delete(k.places, g.Service)
 			continue
 		}
-		if !r.Failing && r.Status.Term == g.Term {
+		if !r.Failing && r.Status.Term == g.TargetTerm() {
 			k.readPosition(now, g, r)
 		}
 	}
--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -114,9 +114,12 @@
 
 // hear keeps the latest announcement of a target and acts on it.
 func (t *Tracker) hear(now types.Instant, a proto.Announcement) []effect.Effect {
+	if a.Gone {
+		return t.leave(now, a.Name)
+	}
 	ref := types.TargetRef{Service: a.Service, Name: a.Name}
 	at := now.Add(-a.Age)
-	if last, ok := t.heard[ref]; ok && last.at > at {
+	if last, ok := t.heard[ref]; ok && (last.at > at || outdated(a, last.announcement)) {
 		return nil
 	}
 	if t.state.Group(a.Service) == nil {
@@ -134,12 +137,18 @@
 	}
 	last, known := t.heard[ref]
 	member, joined := g.Target(ref.Name)
+	if joined && t.ended(now, g, last, known) {
+		return t.propose(now, ref, proto.SetMember{Service: ref.Service, Target: member, Remove: true})
+	}
 	if joined {
 		return t.propose(now, ref, proto.SetMember{Service: ref.Service, Target: t.wanted(now, member, last, known)})
 	}
 	if !known || last.announcement.Leaving || now.Sub(last.at) >= SilentAfter {
 		return nil
 	}
+	if t.state.Config().Services[ref.Service].Managed {
+		return t.join(now, g, last.announcement)
+	}
 	if len(g.Members) >= t.state.Config().Services[ref.Service].Members {
 		return t.makeRoom(now, g)
 	}
@@ -168,7 +177,7 @@
 }
 
 func target(a proto.Announcement) types.Target {
-	t := types.Target{Name: a.Name, Address: a.Address, AvailabilityZone: a.AvailabilityZone}
+	t := types.Target{Name: a.Name, Address: a.Address, AvailabilityZone: a.AvailabilityZone, Slots: a.Slots}
 	if a.Leaving {
 		t.State = types.TargetLeaving
 	}
--- a/core/operator/calls.go
+++ b/core/operator/calls.go
@@ -12,7 +12,7 @@
 // change replicates a change of the configuration. One that is known already
 // is answered at once.
 func (h *Handler) change(call uint64, c proto.ChangeConfig) []effect.Effect {
-	if c.ID == "" || c.Config == nil {
+	if c.Config == nil || c.ID == "" && c.Number == 0 {
 		return done(call, proto.OperatorReply{
 			Err: proto.OpErrRefused, Reason: "the change lacks an id or a configuration",
 		})
@@ -21,7 +21,7 @@
 		return done(call, changeReply(result))
 	}
 	return h.await(call, proto.Command{Change: &c}, func(done proto.Command) (proto.OperatorReply, bool) {
-		if done.Change == nil || done.Change.ID != c.ID {
+		if done.Change == nil || done.Change.ID != c.ID || done.Change.Number != c.Number {
 			return proto.OperatorReply{}, false
 		}
 		result, ok := h.state.Answer(c)
--- a/core/operator/operator.go
+++ b/core/operator/operator.go
@@ -67,11 +67,14 @@
 
 func (h *Handler) call(now types.Instant, call uint64, r proto.OperatorRequest) []effect.Effect {
 	if r.Status != nil {
-		return done(call, proto.OperatorReply{Leader: h.role.Leader, Status: h.status(now)})
+		return done(call, proto.OperatorReply{
+			Leader: h.role.Leader, LeaderAddress: h.leaderAddress(), Status: h.status(now),
+		})
 	}
 	if !h.role.Leading {
 		return done(call, proto.OperatorReply{
-			Err: proto.OpErrNotLeader, Leader: h.role.Leader, Reason: "this host does not lead",
+			Err: proto.OpErrNotLeader, Leader: h.role.Leader, LeaderAddress: h.leaderAddress(),
+			Reason: "this host does not lead",
 		})
 	}
 	switch {
@@ -89,6 +92,16 @@
 	return done(call, proto.OperatorReply{Err: proto.OpErrRefused, Reason: "the request is empty"})
 }
 
+// leaderAddress returns where the leader listens for other processes, or "".
+func (h *Handler) leaderAddress() types.Address {
+	for _, v := range h.state.Voters() {
+		if v.Host == h.role.Leader {
+			return v.Address
+		}
+	}
+	return ""
+}
+
 // await proposes a command and keeps the call until w answers it.
 func (h *Handler) await(call uint64, c proto.Command, w waiter) []effect.Effect {
 	h.waiting[call] = w
@@ -107,7 +120,7 @@
 }
 
 func (h *Handler) announce(call uint64, a proto.Announcement) []effect.Effect {
-	if h.state.Group(a.Service) == nil {
+	if h.state.Group(a.Service) == nil && !a.Gone {
 		return done(call, proto.OperatorReply{Err: proto.OpErrNotFound, Reason: "no such service"})
 	}
 	return done(call, proto.OperatorReply{Leader: h.role.Leader})
@@ -115,7 +128,7 @@
 
 func (h *Handler) status(now types.Instant) *proto.Status {
 	st := &proto.Status{
-		Host: h.self, Leader: h.role.Leader, Term: h.role.Term,
+		Host: h.self, Leader: h.role.Leader, Surely: h.leases.SurelyLeads(), Term: h.role.Term,
 		Commit: h.state.Applied(), Applied: h.state.Applied(), ConfigSince: h.state.ConfigSince(),
 		Voters: h.state.Voters(), State: h.state.Snapshot(), Proxies: h.leases.Status(),
 	}
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -21,6 +21,7 @@
 	Ref     types.TargetRef
 	Address types.Address
 	Owner   types.SessionID // while taken
+	setup   setup           // what sessions have left on it
 
 	state    State
 	seq      uint64 // number of the last exchange
@@ -40,5 +41,85 @@
 // End marks the exchange under way as answered.
 func (c *Conn) End() { c.inFlight = false }
 
+// setup is what was set and prepared on a connection.
+type setup struct {
+	values   map[string]string
+	prepared map[string]bool
+}
+
+// Prepare returns the operations that give the connection the state that a
+// session needs, and takes them for done: a connection on which one fails is
+// dropped.
+func (c *Conn) Prepare(want *types.Setup) []types.Operation {
+	if want == nil {
+		want = &types.Setup{}
+	}
+	var ops []types.Operation
+	if !c.within(want.Settings) {
+		ops = append(ops, types.Operation{Kind: types.OpReset})
+		c.setup = setup{}
+	}
+	for _, s := range want.Settings {
+		if have, ok := c.setup.values[s.Name]; !ok || have != s.Value {
+			ops = append(ops, types.Operation{Kind: types.OpSetValue, Setting: s})
+		}
+	}
+	if p := want.Prepared; p != nil && !c.setup.prepared[p.Name] {
+		ops = append(ops, types.Operation{Kind: types.OpPrepare, Statement: *p})
+	}
+	c.applied(ops)
+	return ops
+}
+
+// applied records operations that change the connection's state.
+func (c *Conn) applied(ops []types.Operation) {
+	for _, op := range ops {
+		switch op.Kind {
+		case types.OpSetValue:
+			if c.setup.values == nil {
+				c.setup.values = make(map[string]string)
+			}
+			c.setup.values[op.Setting.Name] = op.Setting.Value
+		case types.OpPrepare:
+			if c.setup.prepared == nil {
+				c.setup.prepared = make(map[string]bool)
+			}
+			c.setup.prepared[op.Statement.Name] = true
+		}
+	}
+}
+
+// within reports whether every value on the connection is one of a session's,
+// so that nothing has to be dropped.
+func (c *Conn) within(settings []types.Setting) bool {
+	found := 0
+	for _, s := range settings {
+		if _, ok := c.setup.values[s.Name]; ok {
+			found++
+		}
+	}
+	return found == len(c.setup.values)
+}
+
+// missing returns how many operations Prepare would ask for.
+func (c *Conn) missing(want *types.Setup) int {
+	if want == nil {
+		want = &types.Setup{}
+	}
+	n := 0
+	if !c.within(want.Settings) {
+		n += 1 + len(want.Settings)
+	}
+	for _, s := range want.Settings {
+		if c.setup.values[s.Name] != s.Value {
+			n++
+		}
+	}
+	if p := want.Prepared; p != nil && !c.setup.prepared[p.Name] {
+		n++
+	}
+	return n
+}
+
 // State returns the state of the connection.
 func (c *Conn) State() State { return c.state }
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -96,16 +96,23 @@
 // Ready reports whether Take would return a connection.
 func (t *Target) Ready() bool { return t.InFlight() < t.Limit() && t.idle() != nil }
 
-// Take gives an idle connection to a session, or returns nil.
-func (t *Target) Take(owner types.SessionID) *Conn {
+// Take gives an idle connection to a session, or returns nil. It prefers the one
+// that lacks the least of what the session needs.
+func (t *Target) Take(owner types.SessionID, want *types.Setup) *Conn {
 	if t.InFlight() >= t.Limit() {
 		return nil
 	}
-	c := t.idle()
-	if c != nil {
-		c.state, c.Owner = Taken, owner
+	best := t.idle()
+	if best == nil {
+		return nil
 	}
-	return c
+	for _, c := range t.conns {
+		if c.state == Idle && c.Address == t.address && c.missing(want) < best.missing(want) {
+			best = c
+		}
+	}
+	best.state, best.Owner = Taken, owner
+	return best
 }
 
 // idle returns the idle connection that was opened last, so that the others
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -10,6 +10,7 @@
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/freshness"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -18,6 +19,9 @@
 const (
 	// interval is the time between two probes of a target.
 	interval = 100 * time.Millisecond
+	// managedInterval is the time between two probes of the primary of a
+	// managed service that answers. Its replicas are not probed.
+	managedInterval = 500 * time.Millisecond
 	// timeout is how long a target may take to answer.
 	timeout = 250 * time.Millisecond
 	// demandInterval is the least time between two probes of a target whose
@@ -46,7 +50,7 @@
 type Prober struct {
 	view    *types.ClusterView
 	targets map[types.TargetRef]*target
-	samples map[types.ServiceName]*samples
+	samples map[types.ServiceName]*freshness.Samples
 	waiting map[types.ServiceName]bool
 	demand  bool // the demand timer is armed
 	news    bool // control should hear of a change at once
@@ -60,6 +64,7 @@
 	asked    types.Instant // when the last probe was sent; zero before that
 	told     alarm         // what control was told at once
 	underWay bool
+	pace     time.Duration // time between two probes while it answers; zero for none
 }
 
 // alarm is how far the failure of a target has come.
@@ -76,7 +81,7 @@
 func New() *Prober {
 	return &Prober{
 		targets: make(map[types.TargetRef]*target),
-		samples: make(map[types.ServiceName]*samples),
+		samples: make(map[types.ServiceName]*freshness.Samples),
 		waiting: make(map[types.ServiceName]bool),
 	}
 }
@@ -103,33 +108,41 @@
 	seen := make(map[types.TargetRef]bool)
 	for _, name := range slices.Sorted(maps.Keys(view.Groups)) {
 		g := view.Groups[name]
-		p.follow(g)
+		if p.samples[name] == nil {
+			p.samples[name] = new(freshness.Samples)
+		}
+		p.samples[name].Follow(g)
 		for _, m := range g.Members {
 			ref := types.TargetRef{Service: name, Name: m.Name}
 			seen[ref] = true
-			out = append(out, p.add(ref, m, now)...)
+			out = append(out, p.add(ref, m, pace(view, g, m.Name), now)...)
 		}
 	}
-	maps.DeleteFunc(p.samples, func(name types.ServiceName, _ *samples) bool { return view.Groups[name] == nil })
+	maps.DeleteFunc(p.samples, func(name types.ServiceName, _ *freshness.Samples) bool { return view.Groups[name] == nil })
 	maps.DeleteFunc(p.targets, func(ref types.TargetRef, _ *target) bool { return !seen[ref] })
 	return out
 }
 
-// follow forgets the samples of an earlier primary or term.
-func (p *Prober) follow(g *types.Group) {
-	s := p.samples[g.Service]
-	if s == nil || s.term != g.Term || s.primary != g.Primary {
-		p.samples[g.Service] = &samples{term: g.Term, primary: g.Primary}
+// pace returns the time between two probes of a member, zero for none.
+func pace(view *types.ClusterView, g *types.Group, name types.TargetName) time.Duration {
+	switch {
+	case view.Config == nil || !view.Config.Services[g.Service].Managed:
+		return interval
+	case name == g.Primary:
+		return managedInterval
 	}
+	return 0
 }
 
-// add takes in a member of a group and probes it if it is new.
-func (p *Prober) add(ref types.TargetRef, m types.Target, now types.Instant) []effect.Effect {
+// add takes in a member of a group and probes it if it is new, or was not
+// probed so far.
+func (p *Prober) add(ref types.TargetRef, m types.Target, pace time.Duration, now types.Instant) []effect.Effect {
 	t := p.targets[ref]
-	if t != nil && t.address == m.Address {
+	if t != nil && t.address == m.Address && (t.pace != 0 || pace == 0) {
+		t.pace = pace
 		return nil
 	}
-	t = &target{address: m.Address, known: now}
+	t = &target{address: m.Address, known: now, pace: pace}
 	p.targets[ref] = t
 	return p.probe(ref, t, now)
 }
@@ -168,9 +181,10 @@
 	return alarmNone
 }
 
-// heardAgo returns the time since the last answer.
+// heardAgo returns the time since the last answer, as if the target were probed
+// at the shortest interval.
 func (t *target) heardAgo(now types.Instant) time.Duration {
-	return now.Sub(max(t.health.HeardAt, t.known))
+	return now.Sub(max(t.health.HeardAt, t.known)) - max(0, t.pace-interval)
 }
 
 // Health returns what is known of each target.
@@ -219,8 +233,13 @@
 	out := []effect.Effect{arm(timerAll, now.Add(interval))}
 	for _, ref := range p.refs() {
 		t := p.targets[ref]
+		if t.pace == 0 {
+			continue
+		}
 		p.notice(t, now)
-		out = append(out, p.probe(ref, t, now)...)
+		if t.pace == interval || t.health.Failing || t.asked == 0 || now.Sub(t.asked) >= t.pace {
+			out = append(out, p.probe(ref, t, now)...)
+		}
 	}
 	return out
 }
@@ -258,7 +277,7 @@
 
 // probe asks one target unless a probe of it is under way.
 func (p *Prober) probe(ref types.TargetRef, t *target, now types.Instant) []effect.Effect {
-	if t.underWay && now.Sub(t.asked) < lostAfter {
+	if t.pace == 0 || t.underWay && now.Sub(t.asked) < lostAfter {
 		return nil
 	}
 	t.underWay, t.asked = true, now
@@ -279,7 +298,12 @@
 		return nil
 	}
 	t.health.Failing, t.health.FailedAt = false, 0
-	t.health.HeardAt, t.health.AskedAt = now, e.AskedAt
+	t.health.HeardAt = now
+	if e.Busy {
+		p.notice(t, now)
+		return nil
+	}
+	t.health.AskedAt = e.AskedAt
 	if e.Status.Pos.Compare(t.health.Pos) < 0 {
 		t.health.FreshAt = 0
 	}
--- a/core/promotion/detect.go
+++ b/core/promotion/detect.go
@@ -106,7 +106,7 @@
 // disowned reports whether a member says that it is not the primary of the
 // group's term.
 func disowned(s types.TargetStatus, g *types.Group) bool {
-	return s.Term != g.Term || !s.Primary
+	return s.Term != g.TargetTerm() || !s.Primary
 }
 
 // driveQuiescing begins the next term once no proxy has work under way on the
@@ -121,6 +121,9 @@
 	}
 	if now >= end || m.quiet(now, g) {
 		gr.ordered = true
+		if m.managed(g) {
+			gr.avoid = g.Primary
+		}
 		return m.beginTerm(now, g, gr, "ordered change of primary")
 	}
 	return []effect.Effect{arm(g.Service, end)}
--- a/core/promotion/follow.go
+++ b/core/promotion/follow.go
@@ -32,7 +32,7 @@
 		}
 		f.askedAt = now
 		out = append(out, m.call(g, t, types.Operation{
-			Kind: types.OpFollow, Term: g.Term, Leader: primary, Start: termStart(g),
+			Kind: types.OpFollow, Term: g.TargetTerm(), Leader: primary, Start: termStart(g),
 		}))
 	}
 	next := gr.movedAt.Add(moveInterval)
--- /dev/null
+++ b/core/promotion/managed.go
@@ -0,0 +1,150 @@
+package promotion
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// Times of promotions that an outside service carries out.
+const (
+	// managedBound is how long the outside service may take from the call until
+	// the chosen member leads. The platforms at hand take 0.3 to 1 s.
+	managedBound = 2500 * time.Millisecond
+	// managedPoll is the time between two looks at the chosen member.
+	managedPoll = 50 * time.Millisecond
+	// readPatience is how long positions of a majority are awaited before fewer
+	// are enough.
+	readPatience = 800 * time.Millisecond
+)
+
+// managed reports whether an outside service promotes the group's members.
+func (m *Manager) managed(g *types.Group) bool { return m.state.Config().Services[g.Service].Managed }
+
+// chooseManaged returns the member that leads already, or the furthest one once
+// enough have answered. Replication is asynchronous, so no majority is needed.
+func (m *Manager) chooseManaged(now types.Instant, g *types.Group, r *run) (t types.Target, leads, ok bool) {
+	if t, ok := leading(g, r); ok {
+		return t, true, true
+	}
+	answered := len(r.answers)
+	if r.quorum == 0 && (answered >= types.Quorum(len(g.Members)) || answered > 0 && now.Sub(r.began) >= readPatience) {
+		r.quorum = now
+	}
+	if r.quorum == 0 {
+		return t, false, false
+	}
+	best, found := m.furthestManaged(g, r)
+	switch {
+	case !found:
+		return best, false, false
+	case r.ordered && now < r.catchUp:
+		return best, false, r.answers[best.Name].Pos == r.answers[r.avoid].Pos
+	}
+	return best, false, answered == len(g.Members) || now >= r.quorum.Add(readGrace)
+}
+
+// leading returns the member that leads the latest term, unless it is the one
+// that has to be replaced.
+func leading(g *types.Group, r *run) (types.Target, bool) {
+	var latest types.Term
+	for _, s := range r.answers {
+		latest = max(latest, s.Term)
+	}
+	for _, t := range g.Members {
+		s, ok := r.answers[t.Name]
+		if ok && s.Primary && s.Term == latest && t.Name != r.avoid && latest >= g.LogTerm {
+			return t, true
+		}
+	}
+	return types.Target{}, false
+}
+
+// furthestManaged returns the member to promote: an active one before one that
+// leaves, then the one with the furthest position.
+func (m *Manager) furthestManaged(g *types.Group, r *run) (types.Target, bool) {
+	var best types.Target
+	found := false
+	for _, t := range g.Members {
+		s, ok := r.answers[t.Name]
+		if !ok || t.Name == r.avoid {
+			continue
+		}
+		stays, bestStays := t.State == types.TargetActive, best.State == types.TargetActive
+		if !found || stays && !bestStays || stays == bestStays && before(r.answers[best.Name].Pos, s.Pos, r.rank(best), r.rank(t)) {
+			best, found = t, true
+		}
+	}
+	return best, found
+}
+
+// adopt commits a member that leads already.
+func (m *Manager) adopt(now types.Instant, g *types.Group, gr *group, t types.Target) []effect.Effect {
+	r, s := gr.run, gr.run.answers[t.Name]
+	r.stage, r.chosen, r.start, r.logTerm = stageServe, t.Name, s.Pos, s.Term
+	return m.serve(now, g, gr)
+}
+
+// order asks the outside service to promote the chosen member.
+func (m *Manager) order(now types.Instant, g *types.Group, r *run, chosen types.Target) []effect.Effect {
+	r.stage, r.chosen = stagePromote, chosen.Name
+	r.replyBy = now.Add(managedBound)
+	call := m.call(g, chosen, types.Operation{Kind: types.OpPromote, Term: g.Term}).(effect.CallTarget)
+	call.Timeout = managedBound
+	return []effect.Effect{call, arm(g.Service, now.Add(managedPoll))}
+}
+
+// awaitOrder looks whether the chosen member leads by now. Another attempt, in a
+// term of its own, follows when it does not in time.
+func (m *Manager) awaitOrder(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	r := gr.run
+	if now >= r.replyBy {
+		return m.giveUp(now, g, gr)
+	}
+	out := []effect.Effect{arm(g.Service, now.Add(managedPoll))}
+	if t, ok := g.Target(r.chosen); ok && now.Sub(r.asked[r.chosen]) >= managedPoll {
+		r.asked[r.chosen] = now
+		out = append(out, m.call(g, t, types.Operation{Kind: types.OpPosition}))
+	}
+	return out
+}
+
+// ordered takes in what the outside service answered. Only a refusal ends the
+// attempt: without an answer the promotion may be under way.
+func (m *Manager) ordered(now types.Instant, g *types.Group, gr *group, name types.TargetName, e event.TargetReplied) []effect.Effect {
+	r := gr.run
+	if r == nil || r.term != g.Term || r.stage != stagePromote || r.chosen != name {
+		return nil
+	}
+	if e.Err == nil && e.Result.Err == types.TargetErrStaleTerm {
+		r.refused = true
+		return m.giveUp(now, g, gr)
+	}
+	return nil
+}
+
+// managedPosition takes in the position of a member during an attempt.
+func (m *Manager) managedPosition(now types.Instant, g *types.Group, gr *group, name types.TargetName, s types.TargetStatus) []effect.Effect {
+	r := gr.run
+	if r.stage == stageRead {
+		r.answers[name] = s
+		return m.read(now, g, gr)
+	}
+	if r.stage != stagePromote || name != r.chosen || !s.Primary || s.Term <= r.answers[name].Term {
+		return nil
+	}
+	r.stage, r.logTerm = stageServe, s.Term
+	r.start = s.Pos
+	return m.serve(now, g, gr)
+}
+
+// refusedReason says why an attempt to promote a member ended.
+func (r *run) refusedReason() string {
+	if r.refused {
+		return fmt.Sprintf("the promotion of target %s was refused", r.chosen)
+	}
+	return fmt.Sprintf("target %s was not promoted", r.chosen)
+}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -248,7 +248,7 @@
 
 // driveForming begins the first term once every member has announced itself.
 func (m *Manager) driveForming(now types.Instant, g *types.Group, gr *group) []effect.Effect {
-	if len(g.Members) < m.size(g) {
+	if len(g.Members) < m.size(g) || len(g.Members) == 0 {
 		return nil
 	}
 	return m.beginTerm(now, g, gr, "all members announced themselves")
--- a/core/promotion/run.go
+++ b/core/promotion/run.go
@@ -39,6 +39,8 @@
 	chosen  types.TargetName
 	replyBy types.Instant // when the chosen member has answered at the latest
 	start   types.LogPos  // position at which the chosen member was promoted
+	logTerm types.Term    // term that the targets count, if an outside service promotes them
+	refused bool          // the outside service refused the promotion
 }
 
 // begun starts the promotion of a term that was just committed.
@@ -113,7 +115,13 @@
 // read asks every member for its position, and chooses when enough answered.
 func (m *Manager) read(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	r := gr.run
-	if chosen, ok := m.choose(now, g, r); ok {
+	if m.managed(g) {
+		if chosen, leads, ok := m.chooseManaged(now, g, r); leads {
+			return m.adopt(now, g, gr, chosen)
+		} else if ok {
+			return m.order(now, g, r, chosen)
+		}
+	} else if chosen, ok := m.choose(now, g, r); ok {
 		return m.promote(now, g, r, chosen)
 	}
 	var out []effect.Effect
@@ -148,12 +156,18 @@
 
 func (m *Manager) positionRead(now types.Instant, g *types.Group, gr *group, name types.TargetName, e event.TargetReplied) []effect.Effect {
 	r := gr.run
-	if r == nil || r.term != g.Term || r.stage != stageRead {
+	if r == nil || r.term != g.Term || r.stage != stageRead && r.stage != stagePromote {
 		return nil
 	}
 	if e.Err != nil || e.Result.Err != types.TargetErrNone {
 		return nil // asked again at the next try
 	}
+	if m.managed(g) {
+		return m.managedPosition(now, g, gr, name, e.Result.Status)
+	}
+	if r.stage != stageRead {
+		return nil
+	}
 	if e.Result.Status.Term >= g.Term { // nobody was promoted in this term yet
 		return m.beginTermAfter(now, g, gr, e.Result.Status.Term, fmt.Sprintf("target %s has known a later term", name))
 	}
@@ -185,6 +199,9 @@
 
 // awaitPromotion gives the term up when the chosen member has not answered.
 func (m *Manager) awaitPromotion(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	if m.managed(g) {
+		return m.awaitOrder(now, g, gr)
+	}
 	if now < gr.run.replyBy {
 		return []effect.Effect{arm(g.Service, gr.run.replyBy)}
 	}
@@ -194,13 +211,16 @@
 // giveUp begins another term, because the chosen member may have become
 // primary without saying so.
 func (m *Manager) giveUp(now types.Instant, g *types.Group, gr *group) []effect.Effect {
-	reason := fmt.Sprintf("target %s was not promoted", gr.run.chosen)
+	reason := gr.run.refusedReason()
 	gr.run = nil
 	return m.beginTerm(now, g, gr, reason)
 }
 
 // promoted commits the choice.
 func (m *Manager) promoted(now types.Instant, g *types.Group, gr *group, name types.TargetName, e event.TargetReplied) []effect.Effect {
+	if m.managed(g) {
+		return m.ordered(now, g, gr, name, e)
+	}
 	r := gr.run
 	if r == nil || r.term != g.Term || r.stage != stagePromote || r.chosen != name {
 		return nil
@@ -216,6 +236,7 @@
 func (m *Manager) serve(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	out := m.propose(now, gr, g.Term, proto.Command{ServeTerm: &proto.ServeTerm{
 		Service: g.Service, Term: g.Term, Primary: gr.run.chosen, Start: gr.run.start.Offset, Last: gr.run.start.Term,
+		LogTerm: gr.run.logTerm,
 	}})
 	return append(out, arm(g.Service, now.Add(repeatAfter)))
 }
--- a/core/promotion/suspect.go
+++ b/core/promotion/suspect.go
@@ -65,7 +65,7 @@
 // noticeStray finds a member that a proxy saw outside of the group's term, and
 // reports whether it has to be asked to follow.
 func (m *Manager) noticeStray(now types.Instant, g *types.Group, r proto.LeaseRequest, report proto.TargetReport) bool {
-	stray := report.Status.Term != g.Term || report.Status.Primary
+	stray := report.Status.Term != g.TargetTerm() || report.Status.Primary
 	if !stray || report.Failing || r.Have < m.state.GroupVersion(g.Service) {
 		return false
 	}
--- a/core/proto/command.go
+++ b/core/proto/command.go
@@ -21,6 +21,10 @@
 	Config *types.Config
 	Source string // the operator's text, kept for display
 	Author string
+
+	// Number is a version that the operator chose; the highest one is in
+	// force. ID and Base aren't used then. Zero leaves the numbering to control.
+	Number uint64
 }
 
 // ChangeResult is the answer to a ChangeConfig. The same change gets the same
@@ -73,6 +77,7 @@
 	Primary types.TargetName
 	Start   uint64     // last offset before the term
 	Last    types.Term // term of the entry at Start
+	LogTerm types.Term // term as the targets count it; zero stands for Term
 }
 
 // SetProxy records that a proxy may hold a lease, or no longer.
--- a/core/proto/consensus.go
+++ b/core/proto/consensus.go
@@ -17,6 +17,15 @@
 	Learner          bool
 }
 
+// Addresses returns the addresses of control hosts.
+func Addresses(voters []Voter) []types.Address {
+	out := make([]types.Address, len(voters))
+	for i, v := range voters {
+		out[i] = v.Address
+	}
+	return out
+}
+
 // Entry is one record of the control log.
 type Entry struct {
 	Index   uint64
--- a/core/proto/lease.go
+++ b/core/proto/lease.go
@@ -49,6 +49,7 @@
 	Leader    types.HostID // whom to ask instead, if known
 	View      *ViewUpdate  // set when the proxy's view is behind
 	Shares    []ShareGrant
+	Hosts     []types.Address // control hosts
 }
 
 // ViewUpdate brings a proxy's view to Version. With Base zero it is whole;
@@ -74,5 +75,9 @@
 	Address          types.Address
 	AvailabilityZone types.AvailabilityZone
 	Leaving          bool
+	Gone             bool          // it has ended its work
+	Slots            int           // statements that it runs at a time, if it says so
+	Born             int64         // start of its process, on its own clock; later ones count
+	Seq              uint64        // grows with each announcement of one process
 	Age              time.Duration // since a process of the system heard it
 }
--- a/core/proto/operator.go
+++ b/core/proto/operator.go
@@ -50,14 +50,17 @@
 	Err    OperatorError
 	Reason string
 	Leader types.HostID
-	Change *ChangeResult
-	Status *Status
+	// LeaderAddress is where the leader listens for other processes, if known.
+	LeaderAddress types.Address
+	Change        *ChangeResult
+	Status        *Status
 }
 
 // Status is the state of the system as the answering control host sees it.
 type Status struct {
 	Host    types.HostID
 	Leader  types.HostID
+	Surely  bool // no other host can have been elected: what it shows is the latest
 	Term    ControlTerm
 	Commit  uint64
 	Applied uint64
--- a/core/routing/policies.go
+++ b/core/routing/policies.go
@@ -35,6 +35,13 @@
 	return []int{i, j}[best([]Candidate{c[i], c[j]}, seed, expectedWait)]
 }
 
+// Quickest takes the candidate that is expected to answer first. Unlike
+// TwoChoices it looks at all of them, which suits targets at unequal distances.
+type Quickest struct{}
+
+// Pick implements Policy.
+func (Quickest) Pick(c []Candidate, seed uint64) int { return best(c, seed, expectedWait) }
+
 // Throughput is LB-RLT of Almeida, Cavalcante, Sousa and Machado, "LB-RLT
 // Approach for Load Balancing Heterogeneous Storage Nodes": the highest product
 // of the last answer's throughput and the number of answers so far.
--- a/core/session/acknowledge.go
+++ b/core/session/acknowledge.go
@@ -32,6 +32,9 @@
 }
 
 func (s *Shard) judge(r *request) verdict {
+	if r.service.managed(s.view) {
+		return verdict{ok: true} // the target or the lease at the time of sending vouches for it
+	}
 	if !s.leaseLive() {
 		return verdict{
 			wait: r.writes() && r.answer.Tx == types.TxIdle,
@@ -42,7 +45,7 @@
 		return s.judgeReplica(r)
 	}
 	g := s.view.Group(r.service.name)
-	if !hasPrimary(g) || g.Primary != r.target || g.Term != r.sentTerm {
+	if !hasPrimary(g) || g.Primary != r.target || g.TargetTerm() != r.sentTerm {
 		return replaced(r)
 	}
 	if r.answer.Tx != types.TxIdle {
@@ -51,7 +54,7 @@
 	if !r.positioned {
 		return verdict{code: types.RefuseNotDurable, reason: fmt.Sprintf("target %s gave no position", r.target)}
 	}
-	if !r.status.Primary || r.status.Term != g.Term {
+	if !r.status.Primary || r.status.Term != g.TargetTerm() {
 		return replaced(r)
 	}
 	if r.writes() && r.profile.Durability == types.DurableMajority && !s.durable(r.service, g, r) {
@@ -87,7 +90,7 @@
 // position, and the position is of the current term: what a majority holds of
 // an earlier one can still be replaced by a member of a term in between.
 func (s *Shard) durable(svc *service, g *types.Group, r *request) bool {
-	if r.status.Pos.Term != g.Term {
+	if r.status.Pos.Term != g.TargetTerm() {
 		return false
 	}
 	holders := 1 // the primary
@@ -96,7 +99,7 @@
 			continue
 		}
 		h := svc.health(s.view, m.Name)
-		if h.Term == g.Term && g.History.Covers(h.Pos, r.status.Pos) {
+		if h.Term == g.TargetTerm() && g.History.Covers(h.Pos, r.status.Pos) {
 			holders++
 		}
 	}
@@ -107,11 +110,16 @@
 func (s *Shard) raiseFloor(r *request) {
 	f := &r.session.floor
 	g := s.view.Group(r.service.name)
-	if f.known && g != nil && !g.History.Survives(f.seen, g.Term) {
+	if f.known && g != nil && !g.History.Survives(f.seen, g.TargetTerm()) {
 		f.lost = f.seen // a read by age comes before the one that is told
 	}
 	switch {
 	case !r.positioned:
+	case r.service.managed(s.view):
+		if r.Commits {
+			f.known = true
+			f.raiseWritten(r.status.Pos)
+		}
 	case r.replica:
 		f.raiseSeen(r.status.Pos)
 	case !f.known:
--- a/core/session/arrival.go
+++ b/core/session/arrival.go
@@ -32,7 +32,7 @@
 		return pos, true
 	}
 	h := svc.health(s.view, g.Primary)
-	if h.AskedAt < c.opened || h.Term != g.Term || !h.Primary {
+	if h.AskedAt < c.opened || h.Term != g.TargetTerm() || !h.Primary {
 		return types.LogPos{}, false
 	}
 	return h.Pos, true
@@ -51,7 +51,7 @@
 	for _, m := range g.Members {
 		h := s.probed(svc, m.Name)
 		switch {
-		case h.Failing || h.Term != g.Term || !svc.target(m.Name).caughtUp:
+		case h.Failing || h.Term != g.TargetTerm() || !svc.target(m.Name).caughtUp:
 		case h.AskedAt < opened:
 			complete = false
 		default:
@@ -104,14 +104,14 @@
 	primary := s.probed(svc, g.Primary)
 	for _, m := range g.Members {
 		t, h := svc.target(m.Name), s.probed(svc, m.Name)
-		if h.Failing || h.Term != g.Term || h.Pos.Compare(t.last.Pos) < 0 || h.AskedAt.Sub(t.last.AskedAt) > maxProbeGap {
+		if h.Failing || h.Term != g.TargetTerm() || h.Pos.Compare(t.last.Pos) < 0 || h.AskedAt.Sub(t.last.AskedAt) > maxProbeGap {
 			t.caughtUp, t.mustReach, t.awayUntil = false, types.LogPos{}, s.now
 		}
 		t.last = h
-		if h.Failing || h.Term != g.Term || t.caughtUp {
+		if h.Failing || h.Term != g.TargetTerm() || t.caughtUp {
 			continue
 		}
-		if t.mustReach == (types.LogPos{}) && primary.AskedAt > t.awayUntil && primary.Term == g.Term && primary.Primary {
+		if t.mustReach == (types.LogPos{}) && primary.AskedAt > t.awayUntil && primary.Term == g.TargetTerm() && primary.Primary {
 			t.mustReach = primary.Pos
 		}
 		t.caughtUp = t.mustReach != (types.LogPos{}) && g.History.Covers(h.Pos, t.mustReach)
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -85,7 +85,7 @@
 func (s *Shard) endTransaction(c *session, code types.RefusalCode, reason string) {
 	if r := c.request; r != nil {
 		r.mayRun = true
-		s.refuse(r, code, types.Unknown, reason)
+		s.refuse(r, code, r.outcome(), reason)
 		return
 	}
 	s.endSession(c, refusal(code, types.NotRun, reason))
@@ -112,7 +112,7 @@
 		s.place(r)
 	case stageRunning:
 		r.mayRun = true
-		s.refuse(r, types.RefuseTimeout, types.Unknown, fmt.Sprintf("target %s did not answer in time", r.target))
+		s.refuse(r, types.RefuseTimeout, r.outcome(), fmt.Sprintf("target %s did not answer in time", r.target))
 	case stageDurable:
 		s.refuseNotDurable(r)
 	}
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -23,9 +23,12 @@
 
 // start gives a queued request a connection of the target and sends it.
 func (s *Shard) start(r *request, name types.TargetName) {
-	c := r.service.target(name).pool.Take(r.session.id)
+	c := r.service.target(name).pool.Take(r.session.id, r.Setup)
 	g := s.view.Group(r.service.name)
 	r.conn, r.target, r.replica = c, name, name != g.Primary
+	if !r.replica {
+		r.floor = types.LogPos{}
+	}
 	r.observed.Assigned = s.now
 	s.sendFirst(r)
 }
@@ -57,15 +60,18 @@
 // send starts an exchange. A request of several exchanges stops between them
 // when the lease runs out.
 func (s *Shard) send(r *request, st step) {
-	if !s.leaseLive() {
+	if !s.leaseLive() && !r.service.managed(s.view) {
 		s.attemptFailed(r, true, types.RefuseNoLease, "the proxy's lease ran out before the request was done")
 		return
 	}
 	r.stage, r.step, r.sentAt = stageRunning, st, s.now
 	r.sentTerm = s.termOf(r)
 	r.chosenAt = r.service.health(s.view, r.target).Pos
+	setup := r.conn.Prepare(r.Setup)
+	r.setup = len(setup)
 	s.emit(effect.SendTarget{
-		Conn: r.conn.ID, Seq: r.conn.Begin(), Operations: r.operations(), Trace: r.Trace,
+		Conn: r.conn.ID, Seq: r.conn.Begin(), Operations: append(setup, r.operations()...), Trace: r.Trace,
+		Before: s.sendBefore(r),
 	})
 	s.armSession(r.session)
 }
@@ -79,13 +85,13 @@
 	case r.replica && !hasPrimary(g):
 		return readableTerm(g, r.profile)
 	}
-	return g.Term
+	return g.TargetTerm()
 }
 
 // operations returns what the request's step asks of the target. Every
 // exchange that may be the last ends with the target's position.
 func (r *request) operations() []types.Operation {
-	caller := types.Operation{Kind: types.OpCaller, Payload: r.Payload}
+	caller := types.Operation{Kind: types.OpCaller, Payload: r.Payload, Floor: r.floor}
 	position := types.Operation{Kind: types.OpPosition}
 	own := !r.inTx
 	switch r.step {
@@ -124,8 +130,8 @@
 	conn.End()
 	r := s.sessions[conn.Owner].request
 	s.dirty[r.service.name] = true
-	if e.Err == nil && len(e.Results) != len(r.operations()) {
-		e.Err = fmt.Errorf("target %s gave %d results for %d operations", r.target, len(e.Results), len(r.operations()))
+	if e.Err == nil {
+		e.Results, e.Err = r.callerResults(e.Results)
 		e.Sent = true
 	}
 	if e.Err != nil {
@@ -138,6 +144,20 @@
 	s.stepDone(r, e.Results)
 }
 
+// callerResults returns the results of the request's own operations. The state
+// of a connection that could not be set up is not known.
+func (r *request) callerResults(all []types.Result) ([]types.Result, error) {
+	if want := r.setup + len(r.operations()); len(all) != want {
+		return nil, fmt.Errorf("target %s gave %d results for %d operations", r.target, len(all), want)
+	}
+	for _, res := range all[:r.setup] {
+		if res.Err != types.TargetErrNone {
+			return nil, fmt.Errorf("target %s could not set up the connection", r.target)
+		}
+	}
+	return all[r.setup:], nil
+}
+
 // takeStatus keeps the status of the target when the exchange ended with it.
 func (s *Shard) takeStatus(r *request, last types.Result) {
 	r.positioned = false
@@ -145,6 +165,9 @@
 		return
 	}
 	r.positioned, r.status = true, last.Status
+	if r.service.managed(s.view) {
+		s.takePosition(r)
+	}
 	r.service.learn(r.target, last.Status, r.sentAt, s.now)
 }
 
@@ -167,6 +190,9 @@
 
 // callerDone takes in the answer to the caller's statement.
 func (s *Shard) callerDone(r *request, res types.Result) {
+	if r.service.managed(s.view) && s.rejected(r, res) {
+		return
+	}
 	if res.Err == types.TargetErrReadOnly && !r.replica {
 		s.attemptFailed(r, true, types.RefuseReplaced, fmt.Sprintf("target %s is no longer the primary", r.target))
 		return
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -125,7 +125,9 @@
 	}
 	var names []types.TargetName
 	g := s.view.Group(r.service.name)
-	if term := readableTerm(g, r.profile); term != 0 {
+	if r.service.managed(s.view) {
+		names = s.managedReplicas(r, g)
+	} else if term := readableTerm(g, r.profile); term != 0 {
 		for _, t := range g.Members {
 			if s.replicaServes(r, g, t, term) {
 				names = append(names, t.Name)
@@ -152,7 +154,7 @@
 func readableTerm(g *types.Group, p types.Profile) types.Term {
 	switch {
 	case hasPrimary(g):
-		return g.Term
+		return g.TargetTerm()
 	case g == nil || p.Freshness != types.FreshAge || g.Phase != types.GroupFencing || len(g.History) == 0:
 		return 0
 	}
@@ -195,7 +197,7 @@
 // dispatch starts the queued requests that a connection is free for, and
 // opens connections for those that wait.
 func (s *Shard) dispatch(svc *service) {
-	for s.leaseLive() {
+	for s.leaseLive() || svc.managed(s.view) {
 		q, ready := s.nextQueue(svc)
 		if q == nil {
 			break
@@ -206,6 +208,11 @@
 			s.enqueue(r)
 			continue
 		}
+		if s.lacksLease(r) {
+			r.stage = stageBackoff
+			s.refuse(r, types.RefuseNoLease, r.outcome(), "a read on the primary needs a lease")
+			continue
+		}
 		s.start(r, s.choose(svc, ready))
 	}
 	s.dial(svc)
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -49,6 +49,8 @@
 	replica bool // target is not the primary
 	step    step
 
+	setup    int          // operations before the caller's that set up the connection
+	floor    types.LogPos // position that a replica of a managed service must hold
 	sentAt   types.Instant
 	sentTerm types.Term   // of the target when it was sent
 	chosenAt types.LogPos // position of the replica when it was sent
@@ -88,7 +90,7 @@
 // outcome returns what is known when the current attempt was not sent. A
 // request with an id may have run under an earlier request of that id.
 func (r *request) outcome() types.Outcome {
-	if r.mayRun || r.ID != "" {
+	if r.ID != "" || r.mayRun && !r.Discards {
 		return types.Unknown
 	}
 	return types.NotRun
@@ -133,16 +135,24 @@
 // admit resolves the service and profile of a request and refuses what can't
 // be served.
 func (s *Shard) admit(r *request) bool {
-	if !s.leaseLive() {
-		s.refuse(r, types.RefuseNoLease, r.outcome(), "the proxy's lease has run out")
+	if s.view == nil || s.view.Cluster == nil {
+		s.refuse(r, types.RefuseNoLease, r.outcome(), "the proxy has no configuration yet")
+		return false
+	}
+	if !s.route(r) {
+		s.refuse(r, types.RefuseUnknownDatabase, r.outcome(), fmt.Sprintf("database %q is not routed", r.session.database))
 		return false
 	}
 	name := r.session.service
+	if !s.leaseLive() && !s.managed(name) {
+		s.refuse(r, types.RefuseNoLease, r.outcome(), "the proxy's lease has run out")
+		return false
+	}
 	if _, ok := s.view.Cluster.Config.Services[name]; !ok {
 		s.refuse(r, types.RefuseUnknownService, r.outcome(), fmt.Sprintf("service %q is not configured", name))
 		return false
 	}
-	profile, ok := s.view.Cluster.Config.Profile(name, r.Profile)
+	profile, ok := s.profile(r)
 	if !ok {
 		s.refuse(r, types.RefuseUnknownProfile, r.outcome(), fmt.Sprintf("service %q has no profile %q", name, r.Profile))
 		return false
@@ -154,6 +164,37 @@
 	return true
 }
 
+// route takes over the service and profile that the session's database name has
+// now. A transaction stays where it began.
+func (s *Shard) route(r *request) bool {
+	c := r.session
+	if c.database == "" || r.inTx {
+		return true
+	}
+	route, ok := s.view.Cluster.Config.Routes[c.database]
+	if !ok {
+		return false
+	}
+	if route.Service != c.service {
+		c.service, c.floor = route.Service, floor{}
+	}
+	r.Profile = route.Profile
+	return true
+}
+
+// profile returns the profile that the request runs under.
+func (s *Shard) profile(r *request) (types.Profile, bool) {
+	c, config := r.session, s.view.Cluster.Config
+	switch {
+	case c.database == "":
+		return config.Profile(c.service, r.Profile)
+	case r.inTx:
+		return c.profile, true
+	}
+	p, ok := config.Profiles[r.Profile]
+	return p, ok
+}
+
 func orDefault(d, def time.Duration) time.Duration {
 	if d <= 0 {
 		return def
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/camphorpaddle/camphorpaddle/core/drain"
+	"github.com/camphorpaddle/camphorpaddle/core/freshness"
 	"github.com/camphorpaddle/camphorpaddle/core/pool"
 	"github.com/camphorpaddle/camphorpaddle/core/retry"
 	"github.com/camphorpaddle/camphorpaddle/core/routing"
@@ -23,6 +24,7 @@
 	budget     *retry.Budget
 	writing    int          // sessions with a write or a transaction on the primary
 	group      *types.Group // group that the shard acted on last
+	samples    freshness.Samples
 }
 
 // target is what the shard knows of one member of a service.
@@ -36,6 +38,8 @@
 	last      types.TargetHealth // its probe in the last view
 	awayUntil types.Instant      // when it was last seen to be away
 	placedAt  types.TargetHealth // its probe when the queued requests were last placed
+
+	behind behind // of a managed service
 }
 
 // service returns the state of a service and creates it with its targets.
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -9,12 +9,13 @@
 
 // session is the state of one caller's session.
 type session struct {
-	id      types.SessionID
-	service types.ServiceName
-	opened  types.Instant // a floor asked for later covers what was acknowledged before
-	floor   floor
-	request *request // under way, or nil
-	timerAt types.Instant
+	id       types.SessionID
+	service  types.ServiceName
+	database types.DatabaseName // when the configuration routes it
+	opened   types.Instant      // a floor asked for later covers what was acknowledged before
+	floor    floor
+	request  *request // under way, or nil
+	timerAt  types.Instant
 
 	// Set while a transaction is open.
 	conn      *pool.Conn
@@ -68,7 +69,7 @@
 		s.emit(effect.EndSession{Session: e.Session, Refusal: refusal(types.RefuseDraining, types.NotRun, "the proxy is stopping")})
 		return
 	}
-	c := &session{id: e.Session, service: e.Params.Service, opened: s.now}
+	c := &session{id: e.Session, service: e.Params.Service, database: e.Params.Database, opened: s.now}
 	if e.Params.Token != nil {
 		c.floor.begin(*e.Params.Token)
 	}
@@ -110,7 +111,7 @@
 // sessionFloor makes sure that the session has a floor, by its token or by
 // positions that were asked for after it opened.
 func (s *Shard) sessionFloor(c *session, deadline types.Instant) bool {
-	if c.floor.known {
+	if c.floor.known || s.managed(c.service) {
 		return true
 	}
 	pos, ok := s.arrivalFloor(c, deadline)
@@ -128,7 +129,7 @@
 		return f.lost, true
 	}
 	pos := f.bound(r.profile)
-	if !f.known || !hasPrimary(g) || g.History.Survives(pos, g.Term) {
+	if !f.known || !hasPrimary(g) || g.History.Survives(pos, g.TargetTerm()) {
 		return types.LogPos{}, false
 	}
 	return pos, true
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -18,6 +18,7 @@
 	for _, name := range sortedKeys(s.services) {
 		svc := s.services[name]
 		s.dirty[name] = true
+		s.sampleProbe(svc)
 		s.updateTargets(svc)
 		s.followCatchUp(svc)
 		s.dropReplaced(svc)
--- a/core/types/config.go
+++ b/core/types/config.go
@@ -64,6 +64,22 @@
 	Connections    int // connections that one member accepts
 	DefaultProfile ProfileName
 	Profiles       []ProfileName // profiles that its sessions may pick
+
+	// Managed marks targets that an outside service promotes. They refuse
+	// writes once they are replaced, and check themselves whether they hold
+	// the position that a read has to cover. Members, Slots and Profiles may be
+	// left out then.
+	Managed bool
+}
+
+// DatabaseName is the name that a caller connects to.
+type DatabaseName string
+
+// Route says which service and profile serve a database name.
+type Route struct {
+	Database DatabaseName
+	Service  ServiceName
+	Profile  ProfileName
 }
 
 // Config is one accepted version of the operators' configuration. It is never
@@ -72,6 +88,11 @@
 	Version  uint64
 	Services map[ServiceName]Service
 	Profiles map[ProfileName]Profile
+	Routes   map[DatabaseName]Route
+
+	// TransactionIdle is how long a transaction may wait for its caller's next
+	// statement; zero sets no limit.
+	TransactionIdle time.Duration
 }
 
 // Profile returns the profile that a session of service picked, or the default
--- a/core/types/group.go
+++ b/core/types/group.go
@@ -20,6 +20,7 @@
 	AvailabilityZone AvailabilityZone
 	State            TargetState
 	Drained          bool // an operator drains it; announcements don't undo that
+	Slots            int  // statements that it runs at a time; zero takes the service's
 }
 
 // GroupPhase says how far a group's current term has come.
@@ -47,6 +48,18 @@
 	Primary TargetName // set while serving or quiescing
 	Members []Target   // in order of name
 	History TermHistory
+
+	// LogTerm is the term in which the targets count the present or last
+	// primary. Zero stands for Term: control promotes them itself then.
+	LogTerm Term
+}
+
+// TargetTerm returns the term in which the group's targets stand.
+func (g *Group) TargetTerm() Term {
+	if g.LogTerm != 0 {
+		return g.LogTerm
+	}
+	return g.Term
 }
 
 // Target returns the member of that name.
--- a/core/types/operation.go
+++ b/core/types/operation.go
@@ -15,6 +15,9 @@
 	OpLookup                            // return the stored answer of RequestID
 	OpPromote                           // become the primary of Term and write its first entry
 	OpFollow                            // follow Leader in Term
+	OpReset                             // drop the connection's values and prepared statements
+	OpSetValue                          // set Setting on the connection
+	OpPrepare                           // prepare Statement on the connection
 )
 
 // Operation is one thing that a target is asked to do. The target adapter
@@ -26,6 +29,9 @@
 	Term      Term      // OpPromote, OpFollow
 	Leader    Target    // OpFollow
 	Start     uint64    // OpFollow: last offset before Term began
+	Floor     LogPos    // OpCaller: position that the target must hold; zero asks for none
+	Setting   Setting   // OpSetValue
+	Statement Prepared  // OpPrepare
 }
 
 // TargetErrorKind classes what a target answered.
@@ -38,6 +44,8 @@
 	TargetErrDuplicate                 // OpClaim found the id recorded
 	TargetErrReadOnly                  // a replica was asked to write
 	TargetErrStaleTerm                 // the target stands in a later term
+	TargetErrBusy                      // the target has no room now; it did not run the operation
+	TargetErrBehind                    // the target lacks Operation.Floor; it did not run the operation
 )
 
 // Result is the answer to one operation.
--- a/core/types/request.go
+++ b/core/types/request.go
@@ -21,9 +21,12 @@
 // SessionParams is what a caller states when its session opens.
 type SessionParams struct {
 	Service ServiceName
-	Caller  string  // name the caller gives itself, for logs
-	Token   *LogPos // floor that the caller carried from another session
-	Trace   TraceContext
+	// Database is a name that the configuration routes. The service is that of
+	// the route, which may change between transactions.
+	Database DatabaseName
+	Caller   string  // name the caller gives itself, for logs
+	Token    *LogPos // floor that the caller carried from another session
+	Trace    TraceContext
 }
 
 // Request is one statement of a caller with its marks.
@@ -36,6 +39,33 @@
 	Payload    Payload
 	Bytes      int // size of the payload
 	Trace      TraceContext
+	Setup      *Setup // state that the connection must hold; nil asks for none
+
+	// Discards says that nothing of the request is kept when its connection
+	// ends right after it: it reads, or it is part of a transaction that is
+	// not committed by it.
+	Discards bool
+	// Fenced says that a replaced primary refuses the request. Other reads on
+	// the primary need a lease.
+	Fenced bool
+	// Commits says that the request may add an entry to the log.
+	Commits bool
+}
+
+// Setup is what a session has set and prepared. It is never changed once built.
+type Setup struct {
+	Settings []Setting // in order of name
+	Prepared *Prepared // the statement that the request executes, or nil
+}
+
+// Setting is a value of a session.
+type Setting struct{ Name, Value string }
+
+// Prepared is a prepared statement. Its name stands for its content, so that
+// sessions can share it on a connection.
+type Prepared struct {
+	Name       string
+	Definition Payload
 }
 
 // TraceContext is the trace that a request belongs to, as its caller gave it.
@@ -86,19 +116,20 @@
 
 // The refusal codes.
 const (
-	RefuseNoLease        RefusalCode = iota + 1 // the proxy's lease ran out
-	RefuseNoPrimary                             // the group has no primary
-	RefuseUnknownService                        // no such service
-	RefuseUnknownProfile                        // no such profile for the service
-	RefuseOverloaded                            // the queue is full or too slow
-	RefuseTimeout                               // the request's time ran out
-	RefuseConnLost                              // the target connection broke
-	RefuseReplaced                              // the primary was replaced meanwhile
-	RefuseNotDurable                            // no majority confirmed in time
-	RefuseLostWrite                             // an earlier write of the session is gone
-	RefuseDraining                              // the proxy is stopping
-	RefuseTooLarge                              // the request or answer is too large
-	RefuseNotClean                              // the transaction's target is gone
+	RefuseNoLease         RefusalCode = iota + 1 // the proxy's lease ran out
+	RefuseNoPrimary                              // the group has no primary
+	RefuseUnknownService                         // no such service
+	RefuseUnknownProfile                         // no such profile for the service
+	RefuseOverloaded                             // the queue is full or too slow
+	RefuseTimeout                                // the request's time ran out
+	RefuseConnLost                               // the target connection broke
+	RefuseReplaced                               // the primary was replaced meanwhile
+	RefuseNotDurable                             // no majority confirmed in time
+	RefuseLostWrite                              // an earlier write of the session is gone
+	RefuseDraining                               // the proxy is stopping
+	RefuseTooLarge                               // the request or answer is too large
+	RefuseNotClean                               // the transaction's target is gone
+	RefuseUnknownDatabase                        // no route for the database name
 )
 
 // Refusal tells a caller that its request got no answer.
--- a/core/types/view.go
+++ b/core/types/view.go
@@ -41,6 +41,15 @@
 	return v != nil && v.Cluster != nil && now < v.LeaseUntil
 }
 
+// Routes reports whether the configuration routes a database name.
+func (v *NodeView) Routes(name DatabaseName) bool {
+	if v == nil || v.Cluster == nil || v.Cluster.Config == nil {
+		return false
+	}
+	_, ok := v.Cluster.Config.Routes[name]
+	return ok
+}
+
 // Group returns the group of a service, or nil.
 func (v *NodeView) Group(s ServiceName) *Group {
 	if v == nil || v.Cluster == nil {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -27,6 +27,7 @@
 
 // Control is a control host.
 type Control struct {
+	edge     Edge
 	settings *settings.Daemon
 	version  string
 	keys     keys
@@ -48,9 +49,15 @@
 	return voter.Host, trace.Wrap(err, "setting up data folder %s", s.DataFolder)
 }
 
-// NewControl opens the data folder and the ports of a control host.
+// NewControl opens the data folder and the ports of a control host whose targets
+// speak PostgreSQL.
 func NewControl(s *settings.Daemon, version string) (*Control, error) {
-	c := &Control{settings: s, version: version}
+	return NewControlAt(PostgresEdge(), s, version)
+}
+
+// NewControlAt opens the data folder and the ports of a control host.
+func NewControlAt(e Edge, s *settings.Daemon, version string) (*Control, error) {
+	c := &Control{edge: e, settings: s, version: version}
 	if err := c.open(); err != nil {
 		c.release()
 		return nil, err
@@ -68,7 +75,7 @@
 	if c.tls, err = s.Security.LoadTLS(); err != nil {
 		return err
 	}
-	dialer, err := newTargetDialer(s)
+	dialer, err := c.edge.Dialer(s)
 	if err != nil {
 		return err
 	}
@@ -104,6 +111,11 @@
 		"http", c.http.Addr(), "peers", c.peers.Addr(), "data_folder", c.settings.DataFolder)
 	httpServer := newHTTPServer(c.http, c.keys, c.tls)
 	c.routes(httpServer)
+	if c.edge.ControlRoutes != nil {
+		c.edge.ControlRoutes(httpServer, c.host)
+	}
+	stopReload := c.edge.reloadOnHangup(c.mesh)
+	defer stopReload()
 	c.mesh.Start(wire.Handlers{Message: c.host.PeerMessage, LeaseRequest: c.host.LeaseRequest})
 	app := kratos.New(
 		kratos.Name("paddle-control"), kratos.Version(c.version), kratos.ID(string(c.log.Host())),
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -121,14 +121,19 @@
 	srv.HandleFunc(api.PathHealth, func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
-	srv.HandleFunc(api.PathReady, func(w http.ResponseWriter, _ *http.Request) {
+	srv.HandleFunc(api.PathReady, ReadyHandler(ready))
+	srv.Handle(api.PathMetrics, metrics)
+}
+
+// ReadyHandler answers a balancer's probe.
+func ReadyHandler(ready func() bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
 		if !ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
 		_, _ = w.Write([]byte("ready\n"))
-	})
-	srv.Handle(api.PathMetrics, metrics)
+	}
 }
 
 // bindAnnouncement reads and checks what a target says of itself.
--- a/daemon/postgres.go
+++ b/daemon/postgres.go
@@ -1,13 +1,16 @@
 package daemon
 
 import (
+	target "github.com/camphorpaddle/camphorpaddle/dialer/pg"
 	front "github.com/camphorpaddle/camphorpaddle/front/pg"
 	"github.com/camphorpaddle/camphorpaddle/runtime"
 	"github.com/camphorpaddle/camphorpaddle/settings"
-	target "github.com/camphorpaddle/camphorpaddle/target/pg"
 	"github.com/gravitational/trace"
 )
 
+// PostgresEdge is the edge towards callers and targets that speak PostgreSQL.
+func PostgresEdge() Edge { return Edge{Dialer: newTargetDialer, Callers: newCallerFront} }
+
 // newTargetDialer returns the dialer of a daemon's connections to targets.
 func newTargetDialer(s *settings.Daemon) (runtime.TargetDialer, error) {
 	password, err := settings.ReadSecret(s.Target.PasswordFile)
@@ -24,7 +27,7 @@
 const batchMessages = 2
 
 // newCallerFront returns the server for the proxy's callers.
-func newCallerFront(s *settings.Daemon, p *runtime.Proxy) (*front.Server, error) {
+func newCallerFront(s *settings.Daemon, p *runtime.Proxy) (CallerServer, error) {
 	callers, err := s.CallersTLS.Load()
 	if err != nil {
 		return nil, err
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core"
 	"github.com/camphorpaddle/camphorpaddle/core/node"
@@ -13,7 +14,6 @@
 	"github.com/camphorpaddle/camphorpaddle/core/session"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/daemon/api"
-	front "github.com/camphorpaddle/camphorpaddle/front/pg"
 	"github.com/camphorpaddle/camphorpaddle/internal/identity"
 	"github.com/camphorpaddle/camphorpaddle/runtime"
 	"github.com/camphorpaddle/camphorpaddle/settings"
@@ -26,6 +26,7 @@
 
 // Proxy is a proxy process.
 type Proxy struct {
+	edge     Edge
 	settings *settings.Daemon
 	host     types.HostID // of this run of the process
 	version  string
@@ -35,16 +36,22 @@
 	link     *wire.Link
 	recorder *telemetry.Recorder
 	proxy    *runtime.Proxy
-	front    *front.Server
+	front    CallerServer
 	http     net.Listener
 	callers  net.Listener
 	draining atomic.Bool
 	drained  sync.Once
 }
 
-// NewProxy opens the ports of a proxy.
+// NewProxy opens the ports of a proxy whose callers and targets speak
+// PostgreSQL.
 func NewProxy(s *settings.Daemon, version string) (*Proxy, error) {
-	p := &Proxy{settings: s, version: version, clock: runtime.NewClock()}
+	return NewProxyAt(PostgresEdge(), s, version)
+}
+
+// NewProxyAt opens the ports of a proxy.
+func NewProxyAt(e Edge, s *settings.Daemon, version string) (*Proxy, error) {
+	p := &Proxy{edge: e, settings: s, version: version, clock: runtime.NewClock()}
 	if err := p.open(); err != nil {
 		p.release()
 		return nil, err
@@ -64,7 +71,7 @@
 	if p.tls, err = s.Security.LoadTLS(); err != nil {
 		return err
 	}
-	dialer, err := newTargetDialer(s)
+	dialer, err := p.edge.Dialer(s)
 	if err != nil {
 		return err
 	}
@@ -86,14 +93,14 @@
 		Clock: p.clock, Seed: rand.Uint64,
 		Link: p.link, Targets: dialer, Recorder: p.recorder,
 	})
-	p.front, err = newCallerFront(s, p.proxy)
+	p.front, err = p.edge.Callers(s, p.proxy)
 	return err
 }
 
 // newShard returns the reducer of one traffic shard.
 func (p *Proxy) newShard(index int) *core.Reducer {
 	return core.NewShard(session.Options{
-		Host: p.host, AvailabilityZone: p.settings.AvailabilityZone, Index: index,
+		Host: p.host, AvailabilityZone: p.settings.AvailabilityZone, Index: index, Policy: p.edge.Policy,
 	})
 }
 
@@ -107,6 +114,11 @@
 		"availability_zone", s.AvailabilityZone, "callers", p.callers.Addr(), "http", p.http.Addr())
 	httpServer := newHTTPServer(p.http, p.keys, p.tls)
 	p.routes(httpServer)
+	if p.edge.ProxyRoutes != nil {
+		p.edge.ProxyRoutes(httpServer, p.ready)
+	}
+	stopReload := p.edge.reloadOnHangup(p.link)
+	defer stopReload()
 	p.link.Start(p.leaseGrant)
 	app := kratos.New(
 		kratos.Name("paddle-proxy"), kratos.Version(p.version), kratos.ID(string(p.host)),
@@ -140,9 +152,10 @@
 	p.draining.Store(true)
 	klog.InfoS("stopping", "role", "proxy", "host", p.host,
 		"drain_limit", p.settings.DrainLimit, "reason", "asked to stop")
-	p.proxy.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainLimit)
 	defer cancel()
+	p.awaitBalancer()
+	p.proxy.Drain()
 	if err := p.front.Shutdown(ctx); err != nil {
 		klog.ErrorS(nil, "sessions_cut_off", "host", p.host, "drain_limit", p.settings.DrainLimit,
 			"reason", telemetry.Reason(err))
@@ -151,6 +164,14 @@
 	klog.InfoS("drained", "role", "proxy", "host", p.host)
 }
 
+// awaitBalancer goes on serving until the balancer has seen that the proxy is
+// not ready: until then it sends new callers.
+func (p *Proxy) awaitBalancer() {
+	if p.settings.UnreadyDelay > 0 {
+		time.Sleep(p.settings.UnreadyDelay)
+	}
+}
+
 // release gives back what open acquired.
 func (p *Proxy) release() {
 	for _, lis := range []net.Listener{p.http, p.callers} {
--- a/front/pg/batcher.go
+++ b/front/pg/batcher.go
@@ -6,7 +6,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	targetpg "github.com/camphorpaddle/camphorpaddle/target/pg"
+	targetpg "github.com/camphorpaddle/camphorpaddle/dialer/pg"
 )
 
 // prepared is a prepared statement of a session.
--- a/front/pg/caller.go
+++ b/front/pg/caller.go
@@ -12,8 +12,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	targetpg "github.com/camphorpaddle/camphorpaddle/dialer/pg"
 	"github.com/camphorpaddle/camphorpaddle/runtime"
-	targetpg "github.com/camphorpaddle/camphorpaddle/target/pg"
 )
 
 // endGrace is how long an answer may still come for a request that arrived
--- a/front/pg/fake_test.go
+++ b/front/pg/fake_test.go
@@ -11,9 +11,9 @@
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	targetpg "github.com/camphorpaddle/camphorpaddle/dialer/pg"
 	"github.com/camphorpaddle/camphorpaddle/runtime"
 	"github.com/camphorpaddle/camphorpaddle/standin"
-	targetpg "github.com/camphorpaddle/camphorpaddle/target/pg"
 	"gotest.tools/v3/assert"
 )
 
--- a/front/pg/transport_test.go
+++ b/front/pg/transport_test.go
@@ -16,7 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
-	targetpg "github.com/camphorpaddle/camphorpaddle/target/pg"
+	targetpg "github.com/camphorpaddle/camphorpaddle/dialer/pg"
 )
 
 // tlsConfigs returns the settings of a server with a certificate of its own and
--- a/runtime/control.go
+++ b/runtime/control.go
@@ -117,6 +117,8 @@
 	switch e := eff.(type) {
 	case effect.SendPeer:
 		h.Peers.Send(e.Message)
+	case effect.KnowHosts:
+		h.Peers.Know(e.Addresses)
 	case effect.Persist:
 		h.disk.add(e)
 	case effect.GrantLease:
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -11,16 +11,6 @@
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
-// Clock reads the monotonic clock of the process.
-type Clock func() types.Instant
-
-// NewClock returns a clock that starts at one second, so that zero instants
-// lie in its past.
-func NewClock() Clock {
-	start := time.Now()
-	return func() types.Instant { return types.Instant(time.Since(start) + time.Second) }
-}
-
 // executor carries out the effects of one loop, on the loop's goroutine.
 type executor interface {
 	execute(eff effect.Effect)
--- a/runtime/ports.go
+++ b/runtime/ports.go
@@ -17,6 +17,8 @@
 // it may drop a message.
 type Peers interface {
 	Send(m proto.Message)
+	// Know adds addresses of control hosts.
+	Know(addresses []types.Address)
 }
 
 // Proxies sends grants to the proxies that asked. Grant must not block; it
@@ -29,6 +31,8 @@
 // it may drop a request. An empty host stands for any.
 type ControlLink interface {
 	Request(to types.HostID, r proto.LeaseRequest)
+	// Know adds addresses of control hosts.
+	Know(addresses []types.Address)
 }
 
 // ControlLog stores the control log. Persist returns once everything is
--- a/runtime/proxy.go
+++ b/runtime/proxy.go
@@ -85,6 +85,8 @@
 	switch e := eff.(type) {
 	case effect.RequestLease:
 		p.Link.Request(e.To, e.Request)
+	case effect.KnowHosts:
+		p.Link.Know(e.Addresses)
 	case effect.Probe:
 		p.probe(e)
 	case effect.PublishView:
@@ -106,7 +108,9 @@
 	p.calls.do(p.ctx, targetKey{e.Ref, e.Address}, targetJob{
 		operation: types.Operation{Kind: types.OpPosition}, timeout: e.Timeout,
 		done: func(r types.Result, err error) {
-			p.loop.post(event.Probed{Ref: e.Ref, AskedAt: asked, Err: err, Status: r.Status})
+			p.loop.post(event.Probed{
+				Ref: e.Ref, AskedAt: asked, Err: err, Busy: r.Err == types.TargetErrBusy, Status: r.Status,
+			})
 		},
 	})
 }
--- a/runtime/session.go
+++ b/runtime/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
@@ -17,6 +18,8 @@
 	id      types.SessionID
 	replies chan reply
 	ended   chan types.Refusal
+	closed  chan struct{}
+	closing sync.Once
 }
 
 // reply is the answer to a request, or its refusal.
@@ -30,11 +33,12 @@
 // the shard owns the proxy's whole share of the service's targets.
 func (p *Proxy) Open(params types.SessionParams) (*Session, error) {
 	id := types.SessionID(p.next.Add(1))
-	sh := p.shards[xxhash.Sum64String(string(params.Service))%uint64(len(p.shards))]
+	sh := p.shards[xxhash.Sum64String(string(p.service(params)))%uint64(len(p.shards))]
 	s := &Session{
 		shard: sh, id: id,
 		replies: make(chan reply, 1),
 		ended:   make(chan types.Refusal, 1),
+		closed:  make(chan struct{}),
 	}
 	sh.sessions.Store(id, s)
 	if !sh.loop.post(event.SessionOpened{Session: id, Params: params}) {
@@ -44,6 +48,15 @@
 	return s, nil
 }
 
+// service returns the service that a session begins with.
+func (p *Proxy) service(params types.SessionParams) types.ServiceName {
+	view := p.View()
+	if params.Database == "" || !view.Routes(params.Database) {
+		return params.Service
+	}
+	return view.Cluster.Config.Routes[params.Database].Service
+}
+
 // Do sends a request and waits for its answer. A refusal comes as
 // *types.Refusal. When ctx ends first the session is of no more use.
 func (s *Session) Do(ctx context.Context, r types.Request) (types.Answer, error) {
@@ -77,10 +90,16 @@
 // is in flight then.
 func (s *Session) Ended() <-chan types.Refusal { return s.ended }
 
+// Closed is closed once Close was called.
+func (s *Session) Closed() <-chan struct{} { return s.closed }
+
 // Close tells the proxy that the caller is gone.
 func (s *Session) Close() {
-	s.shard.sessions.Delete(s.id)
-	s.shard.loop.post(event.SessionClosed{Session: s.id})
+	s.closing.Do(func() {
+		close(s.closed)
+		s.shard.sessions.Delete(s.id)
+		s.shard.loop.post(event.SessionClosed{Session: s.id})
+	})
 }
 
 func (s *Session) answer(e effect.AnswerCaller) {
--- a/runtime/targetlink.go
+++ b/runtime/targetlink.go
@@ -6,6 +6,7 @@
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/gravitational/trace"
 )
 
 // targetLink is one traffic connection to a target. Its goroutine dials, then
@@ -60,6 +61,12 @@
 }
 
 func (l *targetLink) exchange(ctx context.Context, conn TargetConn, job effect.SendTarget) {
+	if job.Before != 0 && l.shard.proxy.Clock() >= job.Before {
+		l.post(ctx, event.TargetAnswered{
+			Conn: job.Conn, Seq: job.Seq, Err: trace.LimitExceeded("the lease ended before the request was sent"),
+		})
+		return
+	}
 	began := time.Now()
 	results, sent, err := conn.Exchange(ctx, job.Operations)
 	l.post(ctx, event.TargetAnswered{
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -40,6 +40,7 @@
 	Target           Target
 	Shards           int           // proxy only
 	DrainLimit       time.Duration // longest graceful stop
+	UnreadyDelay     time.Duration // time after a stop was asked for in which new callers are still served; proxy only
 	Trace            Trace
 }
 
@@ -122,6 +123,7 @@
 	if role == RoleProxy {
 		out.Limits = root.limits()
 		out.CallersTLS = root.callersTLS()
+		out.UnreadyDelay = root.duration("unready_delay", 0, span[time.Duration]{0, maxTimeout})
 		out.Shards = root.integer("shards", defaultShards, span[int]{1, maxShards})
 	} else {
 		out.Advertise = root.address("advertise", false)
--- a/wire/dial.go
+++ b/wire/dial.go
@@ -5,9 +5,11 @@
 	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/cespare/xxhash/v2"
 	"github.com/coder/websocket"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
@@ -38,10 +40,16 @@
 	added   func(*conn)
 	removed func(*conn)
 	handle  func(*conn, Frame)
+	tasks   tasks
+
+	mu    sync.Mutex
+	known map[types.Address]bool // addresses that are dialed
 }
 
 func newDialer(o Options, r Role) *dialer {
 	d := &dialer{
+		tasks:   newTasks(),
+		known:   make(map[types.Address]bool),
 		options: o,
 		self:    Hello{Version: Version, Host: o.Host, Role: r, Key: o.Key},
 		client:  &http.Client{Transport: &http.Transport{TLSClientConfig: o.TLS}},
@@ -53,10 +61,21 @@
 	return d
 }
 
+// know dials the addresses that are new.
+func (d *dialer) know(addresses []types.Address) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, addr := range addresses {
+		if !d.known[addr] {
+			d.known[addr] = true
+			d.tasks.start(func(ctx context.Context) { d.keep(ctx, addr) })
+		}
+	}
+}
+
 // keep dials an address again and again until ctx ends.
-func (d *dialer) keep(ctx context.Context, index int) {
-	addr := d.options.Addresses[index]
-	random := rand.New(rand.NewPCG(d.options.Seed, uint64(index)))
+func (d *dialer) keep(ctx context.Context, addr types.Address) {
+	random := rand.New(rand.NewPCG(d.options.Seed, xxhash.Sum64String(string(addr))))
 	wait := redialMin
 	for {
 		c, err := d.dial(ctx, addr)
--- a/wire/link.go
+++ b/wire/link.go
@@ -13,12 +13,11 @@
 type Link struct {
 	dialer *dialer
 	conns  connSet
-	tasks  tasks
 }
 
 // NewLink returns a link that does nothing before Start.
 func NewLink(o Options) *Link {
-	l := &Link{dialer: newDialer(o, RoleProxy), tasks: newTasks()}
+	l := &Link{dialer: newDialer(o, RoleProxy)}
 	l.dialer.added, l.dialer.removed = l.conns.add, l.conns.remove
 	return l
 }
@@ -30,13 +29,14 @@
 			onGrant(c.peer.Host, *f.LeaseGrant)
 		}
 	}
-	for i := range l.dialer.options.Addresses {
-		l.tasks.start(func(ctx context.Context) { l.dialer.keep(ctx, i) })
-	}
+	l.dialer.know(l.dialer.options.Addresses)
 }
 
+// Know adds addresses of control hosts.
+func (l *Link) Know(addresses []types.Address) { l.dialer.know(addresses) }
+
 // Close ends all connections and waits for their goroutines.
-func (l *Link) Close() { l.tasks.close() }
+func (l *Link) Close() { l.dialer.tasks.close() }
 
 // Request sends a lease request to a control host. When there is no
 // connection to it, or to is empty, any other one gets the request.
--- a/wire/mesh.go
+++ b/wire/mesh.go
@@ -21,7 +21,6 @@
 	dialer   *dialer
 	handlers Handlers
 	peers    connSet
-	tasks    tasks
 
 	mu      sync.Mutex
 	proxies map[types.HostID]*conn // on which the proxy last asked
@@ -31,7 +30,6 @@
 func NewMesh(o Options) *Mesh {
 	m := &Mesh{
 		dialer:  newDialer(o, RoleControl),
-		tasks:   newTasks(),
 		proxies: make(map[types.HostID]*conn),
 	}
 	m.dialer.added, m.dialer.removed, m.dialer.handle = m.peers.add, m.peers.remove, m.handle
@@ -43,13 +41,14 @@
 	m.mu.Lock()
 	m.handlers = h
 	m.mu.Unlock()
-	for i := range m.dialer.options.Addresses {
-		m.tasks.start(func(ctx context.Context) { m.dialer.keep(ctx, i) })
-	}
+	m.dialer.know(m.dialer.options.Addresses)
 }
 
+// Know adds addresses of control hosts.
+func (m *Mesh) Know(addresses []types.Address) { m.dialer.know(addresses) }
+
 // Close ends all connections and waits for their goroutines.
-func (m *Mesh) Close() { m.tasks.close() }
+func (m *Mesh) Close() { m.dialer.tasks.close() }
 
 // Send sends a message to a control host, or to all when To is empty.
 func (m *Mesh) Send(msg proto.Message) {
--- a/wire/refuse_test.go
+++ b/wire/refuse_test.go
@@ -133,7 +133,7 @@
 	m.dialer.options.Addresses = []types.Address{types.Address(server.Listener.Addr().String())}
 	m.Start(Handlers{Message: func(proto.Message) { t.Error("message to itself") }})
 	done := make(chan struct{})
-	go func() { defer close(done); m.dialer.keep(m.tasks.ctx, 0) }()
+	go func() { defer close(done); m.dialer.keep(m.dialer.tasks.ctx, m.dialer.options.Addresses[0]) }()
 	select {
 	case <-done:
 	case <-time.After(patience):
--- a/wire/server.go
+++ b/wire/server.go
@@ -21,17 +21,17 @@
 // ServeHTTP upgrades a request and serves the connection until it ends. The
 // request's own context is not used, as servers bound it by a timeout.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !s.mesh.started() || !s.mesh.tasks.enter() {
+	if !s.mesh.started() || !s.mesh.dialer.tasks.enter() {
 		http.Error(w, "this control host is not running", http.StatusServiceUnavailable)
 		return
 	}
-	defer s.mesh.tasks.wait.Done()
+	defer s.mesh.dialer.tasks.wait.Done()
 	ws, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return // Accept has answered the request
 	}
 	defer func() { _ = ws.CloseNow() }()
-	ctx := s.mesh.tasks.ctx
+	ctx := s.mesh.dialer.tasks.ctx
 	peer, err := s.greet(ctx, ws)
 	if err != nil {
 		klog.InfoS("peer_refused", "host", s.mesh.dialer.self.Host, "address", r.RemoteAddr, "reason", oneLine(err))
