Serve managed services without a lease; find their leader from the members

Cause: a proxy that lost control for 7 s refused all work, gave up its shares and so closed its connections, though the targets refuse by themselves whatever a replaced primary must not do. A control host that is back was reached only after the kernel's repeated SYN, 1 s later.

Change: writes and transactions need no lease; a read on the primary is sent in a transaction of the proxy's own when there is none, and never after the lease's end. Members that say they lead a later term are used before control has confirmed them. Tries to connect end after 300 ms.

Ruled out: that the proxies missed the new control leader; they were cut off.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -119,6 +119,7 @@
 	Shard    int
 	Seen     uint64              // version of the cluster view it acts on
 	Waiting  []types.ServiceName // services whose positions it waits for
+	Suspect  []types.ServiceName // services whose primary failed it lately
 	Writing  []types.ServiceName // services with a write or transaction on the primary
 	Wanted   map[types.TargetRef]int
 	Open     map[types.TargetRef]int // connections it holds or opens
--- a/core/freshness/samples.go
+++ b/core/freshness/samples.go
@@ -25,9 +25,9 @@
 }
 
 // Follow forgets the samples of an earlier primary or term.
-func (s *Samples) Follow(g *types.Group) {
-	if s.term != g.TargetTerm() || s.primary != g.Primary {
-		*s = Samples{term: g.TargetTerm(), primary: g.Primary}
+func (s *Samples) Follow(primary types.TargetName, term types.Term) {
+	if s.term != term || s.primary != primary {
+		*s = Samples{term: term, primary: primary}
 	}
 }
 
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -93,9 +93,17 @@
 	return nil
 }
 
-// expire gives up the shares together with the lease.
+// expire gives up the shares together with the lease, but for those of managed
+// services: their targets fence themselves, so that the proxy may serve on, and
+// they refuse connections beyond their limit.
 func (h *Holder) expire() []effect.Effect {
-	h.shares = nil
+	kept := make(map[types.TargetRef]types.Share)
+	for ref, share := range h.shares {
+		if h.cluster.Config.Managed(ref.Service) {
+			kept[ref] = share
+		}
+	}
+	h.shares = kept
 	return []effect.Effect{effect.Decide{
 		Kind: effect.DecideLeaseLost, Host: h.self, Reason: "no control leader renewed the lease in time",
 	}}
--- a/core/membership/managed.go
+++ b/core/membership/managed.go
@@ -44,7 +44,7 @@
 
 // ended reports whether a member of a managed service has left for good.
 func (t *Tracker) ended(now types.Instant, g *types.Group, last heard, known bool) bool {
-	if !t.state.Config().Services[g.Service].Managed {
+	if !t.state.Config().Managed(g.Service) {
 		return false
 	}
 	if known && last.announcement.Gone {
--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -146,7 +146,7 @@
 	if !known || last.announcement.Leaving || now.Sub(last.at) >= SilentAfter {
 		return nil
 	}
-	if t.state.Config().Services[ref.Service].Managed {
+	if t.state.Config().Managed(ref.Service) {
 		return t.join(now, g, last.announcement)
 	}
 	if len(g.Members) >= t.state.Config().Services[ref.Service].Members {
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -53,6 +53,17 @@
 	return out
 }
 
+// suspects returns the services whose primary failed some shard.
+func (n *Node) suspects() map[types.ServiceName]bool {
+	out := make(map[types.ServiceName]bool)
+	for _, r := range n.shards {
+		for _, s := range r.Suspect {
+			out[s] = true
+		}
+	}
+	return out
+}
+
 // quiet returns the quiescing services without work under way on the primary.
 // All shards must act on the view that said so: until then none is quiet.
 func (n *Node) quiet() []types.ServiceName {
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -22,6 +22,9 @@
 	// managedInterval is the time between two probes of the primary of a
 	// managed service that answers. Its replicas are not probed.
 	managedInterval = 500 * time.Millisecond
+	// seekInterval is the time between two probes of the members of a managed
+	// service while its primary is missing, fails or says that it is none.
+	seekInterval = 200 * time.Millisecond
 	// timeout is how long a target may take to answer.
 	timeout = 250 * time.Millisecond
 	// demandInterval is the least time between two probes of a target whose
@@ -52,8 +55,9 @@
 	targets map[types.TargetRef]*target
 	samples map[types.ServiceName]*freshness.Samples
 	waiting map[types.ServiceName]bool
-	demand  bool // the demand timer is armed
-	news    bool // control should hear of a change at once
+	suspect map[types.ServiceName]bool // services whose primary failed a shard
+	demand  bool                       // the demand timer is armed
+	news    bool                       // control should hear of a change at once
 }
 
 // target is what is known of one target.
@@ -111,7 +115,7 @@
 		if p.samples[name] == nil {
 			p.samples[name] = new(freshness.Samples)
 		}
-		p.samples[name].Follow(g)
+		p.samples[name].Follow(g.Primary, g.TargetTerm())
 		for _, m := range g.Members {
 			ref := types.TargetRef{Service: name, Name: m.Name}
 			seen[ref] = true
@@ -126,7 +130,7 @@
 // pace returns the time between two probes of a member, zero for none.
 func pace(view *types.ClusterView, g *types.Group, name types.TargetName) time.Duration {
 	switch {
-	case view.Config == nil || !view.Config.Services[g.Service].Managed:
+	case !view.Config.Managed(g.Service):
 		return interval
 	case name == g.Primary:
 		return managedInterval
@@ -144,9 +148,44 @@
 	}
 	t = &target{address: m.Address, known: now, pace: pace}
 	p.targets[ref] = t
+	if pace == 0 {
+		return nil
+	}
+	return p.probe(ref, t, now)
+}
+
+// SetSuspects names the services whose primary failed a shard, so that another
+// member may lead by now.
+func (p *Prober) SetSuspects(suspects map[types.ServiceName]bool, now types.Instant) []effect.Effect {
+	var out []effect.Effect
+	for _, ref := range p.refs() {
+		if t := p.targets[ref]; suspects[ref.Service] && !p.suspect[ref.Service] && t.pace != interval {
+			out = append(out, p.probe(ref, t, now)...)
+		}
+	}
+	p.suspect = suspects
+	return out
+}
+
+// seek probes a member of a managed service that is not the primary while
+// another primary may have to be found.
+func (p *Prober) seek(ref types.TargetRef, t *target, now types.Instant) []effect.Effect {
+	if p.primaryWorks(ref.Service) || t.asked != 0 && now.Sub(t.asked) < seekInterval {
+		return nil
+	}
 	return p.probe(ref, t, now)
 }
 
+// primaryWorks reports whether the primary of a service answers as such.
+func (p *Prober) primaryWorks(name types.ServiceName) bool {
+	g := p.view.Groups[name]
+	t := p.targets[types.TargetRef{Service: name, Name: g.Primary}]
+	if t == nil || p.suspect[name] || t.health.Failing {
+		return false
+	}
+	return t.health.HeardAt == 0 || t.health.Primary && t.health.Term == g.TargetTerm()
+}
+
 // SetWaiting names the services whose positions a shard waits for.
 func (p *Prober) SetWaiting(waiting map[types.ServiceName]bool, now types.Instant) []effect.Effect {
 	p.waiting = waiting
@@ -234,6 +273,7 @@
 	for _, ref := range p.refs() {
 		t := p.targets[ref]
 		if t.pace == 0 {
+			out = append(out, p.seek(ref, t, now)...)
 			continue
 		}
 		p.notice(t, now)
@@ -277,7 +317,7 @@
 
 // probe asks one target unless a probe of it is under way.
 func (p *Prober) probe(ref types.TargetRef, t *target, now types.Instant) []effect.Effect {
-	if t.pace == 0 || t.underWay && now.Sub(t.asked) < lostAfter {
+	if t.underWay && now.Sub(t.asked) < lostAfter {
 		return nil
 	}
 	t.underWay, t.asked = true, now
--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -22,7 +22,7 @@
 )
 
 // managed reports whether an outside service promotes the group's members.
-func (m *Manager) managed(g *types.Group) bool { return m.state.Config().Services[g.Service].Managed }
+func (m *Manager) managed(g *types.Group) bool { return m.state.Config().Managed(g.Service) }
 
 // chooseManaged returns the member that leads already, or the furthest one once
 // enough have answered. Replication is asynchronous, so no majority is needed.
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -108,10 +108,15 @@
 	case stageQueued:
 		s.refuseQueued(r)
 	case stageBackoff:
+		if r.inTx {
+			s.startPinned(r)
+			return
+		}
 		r.queueDeadline = min(r.deadline, s.now.Add(orDefault(r.profile.QueueTimeout, defaultQueueTimeout)))
 		s.place(r)
 	case stageRunning:
 		r.mayRun = true
+		s.suspectTarget(r)
 		s.refuse(r, types.RefuseTimeout, r.outcome(), fmt.Sprintf("target %s did not answer in time", r.target))
 	case stageDurable:
 		s.refuseNotDurable(r)
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -19,13 +19,14 @@
 	stepRecord             // store the answer and commit
 	stepUndo               // roll back after the statement failed
 	stepLookup             // fetch the answer of an earlier run
+	stepFence              // begin a transaction that a replaced primary refuses
+	stepFenced             // the caller's read within it
 )
 
 // start gives a queued request a connection of the target and sends it.
 func (s *Shard) start(r *request, name types.TargetName) {
 	c := r.service.target(name).pool.Take(r.session.id, r.Setup)
-	g := s.view.Group(r.service.name)
-	r.conn, r.target, r.replica = c, name, name != g.Primary
+	r.conn, r.target, r.replica = c, name, name != s.primaryOf(r.service)
 	if !r.replica {
 		r.floor = types.LogPos{}
 	}
@@ -50,6 +51,10 @@
 }
 
 func (s *Shard) sendFirst(r *request) {
+	if s.needsFence(r) {
+		s.send(r, stepFence)
+		return
+	}
 	if r.ID != "" {
 		s.send(r, stepClaim)
 		return
@@ -82,6 +87,8 @@
 	switch {
 	case g == nil:
 		return 0
+	case r.service.managed(s.view):
+		return r.service.leader.term
 	case r.replica && !hasPrimary(g):
 		return readableTerm(g, r.profile)
 	}
@@ -107,6 +114,10 @@
 		return []types.Operation{record, position}
 	case stepUndo:
 		return []types.Operation{{Kind: types.OpRollback}, position}
+	case stepFence:
+		return []types.Operation{{Kind: types.OpBegin}}
+	case stepFenced:
+		return []types.Operation{caller, {Kind: types.OpRollback}, position}
 	case stepLookup:
 		lookup := types.Operation{Kind: types.OpLookup, RequestID: r.ID}
 		return append(wrap(own, types.OpRollback, lookup), position)
@@ -185,6 +196,10 @@
 		s.undoDone(r, results[0])
 	case stepLookup:
 		s.lookupDone(r, results[len(results)-2])
+	case stepFence:
+		s.fenceDone(r, results[0])
+	case stepFenced:
+		s.fencedDone(r, results)
 	}
 }
 
@@ -218,6 +233,7 @@
 // attemptFailed closes the connection of an attempt that brought no answer and
 // sends the request again if that is safe, or refuses it.
 func (s *Shard) attemptFailed(r *request, sent bool, code types.RefusalCode, reason string) {
+	s.suspectTarget(r)
 	lostTx := r.inTx || r.session.inTransaction()
 	again := !lostTx && (!sent || r.repeatable())
 	r.mayRun = r.mayRun || sent
--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -21,22 +21,101 @@
 // managed reports whether an outside service promotes the service's targets,
 // which then refuse writes once they are replaced and check floors themselves.
 func (s *Shard) managed(name types.ServiceName) bool {
-	return s.view != nil && s.view.Cluster != nil && s.view.Cluster.Config.Services[name].Managed
+	return s.view != nil && s.view.Cluster != nil && s.view.Cluster.Config.Managed(name)
 }
 
 func (svc *service) managed(v *types.NodeView) bool {
-	return v.Cluster.Config.Services[svc.name].Managed
+	return v.Cluster.Config.Managed(svc.name)
 }
 
-// lacksLease reports whether the request may be answered by a primary that was
-// replaced without knowing it, and no lease rules that out.
-func (s *Shard) lacksLease(r *request) bool {
-	return !r.Fenced && r.key == primaryKey && !s.leaseLive()
+// leader is the member of a managed service that leads as far as the proxy
+// knows: the primary of the view, or one that said so itself in a later term.
+type leader struct {
+	name   types.TargetName
+	term   types.Term
+	leased bool // control has confirmed it: a live lease rules out another one
+}
+
+// followLeader takes over the leader from a new view.
+func (s *Shard) followLeader(svc *service) {
+	g := s.view.Group(svc.name)
+	if g == nil {
+		svc.leader = leader{}
+		return
+	}
+	known := leader{term: g.TargetTerm()}
+	if hasPrimary(g) {
+		known = leader{name: g.Primary, term: g.TargetTerm(), leased: true}
+	}
+	for _, m := range g.Members {
+		if h := s.probed(svc, m.Name); h.Primary && !h.Failing && h.Term > known.term {
+			known = leader{name: m.Name, term: h.Term}
+		}
+	}
+	svc.leader = known
+	if known.name != "" {
+		svc.samples.Follow(known.name, known.term)
+	}
+}
+
+// primaryOf returns the member that takes a service's writes, or "".
+func (s *Shard) primaryOf(svc *service) types.TargetName {
+	if svc.managed(s.view) {
+		return svc.leader.name
+	}
+	return s.view.Group(svc.name).Primary
+}
+
+// leaderTargets returns the target of requests that need the primary. They wait
+// while an ordered change is prepared.
+func (s *Shard) leaderTargets(svc *service, g *types.Group) []types.TargetName {
+	if g == nil || g.Phase == types.GroupQuiescing || svc.leader.name == "" || svc.departures.Leaving(svc.leader.name) {
+		return nil
+	}
+	return []types.TargetName{svc.leader.name}
+}
+
+// needsFence reports whether a primary that was replaced might answer the
+// request without knowing it, and no lease rules that out. The beginning of a
+// transaction on the primary is always one that a replaced primary refuses.
+func (s *Shard) needsFence(r *request) bool {
+	if !r.service.managed(s.view) || r.replica || r.inTx || r.Fenced {
+		return false
+	}
+	return r.Begins || !r.service.leader.leased || !s.leaseLive()
+}
+
+// fenceDone goes on with a read once the primary has shown that it leads. The
+// beginning of a transaction is answered by it.
+func (s *Shard) fenceDone(r *request, res types.Result) {
+	switch {
+	case s.rejected(r, res):
+	case res.Err != types.TargetErrNone:
+		s.attemptFailed(r, false, types.RefuseReplaced, fmt.Sprintf("target %s began no transaction", r.target))
+	case r.Begins:
+		r.answer = types.Answer{Payload: res.Payload, Tx: res.Tx}
+		s.settleConn(r, res.Tx)
+		s.acknowledge(r)
+	default:
+		s.send(r, stepFenced)
+	}
+}
+
+// fencedDone takes in the answer to a read within the proxy's own transaction.
+func (s *Shard) fencedDone(r *request, results []types.Result) {
+	res, end := results[0], results[1]
+	if res.Err != types.TargetErrNone && res.Err != types.TargetErrStatement || end.Tx != types.TxIdle {
+		s.attemptFailed(r, false, types.RefuseReplaced, fmt.Sprintf("target %s ended the transaction of a read", r.target))
+		return
+	}
+	r.answer = types.Answer{Payload: res.Payload, Tx: end.Tx}
+	s.settleConn(r, end.Tx)
+	s.acknowledge(r)
 }
 
 // sendBefore returns the instant from which on the request must not be sent.
 func (s *Shard) sendBefore(r *request) types.Instant {
-	if r.replica || r.inTx || r.Fenced || !r.service.managed(s.view) {
+	if r.replica || r.inTx || r.Fenced || r.step != stepCaller || !r.service.managed(s.view) {
 		return 0
 	}
 	return s.view.LeaseUntil
@@ -64,7 +143,7 @@
 		return nil
 	}
 	r.floor = floor
-	primary := r.service.samples.Primary() // also while the next one is not chosen yet
+	primary := r.service.samples.Primary() // the last one, while the next is not known yet
 	var names []types.TargetName
 	for _, m := range g.Members {
 		t := r.service.target(m.Name)
@@ -81,31 +160,41 @@
 	return now < b.until && floor.Compare(b.floor) >= 0
 }
 
+// againPinned sends a statement of an open transaction once more after a pause.
+func (s *Shard) againPinned(r *request, pause time.Duration, reason string) {
+	at := s.now.Add(pause)
+	if at >= r.queueDeadline {
+		s.refuse(r, types.RefuseOverloaded, types.NotRun, reason)
+		return
+	}
+	r.retries++
+	r.stage, r.retryAt = stageBackoff, at
+	s.armSession(r.session)
+}
+
 // takePosition keeps the position that came with an answer. An answer of the
 // primary shows that it led when the request was sent: a lease or the target
 // itself vouched for that.
 func (s *Shard) takePosition(r *request) {
 	t := r.service.target(r.target)
 	r.status.Term, r.status.Primary = r.sentTerm, !r.replica
-	switch g := s.view.Group(r.service.name); {
+	lead := r.service.leader
+	switch {
 	case r.replica:
 		if r.status.Pos.Compare(t.behind.floor) >= 0 {
 			t.behind = behind{}
 		}
-	case hasPrimary(g) && g.Primary == r.target && r.sentTerm == g.TargetTerm():
-		r.service.samples.Follow(g)
+	case lead.name == r.target && lead.term == r.sentTerm:
 		r.service.samples.Add(r.sentAt, r.status.Pos)
 	}
 }
 
 // sampleProbe takes over the primary's position from the last view.
 func (s *Shard) sampleProbe(svc *service) {
-	g := s.view.Group(svc.name)
-	if g == nil || !svc.managed(s.view) || !hasPrimary(g) {
+	if !svc.managed(s.view) || svc.leader.name == "" {
 		return
 	}
-	svc.samples.Follow(g)
-	if h := s.probed(svc, g.Primary); h.Primary && h.Term == g.TargetTerm() {
+	if h := s.probed(svc, svc.leader.name); h.Primary && h.Term == svc.leader.term {
 		svc.samples.Add(h.AskedAt, h.Pos)
 	}
 }
@@ -120,6 +209,7 @@
 	case types.TargetErrBusy:
 		s.again(r, res, s.pause(r), types.RefuseOverloaded, fmt.Sprintf("target %s has no room", r.target))
 	case types.TargetErrReadOnly:
+		s.suspect(r.service)
 		s.again(r, res, s.pause(r), types.RefuseReplaced, fmt.Sprintf("target %s is not the primary", r.target))
 	default:
 		return false
@@ -127,16 +217,38 @@
 	return true
 }
 
+// suspectFor is how long control is told that a service's primary failed.
+const suspectFor = 400 * time.Millisecond
+
+// suspect has the members of a service asked which of them leads.
+func (s *Shard) suspect(svc *service) {
+	if s.now >= svc.suspectUntil {
+		s.reports.urgent = true
+	}
+	svc.suspectUntil = s.now.Add(suspectFor)
+}
+
+// suspectTarget suspects the primary when it has failed a request.
+func (s *Shard) suspectTarget(r *request) {
+	if r.service.managed(s.view) && r.target != "" && r.target == r.service.leader.name {
+		s.suspect(r.service)
+	}
+}
+
 func (s *Shard) pause(r *request) time.Duration { return retry.Backoff(r.retries+2, s.random()) }
 
 // again puts a request that did not run aside for another attempt, or refuses
 // it when its time for queueing is over or it belongs to a transaction. The
 // connection stays good.
 func (s *Shard) again(r *request, res types.Result, pause time.Duration, code types.RefusalCode, reason string) {
-	if r.inTx {
+	if r.inTx && (res.Err != types.TargetErrBusy || res.Tx != types.TxOpen) {
 		s.refuse(r, code, types.NotRun, reason)
 		return
 	}
+	if r.inTx {
+		s.againPinned(r, pause, reason)
+		return
+	}
 	conn := r.conn
 	r.conn, r.stage = nil, stageBackoff
 	if res.Tx == types.TxIdle {
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -188,6 +188,9 @@
 		return q.candidates
 	}
 	g := s.view.Group(svc.name)
+	if svc.managed(s.view) {
+		return s.leaderTargets(svc, g)
+	}
 	if g == nil || g.Phase != types.GroupServing || g.Primary == "" || svc.departures.Leaving(g.Primary) {
 		return nil
 	}
@@ -208,11 +211,6 @@
 			s.enqueue(r)
 			continue
 		}
-		if s.lacksLease(r) {
-			r.stage = stageBackoff
-			s.refuse(r, types.RefuseNoLease, r.outcome(), "a read on the primary needs a lease")
-			continue
-		}
 		s.start(r, s.choose(svc, ready))
 	}
 	s.dial(svc)
--- a/core/session/report.go
+++ b/core/session/report.go
@@ -120,6 +120,9 @@
 		if len(svc.waiting) > 0 {
 			r.Waiting = append(r.Waiting, name)
 		}
+		if s.now < svc.suspectUntil {
+			r.Suspect = append(r.Suspect, name)
+		}
 		if svc.writing > 0 {
 			r.Writing = append(r.Writing, name)
 		}
@@ -143,6 +146,6 @@
 
 func sameReport(a, b event.ShardReport) bool {
 	return a.Seen == b.Seen && a.Sessions == b.Sessions && a.Busy == b.Busy &&
-		slices.Equal(a.Waiting, b.Waiting) && slices.Equal(a.Writing, b.Writing) &&
+		slices.Equal(a.Waiting, b.Waiting) && slices.Equal(a.Suspect, b.Suspect) && slices.Equal(a.Writing, b.Writing) &&
 		maps.Equal(a.Wanted, b.Wanted) && maps.Equal(a.Open, b.Open)
 }
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -25,6 +25,10 @@
 	writing    int          // sessions with a write or a transaction on the primary
 	group      *types.Group // group that the shard acted on last
 	samples    freshness.Samples
+
+	// Of a managed service.
+	leader       leader
+	suspectUntil types.Instant // the primary has failed a request lately
 }
 
 // target is what the shard knows of one member of a service.
@@ -55,6 +59,7 @@
 		}
 		s.services[name] = svc
 		svc.group = s.view.Group(name)
+		s.followLeader(svc)
 		s.updateTargets(svc)
 		s.followCatchUp(svc)
 	}
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -18,6 +18,7 @@
 	for _, name := range sortedKeys(s.services) {
 		svc := s.services[name]
 		s.dirty[name] = true
+		s.followLeader(svc)
 		s.sampleProbe(svc)
 		s.updateTargets(svc)
 		s.followCatchUp(svc)
@@ -95,6 +96,9 @@
 // dropReplaced ends what runs on a primary that was replaced: nothing of it
 // can be acknowledged any more.
 func (s *Shard) dropReplaced(svc *service) {
+	if svc.managed(s.view) {
+		return // the target itself refuses what it can't do any more
+	}
 	old, g := svc.group, s.view.Group(svc.name)
 	if !hasPrimary(old) || (hasPrimary(g) && g.Term == old.Term) {
 		return
--- a/core/types/config.go
+++ b/core/types/config.go
@@ -95,6 +95,9 @@
 	TransactionIdle time.Duration
 }
 
+// Managed reports whether an outside service promotes the targets of a service.
+func (c *Config) Managed(service ServiceName) bool { return c != nil && c.Services[service].Managed }
+
 // Profile returns the profile that a session of service picked, or the default
 // one when name is empty.
 func (c *Config) Profile(service ServiceName, name ProfileName) (Profile, bool) {
--- a/core/types/request.go
+++ b/core/types/request.go
@@ -48,6 +48,9 @@
 	// Fenced says that a replaced primary refuses the request. Other reads on
 	// the primary need a lease.
 	Fenced bool
+	// Begins says that the request only begins a transaction. A transaction that
+	// the target begins for the system does as well.
+	Begins bool
 	// Commits says that the request may add an entry to the log.
 	Commits bool
 }
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -31,6 +31,9 @@
 	Dialer  func(*settings.Daemon) (runtime.TargetDialer, error)
 	Callers func(*settings.Daemon, *runtime.Proxy) (CallerServer, error)
 	Policy  routing.Policy // nil picks routing.Default
+	// ReadyWithoutLease lets a proxy count as ready while it has no lease, since
+	// its targets fence themselves.
+	ReadyWithoutLease bool
 
 	// ControlRoutes and ProxyRoutes add to the daemons' HTTP interface; nil adds
 	// nothing.
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -195,7 +195,7 @@
 // ready reports whether the proxy may serve callers.
 func (p *Proxy) ready() bool {
 	st := p.status()
-	return st.LeaseLive && !st.Draining
+	return !st.Draining && (st.LeaseLive || p.edge.ReadyWithoutLease && st.ConfigVersion > 0)
 }
 
 func (p *Proxy) status() api.ProxyStatus {
--- a/wire/dial.go
+++ b/wire/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -18,8 +19,12 @@
 // Times of dialing.
 const (
 	dialTimeout = 2 * time.Second
-	redialMin   = 100 * time.Millisecond
-	redialMax   = 2 * time.Second
+	// connectTimeout is how long one try to connect may take. A host that just
+	// came back answers a new try, while the kernel repeats a lost one only
+	// after 1 s.
+	connectTimeout = 300 * time.Millisecond
+	redialMin      = 100 * time.Millisecond
+	redialMax      = 500 * time.Millisecond
 )
 
 // Options configures a Mesh or a Link.
@@ -52,8 +57,10 @@
 		known:   make(map[types.Address]bool),
 		options: o,
 		self:    Hello{Version: Version, Host: o.Host, Role: r, Key: o.Key},
-		client:  &http.Client{Transport: &http.Transport{TLSClientConfig: o.TLS}},
-		scheme:  "ws://",
+		client: &http.Client{Transport: &http.Transport{
+			TLSClientConfig: o.TLS, DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		}},
+		scheme: "ws://",
 	}
 	if o.TLS != nil {
 		d.scheme = "wss://"
