Keep the floor of a routed session that goes on after a failed transaction

Cause: a session that a front opens with a token has no service yet, and the first look at its route was taken for a change of service, which drops the floor.

--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -275,3 +275,17 @@
 	other := &types.Setup{Settings: []types.Setting{{Name: "x", Value: "2"}}}
 	assert.DeepEqual(t, ask(1, other), []types.OperationKind{types.OpSetValue, types.OpCaller, types.OpPosition})
 }
+
+// TestTokenHoldsForARoutedSession covers a session that goes on after another
+// one ended with its transaction.
+func TestTokenHoldsForARoutedSession(t *testing.T) {
+	d := newManagedDriver(t)
+	d.openDatabase(1, "catalog")
+	d.readOnce(1)
+	d.reply(40)
+	token := logPos(55)
+	d.step(openWith(2, types.SessionParams{Database: "catalog", Token: &token}))
+	d.readOnce(2)
+	e, _ := d.sent()
+	assert.Equal(t, e.Operations[0].Floor, token)
+}
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -175,9 +175,10 @@
 	if !ok {
 		return false
 	}
-	if route.Service != c.service {
-		c.service, c.floor = route.Service, floor{}
+	if c.service != "" && route.Service != c.service {
+		c.floor = floor{} // positions of another log
 	}
+	c.service = route.Service
 	r.Profile = route.Profile
 	return true
 }
