--- a/core/consensus/failure_test.go
+++ b/core/consensus/failure_test.go
@@ -125,6 +125,64 @@
 	o.awaitCommit(takeover, "after the second loss")
 }
 
+// TestReplacementsInARow replaces the leader by an empty host again and again.
+// Each loss comes a catch-up time after the last new host has started.
+func TestReplacementsInARow(t *testing.T) {
+	const catchUp = 4 * time.Second
+	for seed := range uint64(10) {
+		o := newOracle(t, seed, "a", "b", "c")
+		o.policy = consensus.Policy{Voters: 3, VoterSilence: catchUp / 2}
+		for _, h := range []types.HostID{"a", "b", "c"} {
+			o.cluster.Crash(h)
+			o.cluster.Start(h) // with the policy
+		}
+		o.awaitLeader(takeover)
+		for i := range 4 {
+			o.cluster.Crash(o.awaitLeader(takeover).ID())
+			o.cluster.Run(2200 * time.Millisecond)
+			id := types.HostID(fmt.Sprint("new", i))
+			o.cluster.Hosts[id] = &coretest.Host{ID: id, SyncTime: time.Millisecond}
+			o.cluster.Start(id)
+			o.cluster.Run(catchUp)
+			assert.Assert(t, !learns(o.awaitLeader(takeover), id), "seed %d: %s has no vote", seed, id)
+		}
+		o.awaitCommit(takeover, "after four replacements")
+	}
+}
+
+// TestFiveVotersBearTwoLosses loses two of five hosts for good, and then two
+// more once spare ones have taken their places.
+func TestFiveVotersBearTwoLosses(t *testing.T) {
+	o := newOracle(t, 1, "a")
+	o.policy = consensus.Policy{Voters: 5, VoterSilence: 2 * time.Second}
+	o.cluster.Crash("a")
+	o.cluster.Start("a")
+	o.awaitLeader(takeover)
+	for _, id := range []types.HostID{"b", "c", "d", "e", "f", "g"} {
+		o.cluster.Hosts[id] = &coretest.Host{ID: id, SyncTime: time.Millisecond}
+		o.cluster.Start(id)
+	}
+	o.cluster.Run(5 * time.Second)
+	assert.Equal(t, countVoting(o.leader()), 5)
+	for range 2 {
+		o.cluster.Crash(o.awaitLeader(takeover).ID())
+		o.cluster.Crash(o.awaitLeader(takeover).ID())
+		o.awaitCommit(takeover, "after two losses")
+		o.cluster.Run(4 * time.Second)
+	}
+	o.awaitCommit(takeover, "after four losses")
+}
+
+func countVoting(h *host) int {
+	n := 0
+	for _, v := range h.Voters() {
+		if !v.Learner {
+			n++
+		}
+	}
+	return n
+}
+
 // TestHungDiskIsReplaced lets a voter's disk hang while the voter itself still
 // answers heartbeats.
 func TestHungDiskIsReplaced(t *testing.T) {
--- a/core/consensus/harness_test.go
+++ b/core/consensus/harness_test.go
@@ -36,6 +36,7 @@
 	restores int
 
 	snapshotEvery uint64 // of hosts that start from now on
+	policy        consensus.Policy
 }
 
 // promise is until when a run of a host leads, by cluster time.
@@ -90,7 +91,7 @@
 	n.Node = consensus.New(consensus.Options{
 		Self: proto.Voter{Host: h.ID}, Saved: saved,
 		State:         func() proto.ClusterState { return proto.ClusterState{Source: n.state} },
-		SnapshotEvery: o.snapshotEvery,
+		SnapshotEvery: o.snapshotEvery, Policy: o.policy,
 	})
 	o.nodes[h.ID] = n
 	return n
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -36,6 +36,7 @@
 	// SnapshotEvery is how many applied entries lie between two snapshots;
 	// zero stands for DefaultSnapshotEvery.
 	SnapshotEvery uint64
+	Policy        Policy // zero stands for DefaultPolicy
 }
 
 // role is what a host does in its term.
@@ -84,6 +85,9 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if o.Policy == (Policy{}) {
+		o.Policy = DefaultPolicy()
+	}
 	n := &Node{opt: o, self: o.Self.Host}
 	n.term, n.vote = o.Saved.HardState.Term, o.Saved.HardState.Vote
 	n.snapshot = o.Saved.Snapshot
--- a/core/consensus/voters.go
+++ b/core/consensus/voters.go
@@ -11,15 +11,22 @@
 
 // The rules for the set of control hosts.
 const (
-	targetVoters   = 3                // voters that the leader aims at
-	learnerLag     = 10               // entries that a learner may lack when it becomes a voter
-	voterSilence   = 10 * time.Second // then a spare learner replaces the voter
-	learnerSilence = time.Minute      // then the learner is removed
+	learnerLag     = 10          // entries that a learner may lack when it becomes a voter
+	learnerSilence = time.Minute // then the learner is removed
 
-	joinInterval = time.Second     // between requests to be taken in
-	rejoinAfter  = 3 * time.Second // without a leader, a voter may have been removed
+	joinInterval = 300 * time.Millisecond // between requests to be taken in
+	rejoinAfter  = 3 * time.Second        // without a leader, a voter may have been removed
 )
 
+// Policy is what a deployment asks of the set of voters.
+type Policy struct {
+	Voters       int           // voters that the leader aims at
+	VoterSilence time.Duration // then a spare learner replaces the voter
+}
+
+// DefaultPolicy bears the loss of one host.
+func DefaultPolicy() Policy { return Policy{Voters: 3, VoterSilence: 10 * time.Second} }
+
 // isVoter reports whether a host votes.
 func isVoter(voters []proto.Voter, h types.HostID) bool {
 	return slices.ContainsFunc(voters, func(v proto.Voter) bool { return v.Host == h && !v.Learner })
@@ -105,19 +112,19 @@
 	voters := n.log.voters()
 	count := countVoters(voters)
 	silent, anySilent := find(voters, func(v proto.Voter) bool {
-		return !v.Learner && n.silentFor(v.Host) >= voterSilence
+		return !v.Learner && n.silentFor(v.Host) >= n.opt.Policy.VoterSilence
 	})
 	spare, anySpare := find(voters, func(v proto.Voter) bool { return v.Learner && n.caughtUp(v.Host) })
 	lost, anyLost := find(voters, func(v proto.Voter) bool {
 		return v.Learner && n.silentFor(v.Host) >= learnerSilence
 	})
 	switch {
-	case count > targetVoters && anySilent:
-		n.changeVoters(without(voters, silent.Host), silent.Host, "voter was silent for "+voterSilence.String())
-	case count > targetVoters:
+	case count > n.opt.Policy.Voters && anySilent:
+		n.changeVoters(without(voters, silent.Host), silent.Host, "voter was silent for "+n.opt.Policy.VoterSilence.String())
+	case count > n.opt.Policy.Voters:
 		v := n.surplus(voters)
 		n.changeVoters(withRole(voters, v.Host, true), v.Host, "more voters than needed")
-	case anySpare && count < targetVoters:
+	case anySpare && count < n.opt.Policy.Voters:
 		n.changeVoters(withRole(voters, spare.Host, false), spare.Host, "learner caught up")
 	case anySpare && anySilent:
 		n.changeVoters(withRole(voters, spare.Host, false), spare.Host, "learner replaces voter "+string(silent.Host))
--- a/core/systemtest/world_test.go
+++ b/core/systemtest/world_test.go
@@ -176,7 +176,7 @@
 		}
 	}
 	h.Drift = w.drift()
-	return core.NewControlHost(proto.Voter{Host: h.ID}, h.Disk)
+	return core.NewControlHost(proto.Voter{Host: h.ID}, h.Disk, consensus.DefaultPolicy())
 }
 
 func (w *world) proxyOf(h *coretest.Host) *proxy {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -95,7 +95,7 @@
 	c.mesh = wire.NewMesh(wireOptions(s, c.log.Host(), c.keys.cluster, c.tls))
 	self := proto.Voter{Host: c.log.Host(), Address: s.Advertise, AvailabilityZone: s.AvailabilityZone}
 	c.host = runtime.NewControlHost(runtime.ControlOptions{
-		Reducer: core.NewControlHost(self, c.log.Saved()),
+		Reducer: core.NewControlHost(self, c.log.Saved(), s.Voters),
 		Clock:   clock, Seed: rand.Uint64,
 		Peers: c.mesh, Proxies: c.mesh, Log: c.log, Targets: dialer, Recorder: c.recorder,
 	})
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -4,6 +4,7 @@
 	"net/url"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/consensus"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -34,6 +35,7 @@
 	Advertise        types.Address   // where other control hosts reach this one; control only
 	Control          []types.Address // peer addresses of the control hosts
 	DataFolder       string          // control only
+	Voters           consensus.Policy
 	Security         Security
 	CallersTLS       CallersTLS // proxy only
 	Limits           Limits
@@ -100,6 +102,7 @@
 	maxSessions     = 1_000_000
 	maxStartupTime  = time.Minute
 	maxShards       = 256
+	maxVoters       = 9
 )
 
 // ParseDaemon reads the settings of a daemon of the given role. The error is
@@ -129,6 +132,7 @@
 		out.Advertise = root.address("advertise", false)
 		root.need("data_folder")
 		out.DataFolder = root.text("data_folder", "")
+		out.Voters = root.voters()
 	}
 	root.close()
 	root.checkDaemon(out)
@@ -138,6 +142,20 @@
 	return out, nil
 }
 
+// voters reads how many control hosts vote and how soon a spare one replaces
+// one of them.
+func (m *mapping) voters() consensus.Policy {
+	v := m.sub("voters")
+	out := consensus.DefaultPolicy()
+	out.Voters = v.integer("count", out.Voters, span[int]{1, maxVoters})
+	out.VoterSilence = v.duration("replaced_after", out.VoterSilence, span[time.Duration]{time.Second, maxTimeout})
+	v.close()
+	if out.Voters%2 == 0 {
+		v.add(v.at("count"), join(v.path, "count"), "%d is even: use an odd number, so that one loss more is borne", out.Voters)
+	}
+	return out
+}
+
 // addresses reads a list of addresses without doubles.
 func (m *mapping) addresses(key string) []types.Address {
 	if _, ok := m.need(key); !ok {
