--- a/core/types/request.go
+++ b/core/types/request.go
@@ -133,8 +133,19 @@
 	RefuseTooLarge                               // the request or answer is too large
 	RefuseNotClean                               // the transaction's target is gone
 	RefuseUnknownDatabase                        // no route for the database name
+
+	refusalCodesEnd
 )
 
+// RefusalCodes returns all refusal codes.
+func RefusalCodes() []RefusalCode {
+	var out []RefusalCode
+	for c := RefuseNoLease; c < refusalCodesEnd; c++ {
+		out = append(out, c)
+	}
+	return out
+}
+
 // Refusal tells a caller that its request got no answer.
 type Refusal struct {
 	Code    RefusalCode
--- a/front/pg/refusal.go
+++ b/front/pg/refusal.go
@@ -45,6 +45,8 @@
 	types.RefuseDraining:       codeAdminShutdown,
 	types.RefuseTooLarge:       codeLimitExceeded,
 	types.RefuseNotClean:       codeConnectionFailure,
+
+	types.RefuseUnknownDatabase: codeUnknownService,
 }
 
 // refusalCode returns the SQLSTATE of a refusal.
--- a/front/pg/server_test.go
+++ b/front/pg/server_test.go
@@ -245,7 +245,7 @@
 
 // TestEveryRefusalHasACode checks the table against the codes of the reducer.
 func TestEveryRefusalHasACode(t *testing.T) {
-	for code := types.RefuseNoLease; code <= types.RefuseNotClean; code++ {
+	for _, code := range types.RefusalCodes() {
 		for _, outcome := range []types.Outcome{types.NotRun, types.Unknown} {
 			r := &types.Refusal{Code: code, Outcome: outcome, Reason: "r"}
 			assert.Assert(t, refusalCode(r) != codeInternal, "code %d", code)
