--- a/core/types/view.go
+++ b/core/types/view.go
@@ -41,9 +41,14 @@
 	return v != nil && v.Cluster != nil && now < v.LeaseUntil
 }
 
+// Configured reports whether the view holds a configuration of the operators.
+func (v *NodeView) Configured() bool {
+	return v != nil && v.Cluster != nil && v.Cluster.Config != nil && v.Cluster.Config.Version > 0
+}
+
 // Routes reports whether the configuration routes a database name.
 func (v *NodeView) Routes(name DatabaseName) bool {
-	if v == nil || v.Cluster == nil || v.Cluster.Config == nil {
+	if !v.Configured() {
 		return false
 	}
 	_, ok := v.Cluster.Config.Routes[name]
--- a/runtime/proxy.go
+++ b/runtime/proxy.go
@@ -32,12 +32,13 @@
 	calls  *targetCalls
 	ctx    context.Context // ends with Run; probes use it
 	view   atomic.Pointer[types.NodeView]
+	first  chan struct{} // closed once a view holds a configuration
 	next   atomic.Uint64 // numbers sessions
 }
 
 // NewProxy returns a proxy that Run starts.
 func NewProxy(o ProxyOptions) *Proxy {
-	p := &Proxy{ProxyOptions: o, calls: newTargetCalls(o.Targets)}
+	p := &Proxy{ProxyOptions: o, calls: newTargetCalls(o.Targets), first: make(chan struct{})}
 	p.loop = newLoop(loopOptions{
 		reducer: o.Control, exec: p, clock: o.Clock, seed: o.Seed,
 		queue: controlQueue, thread: true,
@@ -96,8 +97,13 @@
 	}
 }
 
+// Configured is closed once the proxy has its first configuration.
+func (p *Proxy) Configured() <-chan struct{} { return p.first }
+
 func (p *Proxy) publish(v *types.NodeView) {
-	p.view.Store(v)
+	if !p.view.Swap(v).Configured() && v.Configured() {
+		close(p.first)
+	}
 	for _, s := range p.shards {
 		s.loop.viewChanged()
 	}
