Under overload answer first what can still be in time

Cause: after a restart of everything about a thousand requests wait at once, and each of them was answered in the order of arrival: all late. The queue also took requests of 8 and of 55 ms for the same work.

Change: requests that can't meet their profile's objective any more wait behind those that can; a profile is charged for the time that its statements take. Ruled out: admission; fewer refusals alone made all answers later.

--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -10,11 +10,13 @@
 // Entry is the place of a value in a Queue.
 type Entry[T any] struct {
 	Value   T
+	cost    float64
 	removed bool
 }
 
 // Queue is a weighted fair queue between profiles: start-time fair queueing
-// over one first-in-first-out list for each profile.
+// over one first-in-first-out list for each profile. What an entry costs, such
+// as its expected work, counts against its profile.
 type Queue[T any] struct {
 	lists   []*list[T] // in order of profile
 	length  int
@@ -33,14 +35,14 @@
 // Len returns the number of entries.
 func (q *Queue[T]) Len() int { return q.length }
 
-// Push adds a value at the end of its profile's list.
-func (q *Queue[T]) Push(profile types.ProfileName, weight int, v T) *Entry[T] {
+// Push adds a value at the end of its profile's list. cost is above zero.
+func (q *Queue[T]) Push(profile types.ProfileName, weight int, cost float64, v T) *Entry[T] {
 	l := q.list(profile)
 	l.weight = max(1, weight)
 	if len(l.entries) == l.dead {
 		l.start = max(l.start, q.virtual)
 	}
-	e := &Entry[T]{Value: v}
+	e := &Entry[T]{Value: v, cost: cost}
 	l.entries = append(l.entries, e)
 	q.length++
 	return e
@@ -82,7 +84,7 @@
 	e.removed = true
 	q.length--
 	q.virtual = l.start
-	l.start += 1 / float64(l.weight)
+	l.start += e.cost / float64(l.weight)
 	return e.Value, true
 }
 
--- a/core/pool/queue_test.go
+++ b/core/pool/queue_test.go
@@ -11,13 +11,13 @@
 func TestQueueSharesByWeight(t *testing.T) {
 	var q Queue[types.ProfileName]
 	for range 300 {
-		q.Push("catalog", 1, "catalog")
+		q.Push("catalog", 1, 1, "catalog")
 	}
 	for range 100 {
 		q.Pop()
 	}
 	for range 200 {
-		q.Push("orders", 3, "orders")
+		q.Push("orders", 3, 1, "orders")
 	}
 	got := make(map[types.ProfileName]int)
 	for range 100 {
@@ -31,7 +31,7 @@
 	var q Queue[int]
 	var entries []*Entry[int]
 	for i := range 10 {
-		entries = append(entries, q.Push("p", 1, i))
+		entries = append(entries, q.Push("p", 1, 1, i))
 	}
 	for _, i := range []int{0, 5, 5, 9} {
 		q.Remove("p", entries[i])
@@ -40,3 +40,19 @@
 	assert.DeepEqual(t, q.Drain(), []int{1, 2, 3, 4, 6, 7, 8})
 	assert.Equal(t, q.Len(), 0)
 }
+
+// TestQueueChargesForWork lets two profiles of equal weight wait, one of which
+// takes five times as long: both get the same time, not the same number.
+func TestQueueChargesForWork(t *testing.T) {
+	var q Queue[types.ProfileName]
+	for range 300 {
+		q.Push("short", 1, 8, "short")
+		q.Push("long", 1, 40, "long")
+	}
+	got := make(map[types.ProfileName]int)
+	for range 120 {
+		v, _ := q.Pop()
+		got[v]++
+	}
+	assert.Assert(t, got["long"] >= 19 && got["long"] <= 21, "%v of 120", got)
+}
--- a/core/session/connection.go
+++ b/core/session/connection.go
@@ -37,11 +37,11 @@
 func (s *Shard) waitingFor(svc *service) map[types.TargetName]int {
 	n := make(map[types.TargetName]int)
 	for _, q := range svc.queues {
-		if q.entries.Len() == 0 {
+		if q.len() == 0 {
 			continue
 		}
 		for _, name := range s.queueTargets(svc, q) {
-			n[name] += q.entries.Len()
+			n[name] += q.len()
 		}
 	}
 	return n
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -151,6 +151,7 @@
 	}
 	r.observed.Answered = s.now
 	r.service.target(r.target).stats.Answered(e.Took)
+	r.service.learnWork(r.profile.Name, e.Took)
 	s.takeStatus(r, e.Results[len(e.Results)-1])
 	s.stepDone(r, e.Results)
 }
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"github.com/camphorpaddle/camphorpaddle/core/pool"
 	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -19,16 +18,13 @@
 	// floorTimeout is how long a request waits for positions that may lower
 	// its session's first floor.
 	floorTimeout = 10 * time.Millisecond
+	// tookMargin is how many times the mean time of an answer has to be left for
+	// it to come in time: half of them take longer than the mean.
+	tookMargin = 2
 	// maxQueue bounds the requests that wait for one candidate set.
 	maxQueue = 4096
 )
 
-// queue holds the requests that wait for one candidate set.
-type queue struct {
-	entries    pool.Queue[*request]
-	candidates []types.TargetName // empty for primaryKey
-}
-
 // place decides what a request waits for next and puts it there.
 func (s *Shard) place(r *request) {
 	s.dirty[r.service.name] = true
@@ -81,13 +77,13 @@
 		return
 	}
 	r.stage, r.key, r.admitted = stageQueued, key, true
-	r.entry = q.entries.Push(r.profile.Name, r.profile.Weight, r)
+	q.push(r, r.service.work(r.profile.Name))
 	s.armSession(r.session)
 }
 
 // overload returns why the queue can't take the request, or nothing.
 func (s *Shard) overload(r *request, q *queue) string {
-	if q.entries.Len() >= maxQueue {
+	if q.len() >= maxQueue {
 		return "the queue is full"
 	}
 	wait := s.queueTime(r.service, q)
@@ -109,12 +105,11 @@
 	if perSecond == 0 {
 		return 0
 	}
-	return time.Duration(float64(q.entries.Len()) / perSecond * float64(time.Second))
+	return time.Duration(float64(q.len()) / perSecond * float64(time.Second))
 }
 
 func (s *Shard) unqueue(r *request) {
-	r.service.queues[r.key].entries.Remove(r.profile.Name, r.entry)
-	r.entry = nil
+	r.service.queues[r.key].remove(r)
 }
 
 // candidateSet returns the replicas that may serve the request, or the key of
@@ -205,8 +200,7 @@
 		if q == nil {
 			break
 		}
-		r, _ := q.entries.Pop()
-		r.entry = nil
+		r := q.pop()
 		if key, _ := s.candidateSet(r); key != r.key {
 			s.enqueue(r)
 			continue
@@ -216,25 +210,45 @@
 	s.dial(svc)
 }
 
-// nextQueue returns the queue whose next request arrived first among those
-// with a free connection, and the targets that have one.
+// nextQueue returns the queue whose next request is the first among those with
+// a free connection, and the targets that have one.
 func (s *Shard) nextQueue(svc *service) (*queue, []types.TargetName) {
 	var best *queue
 	var bestReady []types.TargetName
-	var bestArrived types.Instant
+	var first *request
 	for _, key := range sortedKeys(svc.queues) {
 		q := svc.queues[key]
-		r, ok := q.entries.Peek()
-		if !ok || (best != nil && r.arrived >= bestArrived) {
+		q.setAside(s.now, tookMargin*s.quickest(svc, q))
+		r, ok := q.peek()
+		if !ok || best != nil && !r.goesBefore(first) {
 			continue
 		}
 		if ready := s.readyTargets(svc, q); len(ready) > 0 {
-			best, bestReady, bestArrived = q, ready, r.arrived
+			best, bestReady, first = q, ready, r
 		}
 	}
 	return best, bestReady
 }
 
+// goesBefore orders requests of two queues: timely ones first, then by arrival.
+func (r *request) goesBefore(o *request) bool {
+	if r.late != o.late {
+		return o.late
+	}
+	return r.arrived < o.arrived
+}
+
+// quickest returns how long the quickest target of a queue takes to answer.
+func (s *Shard) quickest(svc *service, q *queue) time.Duration {
+	var least time.Duration
+	for _, name := range s.queueTargets(svc, q) {
+		if took := svc.target(name).stats.Latency(); took > 0 && (least == 0 || took < least) {
+			least = took
+		}
+	}
+	return least
+}
+
 func (s *Shard) readyTargets(svc *service, q *queue) []types.TargetName {
 	return slices.DeleteFunc(slices.Clone(s.queueTargets(svc, q)), func(n types.TargetName) bool {
 		return svc.departures.Leaving(n) || !svc.target(n).pool.Ready()
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -43,6 +43,8 @@
 
 	key   string // candidate set that it is queued for
 	entry *pool.Entry[*request]
+	cost  float64 // expected work, in seconds
+	late  bool    // it waits behind those that can be answered in time
 
 	conn    *pool.Conn // while running
 	target  types.TargetName
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/drain"
 	"github.com/camphorpaddle/camphorpaddle/core/freshness"
@@ -25,6 +26,7 @@
 	writing    int          // sessions with a write or a transaction on the primary
 	group      *types.Group // group that the shard acted on last
 	samples    freshness.Samples
+	took       map[types.ProfileName]*routing.Stats // time that statements of each profile take
 
 	// Of a managed service.
 	leader       leader
@@ -56,6 +58,7 @@
 			queues:  make(map[string]*queue),
 			waiting: make(map[*request]bool),
 			budget:  retry.NewBudget(),
+			took:    make(map[types.ProfileName]*routing.Stats),
 		}
 		s.services[name] = svc
 		svc.group = s.view.Group(name)
@@ -76,6 +79,24 @@
 	return t
 }
 
+// work returns how long a statement of a profile takes on a target.
+func (svc *service) work(name types.ProfileName) time.Duration {
+	if st := svc.took[name]; st != nil {
+		return st.Latency()
+	}
+	return 0
+}
+
+// learnWork takes in how long a statement of a profile took.
+func (svc *service) learnWork(name types.ProfileName, took time.Duration) {
+	st := svc.took[name]
+	if st == nil {
+		st = &routing.Stats{}
+		svc.took[name] = st
+	}
+	st.Answered(took)
+}
+
 // health returns the latest that is known of a target: what its last probe
 // brought, or what came with an answer to a request sent after that probe.
 func (svc *service) health(v *types.NodeView, name types.TargetName) types.TargetHealth {
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -132,7 +132,7 @@
 func (s *Shard) replaceQueued(svc *service) {
 	var all []*request
 	for _, key := range sortedKeys(svc.queues) {
-		all = append(all, svc.queues[key].entries.Drain()...)
+		all = append(all, svc.queues[key].drain()...)
 		if key != primaryKey {
 			delete(svc.queues, key)
 		}
--- a/core/types/config.go
+++ b/core/types/config.go
@@ -52,6 +52,7 @@
 	Idempotent     Idempotence
 	RequestTimeout time.Duration // from arrival to answer
 	QueueTimeout   time.Duration // longest wait for a connection
+	Objective      time.Duration // within which callers want their answers; zero states none
 	DrainTimeout   time.Duration // time a leaving target may work on
 	Weight         int           // share of the queue against other profiles
 }
--- a/settings/operators.go
+++ b/settings/operators.go
@@ -86,6 +86,7 @@
 		Durability:     choice(m, "durability", types.DurableMajority, durabilities),
 		RequestTimeout: m.duration("request_timeout", defaultRequestTimeout, timeouts),
 		QueueTimeout:   m.duration("queue_timeout", defaultQueueTimeout, timeouts),
+		Objective:      m.duration("objective", 0, span[time.Duration]{0, maxTimeout}),
 		DrainTimeout:   m.duration("drain_timeout", defaultDrainTimeout, timeouts),
 		Weight:         m.integer("weight", defaultWeight, span[int]{1, maxWeight}),
 	}
