Let a proxy that has just started begin with a follower's view

Cause: after a restart of everything a proxy had no view until a control leader was elected and had granted a lease, 0.8 s during which nothing was served.

Change: a control host that does not lead sends what it knows to be committed to a proxy that knows nothing. It brings no lease; managed services are served without one, as far as their targets fence themselves. Until control has divided the connections a proxy uses an eighth of a target's. Ruled out: an older configuration than one that this process has shown; the first view is taken only while there is none, and later ones only grow.

--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	if g.NotLeader {
-		return h.redirect(now, g)
+		return append(h.takeFirstView(g), h.redirect(now, g)...)
 	}
 	if g.Term < h.term || now >= sentAt.Add(Duration-driftMargin) {
 		return nil
@@ -173,6 +173,34 @@
 	maps.DeleteFunc(h.sent, func(other uint64, _ types.Instant) bool { return other < seq })
 }
 
+// takeFirstView takes over what a follower knows while the proxy knows nothing.
+// It brings no lease; managed services are served without one.
+func (h *Holder) takeFirstView(g proto.LeaseGrant) []effect.Effect {
+	if h.cluster != nil || g.View == nil {
+		return nil
+	}
+	h.takeView(g.View)
+	h.shares = provisionalShares(h.cluster)
+	return h.learnHosts(g.Hosts)
+}
+
+// provisionalShares returns what a proxy may use of managed targets until
+// control has divided them: they refuse what is above their limit.
+func provisionalShares(v *types.ClusterView) map[types.TargetRef]types.Share {
+	shares := make(map[types.TargetRef]types.Share)
+	for name, g := range v.Groups {
+		if !v.Config.Managed(name) {
+			continue
+		}
+		for _, m := range g.Members {
+			shares[types.TargetRef{Service: name, Name: m.Name}] = types.Share{
+				Connections: max(1, v.Config.Services[name].Connections/provisionalDivisor), Slots: 1,
+			}
+		}
+	}
+	return shares
+}
+
 // redirect asks the host that a follower named. Without a name it tries any
 // host a little later.
 func (h *Holder) redirect(now types.Instant, g proto.LeaseGrant) []effect.Effect {
--- a/core/lease/holder_test.go
+++ b/core/lease/holder_test.go
@@ -188,3 +188,27 @@
 		assert.Equal(t, removed, c.want, c.name)
 	}
 }
+
+// TestFirstViewOfAFollower lets a proxy that has just started work with what a
+// follower knows. It brings no lease, and is never taken over a later view.
+func TestFirstViewOfAFollower(t *testing.T) {
+	a := newAsker()
+	view := &proto.ViewUpdate{
+		Version: 5,
+		Config:  &types.Config{Services: map[types.ServiceName]types.Service{"s": {Name: "s", Connections: 40, Managed: true}}},
+		Groups:  []*types.Group{{Service: "s", Members: []types.Target{{Name: "t1"}}}},
+	}
+	refuse := func(now types.Instant, u *proto.ViewUpdate) {
+		r := a.last().Request
+		a.step(now, event.LeaseGranted{From: "c2", Grant: proto.LeaseGrant{
+			Proxy: r.Proxy, Seq: r.Seq, SentAt: r.SentAt, NotLeader: true, View: u,
+		}})
+	}
+	refuse(1010*ms, view)
+	assert.Equal(t, a.holder.Until(), types.Instant(0))
+	assert.Equal(t, a.holder.Cluster().Version, uint64(5))
+	assert.Equal(t, a.holder.Shares()[types.TargetRef{Service: "s", Name: "t1"}].Connections, 5)
+	a.timer(1100*ms, 0)
+	refuse(1110*ms, &proto.ViewUpdate{Version: 9, Config: &types.Config{}})
+	assert.Equal(t, a.holder.Cluster().Version, uint64(5))
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -5,6 +5,10 @@
 
 import "time"
 
+// provisionalDivisor is the part of a managed target's connections that a proxy
+// uses before control has divided them: the deployments at hand have 4 to 7.
+const provisionalDivisor = 8
+
 // Times of leases.
 const (
 	// Duration is how long a lease lasts from the request that it answers.
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -131,6 +131,11 @@
 	if t.role.Leader != t.self {
 		g.Leader = t.role.Leader
 	}
+	if r.Have == 0 {
+		// What this host knows is committed, if not the latest. A proxy that has
+		// just started may work with it where that needs no lease.
+		g.View, g.Hosts = t.state.Update(0), proto.Addresses(t.state.Voters())
+	}
 	return []effect.Effect{effect.GrantLease{Grant: g}}
 }
 
