Divide the connections equally in the first round of a control leader

Cause: a new leader counted only proxies that it had heard, so that the first one to ask got all connections of a managed target and the next ones none, until the first had given them back. Ruled out: the leases, which ended 2 s later and are not needed there.

Change: registered proxies that were not heard count like the one that asks.

Also keeps a follower's view from proxies of services that are not managed: the random system test found a restarted proxy that showed an older view than before, which the product's own promise rules out.

--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -131,7 +131,7 @@
 	if t.role.Leader != t.self {
 		g.Leader = t.role.Leader
 	}
-	if r.Have == 0 {
+	if r.Have == 0 && t.state.Config().AllManaged() {
 		// What this host knows is committed, if not the latest. A proxy that has
 		// just started may work with it where that needs no lease.
 		g.View, g.Hosts = t.state.Update(0), proto.Addresses(t.state.Voters())
--- a/core/limits/divider.go
+++ b/core/limits/divider.go
@@ -84,10 +84,8 @@
 	return out
 }
 
-// working returns the proxies that have asked this leader and may hold a lease,
-// and the new place of holds[at] among them. Those that it has not heard may
-// hold connections as well, but targets of managed services refuse what is too
-// much: nobody has to wait until the leases of processes that are gone run out.
+// working returns the proxies that may hold a lease, and the new place of
+// holds[at] among them.
 func working(holds []lease.Hold, at int) ([]lease.Hold, int) {
 	var out []lease.Hold
 	place := 0
@@ -95,7 +93,7 @@
 		if i == at {
 			place = len(out)
 		}
-		if i == at || h.Known && h.Live {
+		if i == at || h.Live {
 			out = append(out, h)
 		}
 	}
@@ -123,7 +121,14 @@
 	wants := make([]int, len(holds))
 	for i, h := range holds {
 		u := uses[h.Host]
-		if h.Live && u != nil {
+		switch {
+		case svc.Managed && !h.Known:
+			// It may hold connections as well, but the target refuses what is too
+			// much: nobody has to wait until the lease of a process that is gone
+			// runs out. It counts like the proxy that asks.
+			wants[i] = max(1, uses[holds[at].Host].wanted)
+			continue
+		case h.Live && u != nil:
 			wants[i] = max(1, u.wanted)
 		}
 		if i != at {
--- a/core/types/config.go
+++ b/core/types/config.go
@@ -99,6 +99,19 @@
 // Managed reports whether an outside service promotes the targets of a service.
 func (c *Config) Managed(service ServiceName) bool { return c != nil && c.Services[service].Managed }
 
+// AllManaged reports whether every service is a managed one.
+func (c *Config) AllManaged() bool {
+	if c == nil || len(c.Services) == 0 {
+		return false
+	}
+	for _, s := range c.Services {
+		if !s.Managed {
+			return false
+		}
+	}
+	return true
+}
+
 // Profile returns the profile that a session of service picked, or the default
 // one when name is empty.
 func (c *Config) Profile(service ServiceName, name ProfileName) (Profile, bool) {
