Explain a failed request from the logs

Each decision about a request is logged with the id that its caller gave it and with what it rests on: version of view and configuration, time left of the lease, age of the primary's position, requests that wait, time waited, tries. Served requests are logged when they were late or tried again, and one in 256 by a hash of the id. What a proxy believes (leader found, primary suspected, view applied) has lines of its own. Lines go to standard output through a bounded queue, which drops and counts while the output is blocked. paddlectl explain gathers the lines of one request and the beliefs behind it.

Decisions that a control host replays from its log at a start are not logged again.

--- a/cmd/paddle-platform/main.go
+++ b/cmd/paddle-platform/main.go
@@ -23,12 +23,24 @@
 		Usage:       "camphorpaddle on the users' platform",
 		Description: description,
 		Commands: []*cli.Command{
-			{Name: "proxy", Usage: "serve callers", Action: runProxy},
-			{Name: "control", Usage: "run a control host", Action: runControl},
+			{Name: "proxy", Usage: "serve callers", Action: logged(runProxy)},
+			{Name: "control", Usage: "run a control host", Action: logged(runControl)},
 		},
 	})
 }
 
+// logged runs a daemon with its log on standard output.
+func logged(run cli.ActionFunc) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		flush, err := cmdline.LogToStandardOutput()
+		if err != nil {
+			return err
+		}
+		defer flush()
+		return run(ctx, cmd)
+	}
+}
+
 func runProxy(ctx context.Context, cmd *cli.Command) error {
 	s, err := platform.ReadSettings(settings.RoleProxy)
 	if err != nil {
--- a/cmd/paddlectl/main.go
+++ b/cmd/paddlectl/main.go
@@ -46,7 +46,7 @@
 		},
 		Commands: []*cli.Command{
 			configCommand(), profileCommand(), statusCommand(), serviceCommand(),
-			targetCommand(), promoteCommand(), hostCommand(),
+			targetCommand(), promoteCommand(), hostCommand(), explainCommand(),
 		},
 	}
 }
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -34,9 +34,23 @@
 		Term    types.Term
 		Version uint64
 		Reason  string
+		Request string // id that the caller gave the request, if it is about one
+		Basis   *Basis // of a decision about a request
 	}
 )
 
+// Basis is what a decision about a request rests on.
+type Basis struct {
+	View        uint64        // version of the cluster view
+	Config      uint64        // version of the operators' configuration
+	LeaseLeft   time.Duration // negative once it has run out
+	Floor       types.LogPos  // that a replica had to hold
+	PositionAge time.Duration // since the primary's position was asked for; negative if none is known
+	Waiting     int           // requests of the service in queues
+	Waited      time.Duration // since the request arrived
+	Tries       int           // that were made before
+}
+
 // Decision is the kind of a recorded decision.
 type Decision string
 
@@ -56,6 +70,10 @@
 	DecideShare        Decision = "share_changed"
 	DecideRefuse       Decision = "request_refused"
 	DecideRetry        Decision = "request_retried"
+	DecideAgain        Decision = "request_put_back"
+	DecideLeaderFound  Decision = "leader_found"
+	DecideSuspect      Decision = "primary_suspected"
+	DecideView         Decision = "view_applied"
 	DecideDrain        Decision = "drain"
 )
 
@@ -185,6 +203,10 @@
 	Done     types.Instant // the caller was answered
 	Retries  int
 	Trace    types.TraceContext
+	Request  string        // id that the caller gave it
+	Floor    types.LogPos  // that a replica had to hold
+	Late     time.Duration // past the profile's objective; zero if in time
+	View     uint64        // version of the cluster view at the end
 }
 
 func (ArmTimer) isEffect()      {}
--- a/core/freshness/samples.go
+++ b/core/freshness/samples.go
@@ -34,6 +34,14 @@
 // Primary returns the primary that the samples are of, or "".
 func (s *Samples) Primary() types.TargetName { return s.primary }
 
+// Latest returns when the latest position was asked for, or zero.
+func (s *Samples) Latest() types.Instant {
+	if len(s.list) == 0 {
+		return 0
+	}
+	return s.list[len(s.list)-1].asked
+}
+
 // Add remembers a position that the primary held at or after the instant asked.
 // Of samples with the same position the latest is enough: what it covers, the
 // earlier ones cover too.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -115,8 +116,9 @@
 	}
 	var out []effect.Effect
 	if view := n.holder.Cluster(); view != n.cluster {
+		out = n.applied(view)
 		n.cluster, n.changed = view, true
-		out = n.prober.SetView(view, n.now)
+		out = append(out, n.prober.SetView(view, n.now)...)
 	}
 	if n.prober.TakeNews() {
 		out = append(out, n.holder.Hurry(n.now)...)
@@ -124,6 +126,17 @@
 	return out
 }
 
+// applied records a view with another configuration.
+func (n *Node) applied(view *types.ClusterView) []effect.Effect {
+	if view.Config == nil || n.cluster != nil && n.cluster.Config == view.Config {
+		return nil
+	}
+	return []effect.Effect{effect.Decide{
+		Kind: effect.DecideView, Host: n.options.Host, Version: view.Version,
+		Reason: fmt.Sprintf("brought configuration %d", view.Config.Version),
+	}}
+}
+
 // publish gives the shards a new view if anything in it changed. Positions that
 // no shard waits for are put together.
 func (n *Node) publish() []effect.Effect {
--- a/core/reducer.go
+++ b/core/reducer.go
@@ -32,6 +32,7 @@
 // that one part has for the others come back as events within the same step.
 func (r *Reducer) Step(in event.Input) []effect.Effect {
 	var out []effect.Effect
+	_, starting := in.Event.(event.Start)
 	queue := []event.Event{in.Event}
 	for len(queue) > 0 {
 		in.Event, queue = queue[0], queue[1:]
@@ -41,6 +42,9 @@
 					queue = append(queue, next)
 					continue
 				}
+				if _, decided := eff.(effect.Decide); decided && starting {
+					continue // replayed from the log; an earlier run recorded it
+				}
 				out = append(out, eff)
 			}
 		}
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -259,7 +259,7 @@
 	}
 	r.retries++
 	r.stage, r.retryAt = stageBackoff, at
-	s.emit(effect.Decide{Kind: effect.DecideRetry, Service: r.service.name, Target: r.target, Host: s.options.Host, Reason: reason})
+	s.decide(r, effect.DecideRetry, reason)
 	s.armSession(r.session)
 	return true
 }
--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/retry"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -52,12 +53,29 @@
 			known = leader{name: m.Name, term: h.Term}
 		}
 	}
+	if known != svc.leader {
+		s.emit(effect.Decide{
+			Kind: effect.DecideLeaderFound, Service: svc.name, Target: known.name, Host: s.options.Host, Term: known.term,
+			Version: s.seen(), Reason: known.source(),
+		})
+	}
 	svc.leader = known
 	if known.name != "" {
 		svc.samples.Follow(known.name, known.term)
 	}
 }
 
+// source says how the leader is known.
+func (l leader) source() string {
+	switch {
+	case l.name == "":
+		return "the view names none"
+	case l.leased:
+		return "the view names it"
+	}
+	return "it says so itself, in a later term than the view's"
+}
+
 // primaryOf returns the member that takes a service's writes, or "".
 func (s *Shard) primaryOf(svc *service) types.TargetName {
 	if svc.managed(s.view) {
@@ -167,6 +185,7 @@
 		s.refuse(r, types.RefuseOverloaded, types.NotRun, reason)
 		return
 	}
+	s.decide(r, effect.DecideAgain, reason)
 	r.retries++
 	r.stage, r.retryAt = stageBackoff, at
 	s.armSession(r.session)
@@ -224,6 +243,10 @@
 func (s *Shard) suspect(svc *service) {
 	if s.now >= svc.suspectUntil {
 		s.reports.urgent = true
+		s.emit(effect.Decide{
+			Kind: effect.DecideSuspect, Service: svc.name, Target: svc.leader.name, Host: s.options.Host,
+			Term: svc.leader.term, Version: s.seen(), Reason: "it failed or refused a request",
+		})
 	}
 	svc.suspectUntil = s.now.Add(suspectFor)
 }
@@ -261,6 +284,7 @@
 		s.refuse(r, code, r.outcome(), reason)
 		return
 	}
+	s.decide(r, effect.DecideAgain, reason)
 	r.retries++
 	if pause == 0 {
 		s.place(r)
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -222,7 +222,7 @@
 	s.abandon(r)
 	ref := refusal(code, o, reason)
 	s.emit(effect.RefuseCaller{Session: c.id, Seq: r.Seq, Refusal: ref})
-	s.emit(effect.Decide{Kind: effect.DecideRefuse, Service: c.service, Target: r.target, Host: s.options.Host, Reason: reason})
+	s.decide(r, effect.DecideRefuse, reason)
 	s.finish(r, code)
 	if c.inTransaction() {
 		s.endSession(c, refusal(types.RefuseNotClean, o, "the connection of the transaction was closed: "+reason))
@@ -252,6 +252,7 @@
 	o.Class, o.Replica, o.Refusal = r.Class, r.replica, code
 	o.Arrived, o.Done = r.arrived, s.now
 	o.Retries, o.Trace = r.retries, r.Trace
+	o.Request, o.Floor, o.Late, o.View = r.Label, r.floor, r.lateBy(s.now), s.seen()
 	s.emit(effect.Observe{Observation: o})
 	r.session.request = nil
 }
--- a/core/types/request.go
+++ b/core/types/request.go
@@ -37,7 +37,8 @@
 	ID         RequestID // set when it must run at most once
 	Idempotent bool      // the caller allows a second run
 	Payload    Payload
-	Bytes      int // size of the payload
+	Bytes      int    // size of the payload
+	Label      string // id that the caller gave it, for logs
 	Trace      TraceContext
 	Setup      *Setup // state that the connection must hold; nil asks for none
 
--- a/internal/cmdline/daemon.go
+++ b/internal/cmdline/daemon.go
@@ -19,6 +19,11 @@
 	return &cli.Command{
 		Name: "run", Usage: usage, Flags: []cli.Flag{ConfigFlag()},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
+			flush, err := LogToStandardOutput()
+			if err != nil {
+				return err
+			}
+			defer flush()
 			s, err := DaemonSettings(cmd, role)
 			if err != nil {
 				return err
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -5,16 +5,25 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 )
 
-// requestLinesPerSecond bounds the log lines about single requests: refusals
-// and retries. The metrics count all of them.
-const requestLinesPerSecond = 20
+const (
+	// requestLinesPerSecond bounds the log lines about single requests. The
+	// metrics count all of them.
+	requestLinesPerSecond = 50
+	// servedSample is how many requests there are for one whose line is written
+	// although it was served in time at the first try. It is chosen by a hash of
+	// the id, so that all processes write about the same ones.
+	servedSample = 256
+)
 
 // decisionLog writes one line for each decision.
 type decisionLog struct {
+	host       types.HostID
 	fixed      []any // key=value pairs that every line begins with
 	now        func() time.Time
 	second     time.Time // begin of the second that lines were counted in
@@ -24,6 +33,7 @@
 
 func newDecisionLog(o Options, now func() time.Time) *decisionLog {
 	return &decisionLog{
+		host:  o.Host,
 		fixed: []any{"role", o.Role, "host", o.Host, "availability_zone", o.AvailabilityZone},
 		now:   now,
 	}
@@ -56,11 +66,72 @@
 	if d.Version != 0 {
 		out = append(out, "version", d.Version)
 	}
+	if d.Request != "" {
+		out = append(out, "request", d.Request)
+	}
+	if d.Basis != nil {
+		out = append(out, basisPairs(d.Basis)...)
+	}
+	out = l.countSuppressed(out)
+	return append(out, "reason", oneLine(d.Reason))
+}
+
+// countSuppressed adds how many lines were left out since the last one.
+func (l *decisionLog) countSuppressed(pairs []any) []any {
 	if l.suppressed > 0 {
-		out = append(out, "suppressed_before", l.suppressed)
+		pairs = append(pairs, "suppressed_before", l.suppressed)
 		l.suppressed = 0
 	}
-	return append(out, "reason", oneLine(d.Reason))
+	return pairs
+}
+
+func basisPairs(b *effect.Basis) []any {
+	out := []any{
+		"view", b.View, "config", b.Config, "lease_left_ms", b.LeaseLeft.Milliseconds(),
+		"waited_ms", b.Waited.Milliseconds(), "waiting", b.Waiting, "tries", b.Tries,
+	}
+	if b.PositionAge >= 0 {
+		out = append(out, "position_age_ms", b.PositionAge.Milliseconds())
+	}
+	if b.Floor != (types.LogPos{}) {
+		out = append(out, "floor", b.Floor.String())
+	}
+	return out
+}
+
+// served writes a line about a request that was answered, if it was late or
+// tried again, or belongs to the sample.
+func (l *decisionLog) served(o *effect.Observation) {
+	notable := o.Late > 0 || o.Retries > 0
+	if o.Request == "" || o.Refusal != 0 || !notable && xxhash.Sum64String(o.Request)%servedSample != 0 {
+		return
+	}
+	if !l.allow() {
+		l.suppressed++
+		return
+	}
+	klog.InfoS("request_served", l.servedPairs(o)...)
+}
+
+func (l *decisionLog) servedPairs(o *effect.Observation) []any {
+	out := append([]any(nil), l.fixed...)
+	out = append(out, "request", o.Request, "service", o.Service, "profile", o.Profile, "target", o.Target,
+		"replica", o.Replica, "view", o.View, "tries", o.Retries,
+		"queued_ms", between(o.Floored, o.Assigned), "target_ms", between(o.Assigned, o.Answered),
+		"took_ms", between(o.Arrived, o.Done), "late_ms", o.Late.Milliseconds())
+	if o.Floor != (types.LogPos{}) {
+		out = append(out, "floor", o.Floor.String())
+	}
+	return l.countSuppressed(out)
+}
+
+// between returns the time between two instants in ms, or -1 if one was not
+// reached.
+func between(from, to types.Instant) int64 {
+	if from == 0 || to < from {
+		return -1
+	}
+	return to.Sub(from).Milliseconds()
 }
 
 // Reason returns the message of an error on one line, for logs.
@@ -71,7 +142,7 @@
 
 // aboutRequest reports whether decisions of a kind come with single requests.
 func aboutRequest(k effect.Decision) bool {
-	return k == effect.DecideRefuse || k == effect.DecideRetry
+	return k == effect.DecideRefuse || k == effect.DecideRetry || k == effect.DecideAgain
 }
 
 // allow reports whether another line about a request fits in this second.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -193,6 +193,8 @@
 	types.RefuseDraining:       "draining",
 	types.RefuseTooLarge:       "too_large",
 	types.RefuseNotClean:       "transaction_lost",
+
+	types.RefuseUnknownDatabase: "unknown_database",
 }
 
 func refusalName(c types.RefusalCode) string {
--- a/telemetry/recorder.go
+++ b/telemetry/recorder.go
@@ -14,6 +14,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/runtime"
 	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
 )
 
 // recordQueue is how many records may wait to be written.
@@ -141,12 +142,14 @@
 func (r *Recorder) write(rec record) {
 	if n := r.dropped.Swap(0); n > 0 {
 		r.metrics.dropped.Inc(n)
+		klog.InfoS("records_dropped", "host", r.log.host, "count", n, "reason", "the queue of records was full")
 	}
 	switch {
 	case rec.decision != nil:
 		r.log.decision(rec.decision)
 		r.metrics.decision(rec.decision)
 	case rec.observation != nil:
+		r.log.served(rec.observation)
 		r.metrics.observation(rec.observation)
 		if r.spans != nil {
 			r.spans.observation(rec.observation)
