--- a/core/session/place.go
+++ b/core/session/place.go
@@ -86,15 +86,19 @@
 	if q.len() >= maxQueue {
 		return "the queue is full"
 	}
-	wait := s.queueTime(r.service, q)
-	if admissionMargin*wait > r.queueDeadline.Sub(s.now) {
+	ahead, margin := q.len(), time.Duration(admissionMargin)
+	if r.profile.Objective > 0 {
+		ahead, margin = q.timely.Len(), 1 // what is late already waits behind it
+	}
+	wait := s.queueTime(r.service, q, ahead)
+	if margin*wait > r.queueDeadline.Sub(s.now) {
 		return "the queue would take " + wait.String()
 	}
 	return ""
 }
 
-// queueTime estimates how long a request that joins the queue will wait.
-func (s *Shard) queueTime(svc *service, q *queue) time.Duration {
+// queueTime estimates how long a request waits behind as many others.
+func (s *Shard) queueTime(svc *service, q *queue, ahead int) time.Duration {
 	var perSecond float64
 	for _, name := range s.queueTargets(svc, q) {
 		t := svc.target(name)
@@ -105,7 +109,7 @@
 	if perSecond == 0 {
 		return 0
 	}
-	return time.Duration(float64(q.len()) / perSecond * float64(time.Second))
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
 }
 
 func (s *Shard) unqueue(r *request) {
