--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -56,21 +56,35 @@
 	return r.deadline
 }
 
-// transactionUntil returns until when the session's transaction may go on
-// because its target leaves.
+// transactionUntil returns until when the session's transaction may go on, and
+// whether there is a bound: its target leaves, or its caller has been idle.
 func (s *Shard) transactionUntil(c *session) (types.Instant, bool) {
 	if !c.inTransaction() {
 		return 0, false
 	}
 	svc := s.services[c.service]
-	return svc.departures.Deadline(c.conn.Ref.Name, c.profile.DrainTimeout)
+	until, bounded := svc.departures.Deadline(c.conn.Ref.Name, c.profile.DrainTimeout)
+	if idle, ok := s.idleUntil(c); ok && (!bounded || idle < until) {
+		until, bounded = idle, true
+	}
+	return until, bounded
+}
+
+// idleUntil returns until when a transaction may wait for its caller's next
+// statement.
+func (s *Shard) idleUntil(c *session) (types.Instant, bool) {
+	if c.request != nil || s.view == nil || s.view.Cluster == nil || s.view.Cluster.Config == nil {
+		return 0, false
+	}
+	limit := s.view.Cluster.Config.TransactionIdle
+	return c.answered.Add(limit), limit > 0
 }
 
 // sessionDue acts on what is due of a session.
 func (s *Shard) sessionDue(c *session) {
 	c.timerAt = 0
 	if until, ok := s.transactionUntil(c); ok && s.now >= until {
-		s.endTransaction(c, types.RefuseNotClean, leavingReason(c.conn.Ref.Name))
+		s.endTransaction(c, types.RefuseNotClean, s.endReason(c))
 		return
 	}
 	if r := c.request; r != nil && s.requestIsDue(r) {
@@ -80,6 +94,14 @@
 	s.armSession(c)
 }
 
+// endReason says why a transaction may not go on.
+func (s *Shard) endReason(c *session) string {
+	if idle, ok := s.idleUntil(c); ok && s.now >= idle {
+		return fmt.Sprintf("the transaction was idle for %s", s.now.Sub(c.answered))
+	}
+	return leavingReason(c.conn.Ref.Name)
+}
+
 // endTransaction ends a transaction that can't be committed any more, and its
 // session.
 func (s *Shard) endTransaction(c *session, code types.RefusalCode, reason string) {
--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -289,3 +289,22 @@
 	e, _ := d.sent()
 	assert.Equal(t, e.Operations[0].Floor, token)
 }
+
+func TestIdleTransactionIsEnded(t *testing.T) {
+	d := newManagedDriver(t)
+	d.config.TransactionIdle = 100 * time.Millisecond
+	d.setView(func(*types.NodeView, *types.Group) {})
+	d.openDatabase(1, "orders")
+	d.ask(1, types.Request{Begins: true, Fenced: true, Discards: true, Payload: "begin"})
+	e, _ := d.sent()
+	d.answerAs(e, types.TxOpen, types.TargetStatus{})
+	d.advance(80 * time.Millisecond)
+	d.ask(1, types.Request{Discards: true, Fenced: true, Payload: "write"})
+	e, _ = d.sent()
+	d.answerAs(e, types.TxOpen, types.TargetStatus{})
+	d.advance(90 * time.Millisecond)
+	assert.Equal(t, len(d.ended), 0, "a statement came meanwhile")
+	d.advance(20 * time.Millisecond)
+	assert.Equal(t, len(d.ended), 1)
+	assert.Assert(t, d.closed[e.Conn], "the target still holds the transaction")
+}
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -211,6 +211,7 @@
 	r.answer.Floor = c.floor.seen
 	s.emit(effect.AnswerCaller{Session: c.id, Seq: r.Seq, Answer: r.answer})
 	s.finish(r, 0)
+	c.answered = s.now
 	s.afterRequest(c)
 }
 
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -21,6 +21,7 @@
 	conn      *pool.Conn
 	onReplica bool
 	profile   types.Profile // of the last request in it
+	answered  types.Instant // when the last request in it was answered
 
 	// Counted in the shard's reports.
 	busy    bool
--- a/settings/operators.go
+++ b/settings/operators.go
@@ -43,6 +43,7 @@
 		Profiles: make(map[types.ProfileName]types.Profile),
 	}
 	proxies := root.integer("proxies", 1, span[int]{1, maxProxies})
+	cfg.TransactionIdle = root.duration("transaction_idle", 0, span[time.Duration]{0, maxTimeout})
 	root.need("profiles")
 	for _, e := range root.sub("profiles").entries {
 		p := d.profile(e)
