Keep leaving out a failed primary; let an ordered change wait for replicas

Cause: an attempt that failed forgot which primary the proxies can't reach, so that the next one took it over again, as control still reached it; and when no other member answered, an attempt waited for ever for one. A primary that leaves while its replicas are 2 s behind was replaced by one that lacked its commits.

Change: the failed primary stays left out for 2 s over all attempts; an ordered change of a managed group waits up to 3 s for a replica that holds everything. Ruled out: quiescing, which worked.

--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -19,6 +19,14 @@
 	// readPatience is how long positions of a majority are awaited before fewer
 	// are enough.
 	readPatience = 800 * time.Millisecond
+	// managedCatchUp is how long an ordered change waits for a replica to hold
+	// all that the primary holds. A primary that leaves goes on for 7 s on the
+	// platforms at hand, of which quiescing and the promotion take up to 3 s.
+	managedCatchUp = 3 * time.Second
+	// avoidBound is how long an attempt leaves out the primary that the proxies
+	// can't reach. If no other member can be promoted by then, it is better than
+	// none.
+	avoidBound = 2 * time.Second
 )
 
 // managed reports whether an outside service promotes the group's members.
@@ -27,6 +35,9 @@
 // chooseManaged returns the member that leads already, or the furthest one once
 // enough have answered. Replication is asynchronous, so no majority is needed.
 func (m *Manager) chooseManaged(now types.Instant, g *types.Group, r *run) (t types.Target, leads, ok bool) {
+	if !r.ordered && now.Sub(r.began) >= avoidBound {
+		r.avoid = ""
+	}
 	if t, ok := leading(g, r); ok {
 		return t, true, true
 	}
--- a/core/promotion/run.go
+++ b/core/promotion/run.go
@@ -56,6 +56,9 @@
 		answers: make(map[types.TargetName]types.TargetStatus),
 		asked:   make(map[types.TargetName]types.Instant),
 	}
+	if m.managed(g) {
+		gr.run.catchUp = now.Add(managedCatchUp)
+	}
 	gr.run.avoid, gr.avoid = gr.avoid, ""
 	gr.prefer, gr.demoted, gr.quiesced, gr.ordered = "", 0, 0, false
 	return m.drive(now, c.Service)
@@ -212,6 +215,9 @@
 // primary without saying so.
 func (m *Manager) giveUp(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	reason := gr.run.refusedReason()
+	if m.managed(g) {
+		gr.avoid = gr.run.avoid // its failure is still the reason for the next attempt
+	}
 	gr.run = nil
 	return m.beginTerm(now, g, gr, reason)
 }
--- a/core/promotion/target_test.go
+++ b/core/promotion/target_test.go
@@ -67,6 +67,9 @@
 		}
 		t.term, t.primary, t.leader = op.Term, true, ""
 	case types.OpFollow:
+		if t.world.outside != nil {
+			break // the outside service has them follow
+		}
 		if op.Term < t.term {
 			return types.Result{Err: types.TargetErrStaleTerm}
 		}
@@ -121,6 +124,10 @@
 }
 
 func (w *world) callTarget(p *process, e effect.CallTarget) {
+	if w.outside != nil && e.Operation.Kind == types.OpPromote {
+		w.outside.promote(p, e)
+		return
+	}
 	w.ask(string(p.id), e.Target.Name, e.Operation, e.Timeout, func(r types.Result, err error) {
 		p.step(event.TargetReplied{Call: e.Call, Err: err, Result: r})
 	})
--- a/core/promotion/world_test.go
+++ b/core/promotion/world_test.go
@@ -41,6 +41,7 @@
 	replies map[uint64]proto.OperatorReply
 	ms      time.Duration   // millisecond of the last event
 	inMs    int             // events in it
+	outside *outsideService // promotes the targets of a managed service
 	cut     map[string]bool // processes and targets that nobody reaches, and ways as from>to
 }
 
@@ -79,6 +80,13 @@
 }
 
 func newWorld(t *testing.T, hosts, proxies, targets int) *world {
+	w := emptyWorld(t)
+	w.fill(hosts, proxies, targets)
+	w.configure(targets)
+	return w
+}
+
+func emptyWorld(t *testing.T) *world {
 	w := &world{
 		t:     t,
 		hosts: map[types.HostID]*process{}, proxies: map[types.HostID]*process{},
@@ -87,6 +95,11 @@
 	}
 	w.Cluster = coretest.NewCluster(1, func(h *coretest.Host) coretest.Stepper { return w.process(h.ID) })
 	w.Effect = func(h *coretest.Host, eff effect.Effect) { w.process(h.ID).execute(eff) }
+	return w
+}
+
+// fill starts the processes and targets.
+func (w *world) fill(hosts, proxies, targets int) {
 	for i := range hosts {
 		w.addHost(types.HostID(fmt.Sprint("c", i+1)))
 	}
@@ -97,8 +110,6 @@
 		w.addTarget(types.TargetName(fmt.Sprint("t", i+1)))
 	}
 	w.elect("c1")
-	w.configure(targets)
-	return w
 }
 
 func (w *world) addHost(id types.HostID) {
