Count positions of probes only under a lease

Cause: a primary that was replaced behind a partition may still take itself for one. Its answers to probes were samples of the primary's position also for a proxy without a lease, whose reads by age could then lack commits of the next primary.

Change: a probe counts while a live lease rules out another primary. Without one a read goes to the primary in a transaction that it refuses once replaced, and that answer is a sample. Probes count from a service's first request on, too.

--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -144,9 +144,11 @@
 	}
 }
 
-// sampleProbe takes over the primary's position from the last view.
+// sampleProbe takes over the primary's position from the last view. A primary
+// that was replaced may take itself for one, so that the position counts only
+// while a lease rules that out.
 func (s *Shard) sampleProbe(svc *service) {
-	if !svc.managed(s.view) || svc.leader.name == "" {
+	if !svc.managed(s.view) || !svc.leader.leased || !s.leaseLive() {
 		return
 	}
 	if h := s.probed(svc, svc.leader.name); h.Primary && h.Term == svc.leader.term {
--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -308,3 +308,24 @@
 	assert.Equal(t, len(d.ended), 1)
 	assert.Assert(t, d.closed[e.Conn], "the target still holds the transaction")
 }
+
+// TestProbeWithoutALeaseIsNoSample covers a primary that was replaced behind a
+// partition and still takes itself for one: what it says of its position tells
+// nothing about later commits.
+func TestProbeWithoutALeaseIsNoSample(t *testing.T) {
+	for _, leased := range []bool{true, false} {
+		d := newManagedDriver(t)
+		if !leased {
+			d.endLease()
+		}
+		d.setView(func(v *types.NodeView, _ *types.Group) {
+			h := v.Health[ref("a")]
+			h.AskedAt, h.HeardAt, h.Pos = d.now, d.now, logPos(40)
+			v.Health[ref("a")] = h
+		})
+		d.openDatabase(1, "catalog")
+		d.readOnce(1)
+		_, name := d.sent()
+		assert.Equal(t, name != "a", leased, "lease %v: sent to %s", leased, name)
+	}
+}
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -63,6 +63,7 @@
 		s.services[name] = svc
 		svc.group = s.view.Group(name)
 		s.followLeader(svc)
+		s.sampleProbe(svc)
 		s.updateTargets(svc)
 		s.followCatchUp(svc)
 	}
