--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -152,7 +152,7 @@
 	r.observed.Answered = s.now
 	r.service.target(r.target).stats.Answered(e.Took)
 	r.service.learnWork(r.profile.Name, e.Took)
-	s.takeStatus(r, e.Results[len(e.Results)-1])
+	s.takeStatus(r, e.Results[0], e.Results[len(e.Results)-1])
 	s.stepDone(r, e.Results)
 }
 
@@ -171,14 +171,14 @@
 }
 
 // takeStatus keeps the status of the target when the exchange ended with it.
-func (s *Shard) takeStatus(r *request, last types.Result) {
+func (s *Shard) takeStatus(r *request, first, last types.Result) {
 	r.positioned = false
 	if last.Err != types.TargetErrNone || last.Status == (types.TargetStatus{}) {
 		return
 	}
 	r.positioned, r.status = true, last.Status
 	if r.service.managed(s.view) {
-		s.takePosition(r)
+		s.takePosition(r, first)
 	}
 	r.service.learn(r.target, last.Status, r.sentAt, s.now)
 }
--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -127,10 +127,10 @@
 	s.armSession(r.session)
 }
 
-// takePosition keeps the position that came with an answer. An answer of the
-// primary shows that it led when the request was sent: a lease or the target
-// itself vouched for that.
-func (s *Shard) takePosition(r *request) {
+// takePosition keeps the position that came with an answer. A primary that ran
+// the request led when it was sent: a lease or the target itself vouched for
+// that. One that did not run it may have been replaced.
+func (s *Shard) takePosition(r *request, res types.Result) {
 	t := r.service.target(r.target)
 	r.status.Term, r.status.Primary = r.sentTerm, !r.replica
 	lead := r.service.leader
@@ -139,11 +139,16 @@
 		if r.status.Pos.Compare(t.behind.floor) >= 0 {
 			t.behind = behind{}
 		}
-	case lead.name == r.target && lead.term == r.sentTerm:
+	case lead.name == r.target && lead.term == r.sentTerm && ran(res):
 		r.service.samples.Add(r.sentAt, r.status.Pos)
 	}
 }
 
+// ran reports whether the target ran an operation.
+func ran(res types.Result) bool {
+	return res.Err == types.TargetErrNone || res.Err == types.TargetErrStatement
+}
+
 // sampleProbe takes over the primary's position from the last view. A primary
 // that was replaced may take itself for one, so that the position counts only
 // while a lease rules that out.
--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -329,3 +329,20 @@
 		assert.Equal(t, name != "a", leased, "lease %v: sent to %s", leased, name)
 	}
 }
+
+// TestRejectedAnswerIsNoSample covers a primary that was replaced and says so:
+// its position tells nothing about the commits of the next one.
+func TestRejectedAnswerIsNoSample(t *testing.T) {
+	for _, kind := range []types.TargetErrorKind{types.TargetErrReadOnly, types.TargetErrBusy} {
+		d := newManagedDriver(t)
+		d.endLease()
+		d.openDatabase(1, "orders")
+		d.openDatabase(2, "catalog")
+		d.writeOnce(1)
+		e, _ := d.sent()
+		d.step(answered(e, []types.Result{{Err: kind}, {Status: types.TargetStatus{Pos: logPos(40)}}}))
+		d.readOnce(2)
+		e, name := d.sent()
+		assert.Equal(t, name, types.TargetName("a"), "error %d gave a floor %v", kind, e.Operations[0].Floor)
+	}
+}
