Let a new group wait for the member that leads already

Cause: a managed group began its first term as soon as one member was known. When that was a replica, it was promoted, although the primary had only not announced itself yet: a needless change of primary, which can roll back commits. Ruled out: load; the log shows the promotion 60 ms after the first heartbeat.

Change: while a group has no history, only a member that leads is taken over for 5 s; then the furthest one is promoted.

--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -23,6 +23,10 @@
 	// all that the primary holds. A primary that leaves goes on for 7 s on the
 	// platforms at hand, of which quiescing and the promotion take up to 3 s.
 	managedCatchUp = 3 * time.Second
+	// formBound is how long a new group waits for a member that leads already
+	// before one is promoted. Members announce themselves every 1.2 s on the
+	// platforms at hand, and may have to try three hosts for 1 s each.
+	formBound = 5 * time.Second
 	// avoidBound is how long an attempt leaves out the primary that the proxies
 	// can't reach. If no other member can be promoted by then, it is better than
 	// none.
@@ -41,6 +45,9 @@
 	if t, ok := leading(g, r); ok {
 		return t, true, true
 	}
+	if len(g.History) == 0 && now.Sub(r.began) < formBound {
+		return t, false, false // the primary may announce itself yet
+	}
 	answered := len(r.answers)
 	if r.quorum == 0 && (answered >= types.Quorum(len(g.Members)) || answered > 0 && now.Sub(r.began) >= readPatience) {
 		r.quorum = now
--- a/core/promotion/managed_test.go
+++ b/core/promotion/managed_test.go
@@ -85,10 +85,17 @@
 // startedManaged returns a world whose group was taken over from the outside
 // service.
 func startedManaged(t *testing.T) *world {
+	t.Helper()
+	return startManaged(t, func(*world) {})
+}
+
+// startManaged lets prepare change the world before anything is configured.
+func startManaged(t *testing.T, prepare func(w *world)) *world {
 	t.Helper()
 	w := emptyWorld(t)
 	w.outside = &outsideService{world: w, late: 4 * time.Second}
 	w.fill(3, 4, 3)
+	prepare(w)
 	for name, target := range w.targets {
 		target.term, target.primary = firstLogTerm, name == "t2"
 		if !target.primary {
@@ -109,6 +116,33 @@
 	assert.Equal(t, len(w.outside.tokens), 0, "a member that leads already was promoted")
 }
 
+// TestPrimaryThatAnnouncesItselfLast lets the replicas be known before the
+// primary, which must not be replaced for that.
+func TestPrimaryThatAnnouncesItselfLast(t *testing.T) {
+	w := startManaged(t, func(w *world) {
+		w.cut["t2"] = true
+		w.Schedule(time.Second, func() { delete(w.cut, "t2") }) // announces itself at the next try
+	})
+	assert.Equal(t, w.group().Primary, types.TargetName("t2"))
+	assert.Equal(t, len(w.outside.tokens), 0, "the primary was replaced before it was known")
+}
+
+// TestGroupWithoutAPrimaryAtTheStart promotes a member when none ever says that
+// it leads.
+func TestGroupWithoutAPrimaryAtTheStart(t *testing.T) {
+	w := emptyWorld(t)
+	w.outside = &outsideService{world: w}
+	w.fill(3, 4, 3)
+	w.targets["t2"].down = true
+	for _, target := range w.targets {
+		target.term = firstLogTerm
+	}
+	w.change(1, map[types.ServiceName]types.Service{service: {Name: service, Connections: 20, Managed: true}})
+	_, ok := w.run(2*managedFailover, func() bool { return w.serving(1) })
+	assert.Assert(t, ok, "nobody leads: %+v", w.group())
+	assert.Equal(t, len(w.outside.tokens), 1)
+}
+
 func TestManagedFailover(t *testing.T) {
 	for name, fail := range map[string]func(w *world, old *fakeTarget){
 		"killed":               func(_ *world, old *fakeTarget) { old.down = true },
