Make the test of a read without a lease fail when the fence is off

Cause: TestReadWithoutALeaseOnAReplacedPrimary did not look at what was sent, and passed with needsFence switched off. It now asserts that the read begins with the proxy's own transaction at both primaries, and fails without it; no check was taken away.

--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -159,6 +159,8 @@
 	d.openDatabase(1, "orders")
 	d.endLease()
 	seq := d.readOnce(1)
+	e, _ := d.sent()
+	assert.DeepEqual(t, operationKinds(e), []types.OperationKind{types.OpBegin})
 	d.reject(types.TargetErrReadOnly, types.TxIdle)
 	assert.Assert(t, len(d.lastReport().Suspect) == 1, "nobody looks for the new primary")
 	d.setView(func(v *types.NodeView, g *types.Group) {
@@ -170,6 +172,7 @@
 	d.connect()
 	e, name := d.sent()
 	assert.Equal(t, name, types.TargetName("b"), "the new primary named itself")
+	assert.DeepEqual(t, operationKinds(e), []types.OperationKind{types.OpBegin})
 	d.answerAs(e, types.TxOpen, types.TargetStatus{})
 	d.reply(3)
 	assert.Assert(t, d.answered(seq))
