Take the position of a busy primary, and no time from what it rejects

Each proxy then knew one position a few ms old (position_age_ms=27, floor 1:313), which no replica holds at a mean lag of 90 ms, so that the reads went to the primary and kept it busy. Rejections also counted as answers of 1 ms, which made a full target look quick.

Change: what a primary has no room for gives its position while a lease rules out another primary; a probe that is answered BUSY keeps the position current; only what ran counts for the time of an answer.

Ruled out: replicas that go on lagging (they serve the same floors once these are 100 ms older), the share of connections (228 a member).

Tests, failing before: TestBusyPrimaryGivesItsPosition, TestRejectionIsNoAnswerTime, TestBusyTargetKeepsItsPositionCurrent.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -104,7 +104,7 @@
 		Ref     types.TargetRef
 		AskedAt types.Instant
 		Err     error
-		Busy    bool // the target answered that it has no room to say more
+		Busy    bool // the target had no room to say more than its position, if that
 		Status  types.TargetStatus
 	}
 	// Announced is an announcement that a target made to this proxy.
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -341,6 +341,10 @@
 	t.health.HeardAt = now
 	if e.Busy {
 		p.notice(t, now)
+		if e.Status.Pos != (types.LogPos{}) && e.Status.Pos.Compare(t.health.Pos) >= 0 && t.health.AskedAt != 0 {
+			t.health.AskedAt, t.health.Pos = e.AskedAt, e.Status.Pos
+			p.refresh(e.Ref, t)
+		}
 		return nil
 	}
 	t.health.AskedAt = e.AskedAt
--- a/core/probe/prober_test.go
+++ b/core/probe/prober_test.go
@@ -160,3 +160,20 @@
 		})
 	})
 }
+
+// TestBusyTargetKeepsItsPositionCurrent covers an overloaded primary, which
+// answers no more than where it stands.
+func TestBusyTargetKeepsItsPositionCurrent(t *testing.T) {
+	p, _ := started(1000 * ms)
+	answer(p, primary, 1000*ms, 1001*ms, 5)
+	p.Step(event.Input{Now: 1102 * ms, Event: event.Probed{
+		Ref: primary, AskedAt: 1100 * ms, Busy: true, Status: types.TargetStatus{Pos: types.LogPos{Term: 1, Offset: 9}},
+	}})
+	h := p.Health()[primary]
+	assert.Equal(t, h.Pos.Offset, uint64(9))
+	assert.Equal(t, h.AskedAt, 1100*ms)
+	assert.Assert(t, h.Primary && h.Term == 1)
+
+	p.Step(event.Input{Now: 1202 * ms, Event: event.Probed{Ref: primary, AskedAt: 1200 * ms, Busy: true}})
+	assert.Equal(t, p.Health()[primary].AskedAt, 1100*ms, "an answer without a position tells none")
+}
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -71,6 +71,7 @@
 	}
 	r.stage, r.step, r.sentAt = stageRunning, st, s.now
 	r.sentTerm = s.termOf(r)
+	r.sentLeased = s.leaseLive() && r.service.leader.leased
 	r.chosenAt = r.service.health(s.view, r.target).Pos
 	setup := r.conn.Prepare(r.Setup)
 	r.setup = len(setup)
@@ -150,8 +151,10 @@
 		return
 	}
 	r.observed.Answered = s.now
-	r.service.target(r.target).stats.Answered(e.Took)
-	r.service.learnWork(r.profile.Name, e.Took)
+	if ran(e.Results[0]) {
+		r.service.target(r.target).stats.Answered(e.Took)
+		r.service.learnWork(r.profile.Name, e.Took)
+	}
 	s.takeStatus(r, e.Results[0], e.Results[len(e.Results)-1])
 	s.stepDone(r, e.Results)
 }
--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -129,7 +129,8 @@
 
 // takePosition keeps the position that came with an answer. A primary that ran
 // the request led when it was sent: a lease or the target itself vouched for
-// that. One that did not run it may have been replaced.
+// that. One that had no room for it counts only under a lease, as it may have
+// been replaced otherwise.
 func (s *Shard) takePosition(r *request, res types.Result) {
 	t := r.service.target(r.target)
 	r.status.Term, r.status.Primary = r.sentTerm, !r.replica
@@ -139,7 +140,8 @@
 		if r.status.Pos.Compare(t.behind.floor) >= 0 {
 			t.behind = behind{}
 		}
-	case lead.name == r.target && lead.term == r.sentTerm && ran(res):
+	case lead.name != r.target || lead.term != r.sentTerm:
+	case ran(res), res.Err == types.TargetErrBusy && r.sentLeased:
 		r.service.samples.Add(r.sentAt, r.status.Pos)
 	}
 }
--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -349,3 +349,36 @@
 		assert.Equal(t, name, types.TargetName("a"), "error %d gave a floor %v", kind, e.Operations[0].Floor)
 	}
 }
+
+// TestBusyPrimaryGivesItsPosition covers an overloaded primary: what it refuses
+// for want of room still tells where it stands while a lease rules out that it
+// was replaced, so that replicas can take the reads.
+func TestBusyPrimaryGivesItsPosition(t *testing.T) {
+	d := newManagedDriver(t)
+	d.openDatabase(1, "orders")
+	d.openDatabase(2, "catalog")
+	d.writeOnce(1)
+	e, _ := d.sent()
+	d.step(answered(e, []types.Result{{Err: types.TargetErrBusy}, {Status: types.TargetStatus{Pos: logPos(40)}}}))
+	d.readOnce(2)
+	e, name := d.sent()
+	assert.Assert(t, name != "a", "the read went to the primary, which has no room")
+	assert.Equal(t, e.Operations[0].Floor, logPos(40))
+}
+
+// TestRejectionIsNoAnswerTime covers targets that reject at once: they must not
+// look quicker than those that work.
+func TestRejectionIsNoAnswerTime(t *testing.T) {
+	for _, kind := range []types.TargetErrorKind{types.TargetErrBusy, types.TargetErrBehind, types.TargetErrReadOnly} {
+		d := newManagedDriver(t)
+		d.openDatabase(1, "orders")
+		d.writeOnce(1)
+		e, _ := d.sent()
+		a := answered(e, []types.Result{{Err: kind}, {Status: types.TargetStatus{Pos: logPos(40)}}})
+		a.Took = time.Millisecond
+		d.step(a)
+		svc := d.shard.services[svcName]
+		assert.Equal(t, svc.target("a").stats.Latency(), time.Duration(0), "error %d", kind)
+		assert.Equal(t, svc.work("strict"), time.Duration(0), "error %d", kind)
+	}
+}
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -51,11 +51,12 @@
 	replica bool // target is not the primary
 	step    step
 
-	setup    int          // operations before the caller's that set up the connection
-	floor    types.LogPos // position that a replica of a managed service must hold
-	sentAt   types.Instant
-	sentTerm types.Term   // of the target when it was sent
-	chosenAt types.LogPos // position of the replica when it was sent
+	setup      int          // operations before the caller's that set up the connection
+	floor      types.LogPos // position that a replica of a managed service must hold
+	sentAt     types.Instant
+	sentTerm   types.Term   // of the target when it was sent
+	sentLeased bool         // a live lease ruled out another primary then
+	chosenAt   types.LogPos // position of the replica when it was sent
 
 	answer     types.Answer       // once the target answered
 	status     types.TargetStatus // of the target after the answer
