Refuse at once what an overloaded target can't serve in time

Change: where a target has answered for 2 s without a pause, requests that have used half of their objective are refused instead of being put behind; beginnings of transactions, which are three and more statements of work, after an eighth, once others had to be refused. What a pause without answers has held up is served late as before.

--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -152,7 +152,8 @@
 	}
 	r.observed.Answered = s.now
 	if ran(e.Results[0]) {
-		r.service.target(r.target).stats.Answered(e.Took)
+		t := r.service.target(r.target)
+		t.answered(s.now, e.Took)
 		r.service.learnWork(r.profile.Name, e.Took)
 	}
 	s.takeStatus(r, e.Results[0], e.Results[len(e.Results)-1])
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -222,7 +222,7 @@
 	var first *request
 	for _, key := range sortedKeys(svc.queues) {
 		q := svc.queues[key]
-		q.setAside(s.now, tookMargin*s.quickest(svc, q))
+		s.setAside(svc, q)
 		r, ok := q.peek()
 		if !ok || best != nil && !r.goesBefore(first) {
 			continue
@@ -234,6 +234,28 @@
 	return best, bestReady
 }
 
+// setAside puts late requests of a queue behind the others. Where the targets
+// answer steadily they are late for want of room and are refused: others that
+// are still in time need the room, and the caller may do better elsewhere.
+func (s *Shard) setAside(svc *service, q *queue) {
+	took := s.quickest(svc, q)
+	if !s.steady(svc, q) {
+		q.setAside(s.now, tookMargin*took)
+		return
+	}
+	for _, r := range q.shed(s.now, took) {
+		r.entry, r.stage = nil, stageBackoff
+		s.refuse(r, types.RefuseOverloaded, r.outcome(), "the targets have more work than they can do in time")
+	}
+}
+
+// steady reports whether a target of the queue answers steadily.
+func (s *Shard) steady(svc *service, q *queue) bool {
+	return slices.ContainsFunc(s.queueTargets(svc, q), func(name types.TargetName) bool {
+		return svc.target(name).steady(s.now)
+	})
+}
+
 // goesBefore orders requests of two queues: timely ones first, then by arrival.
 func (r *request) goesBefore(o *request) bool {
 	if r.late != o.late {
--- a/core/session/queue.go
+++ b/core/session/queue.go
@@ -11,6 +11,23 @@
 // transaction may use up: its statements come after it.
 const beginShare = 4
 
+// Bounds of what an overloaded queue refuses.
+const (
+	// steadyAfter is how long a target has to answer without a pause before
+	// what waits for it too long does so for want of room. What a pause has
+	// held up is served late rather than refused: a second without service is
+	// made up for within that time where the targets can carry the load.
+	steadyAfter = 2 * time.Second
+	// answerPause is the least time without an answer that counts as a pause.
+	answerPause = time.Second
+	// shedShare is the part of its objective after which a request that waits
+	// for a steady target is refused. docs/design/overload.md compares it with
+	// others.
+	shedShare = 0.5
+	// pressedFor is how long a refusal shows that work has to be left undone.
+	pressedFor = 2 * time.Second
+)
+
 // queue holds the requests that wait for one candidate set. Those that can
 // still be answered within their objective go before those that can't: under
 // overload the targets then work on answers that come in time, instead of on
@@ -19,6 +36,7 @@
 	timely     pool.Queue[*request]
 	late       pool.Queue[*request]
 	candidates []types.TargetName // empty for primaryKey
+	shedAt     types.Instant      // when a request without a transaction was refused last
 }
 
 func (q *queue) len() int { return q.timely.Len() + q.late.Len() }
@@ -44,6 +62,32 @@
 	}
 }
 
+// shed takes out the requests that are late or about to be. Those that begin a
+// transaction, which takes several times the work, go first: as soon as others
+// had to be refused lately.
+func (q *queue) shed(now types.Instant, took time.Duration) []*request {
+	shed := q.late.Drain()
+	for {
+		r, ok := q.timely.Peek()
+		if !ok {
+			return shed
+		}
+		waits := now.Add(took).Sub(r.arrived)
+		limit := time.Duration(shedShare * float64(r.profile.Objective))
+		if r.Begins && q.shedAt != 0 && now.Sub(q.shedAt) < pressedFor {
+			limit /= beginShare
+		}
+		if limit <= 0 || waits <= limit {
+			return shed
+		}
+		if !r.Begins {
+			q.shedAt = now
+		}
+		q.timely.Pop()
+		shed = append(shed, r)
+	}
+}
+
 // peek returns the next request.
 func (q *queue) peek() (*request, bool) {
 	if r, ok := q.timely.Peek(); ok {
@@ -76,12 +120,15 @@
 
 // lateAt reports whether an answer at that instant misses the objective.
 func (r *request) lateAt(at types.Instant) bool {
-	objective := r.profile.Objective
-	if objective <= 0 {
-		return false
-	}
+	objective := r.startObjective()
+	return objective > 0 && at > r.arrived.Add(objective)
+}
+
+// startObjective returns the part of the profile's objective that the request
+// may use up, or zero.
+func (r *request) startObjective() time.Duration {
 	if r.Begins {
-		objective /= beginShare
+		return r.profile.Objective / beginShare
 	}
-	return at > r.arrived.Add(objective)
+	return max(0, r.profile.Objective)
 }
--- a/core/session/sim_test.go
+++ b/core/session/sim_test.go
@@ -23,6 +23,7 @@
 // simStatement is a caller's statement and the position at which it ran.
 type simStatement struct {
 	write    bool
+	work     time.Duration // mean time on a member of a fleet
 	position uint64
 }
 
