Confirm a returned primary to the outside service before it serves

Cause: found by reading. A promotion whose call got no answer can be carried out seconds later. If the old primary came back meanwhile it was taken over without a call, so that the late order still had the highest token: it replaced the primary under live leases, and a proxy that had not noticed yet could have read from the old one. The other way round, as long as no call was answered, each attempt left the returned primary out for ever.

After two orders without an answer the returned primary is no longer left out.

Tests, failing before: TestReturnedPrimaryRulesOutALateOrder (same and next control leader), TestOutsideServiceIsAwayWhenThePrimaryReturns.

--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -31,6 +31,9 @@
 	// can't reach. If no other member can be promoted by then, it is better than
 	// none.
 	avoidBound = 2 * time.Second
+	// maxUnanswered is after how many orders without an answer the primary that
+	// the proxies could not reach is taken back if it leads.
+	maxUnanswered = 2
 )
 
 // managed reports whether an outside service promotes the group's members.
@@ -99,20 +102,44 @@
 	return best, found
 }
 
-// adopt commits a member that leads already.
+// adopt takes over a member that leads already. An earlier order that may still
+// be carried out would replace it under the leases of the proxies: the outside
+// service is told of the member under the term's higher token first.
 func (m *Manager) adopt(now types.Instant, g *types.Group, gr *group, t types.Target) []effect.Effect {
 	r, s := gr.run, gr.run.answers[t.Name]
-	r.stage, r.chosen, r.start, r.logTerm = stageServe, t.Name, s.Pos, s.Term
+	r.chosen, r.start, r.logTerm = t.Name, s.Pos, s.Term
+	if !gr.openOrder {
+		r.stage = stageServe
+		return m.serve(now, g, gr)
+	}
+	r.stage, r.replyBy = stageConfirm, now.Add(managedBound)
+	return []effect.Effect{m.orderCall(g, t), arm(g.Service, r.replyBy)}
+}
+
+// awaitConfirmation goes on without an answer once its time is over: without a
+// primary nothing can be written.
+func (m *Manager) awaitConfirmation(now types.Instant, g *types.Group, gr *group) []effect.Effect {
+	if now < gr.run.replyBy {
+		return []effect.Effect{arm(g.Service, gr.run.replyBy)}
+	}
+	gr.run.stage = stageServe
 	return m.serve(now, g, gr)
 }
 
 // order asks the outside service to promote the chosen member.
-func (m *Manager) order(now types.Instant, g *types.Group, r *run, chosen types.Target) []effect.Effect {
+func (m *Manager) order(now types.Instant, g *types.Group, gr *group, chosen types.Target) []effect.Effect {
+	r := gr.run
 	r.stage, r.chosen = stagePromote, chosen.Name
 	r.replyBy = now.Add(managedBound)
-	call := m.call(g, chosen, types.Operation{Kind: types.OpPromote, Term: g.Term}).(effect.CallTarget)
+	gr.openOrder = true
+	gr.unanswered++
+	return []effect.Effect{m.orderCall(g, chosen), arm(g.Service, now.Add(managedPoll))}
+}
+
+func (m *Manager) orderCall(g *types.Group, t types.Target) effect.Effect {
+	call := m.call(g, t, types.Operation{Kind: types.OpPromote, Term: g.Term}).(effect.CallTarget)
 	call.Timeout = managedBound
-	return []effect.Effect{call, arm(g.Service, now.Add(managedPoll))}
+	return call
 }
 
 // awaitOrder looks whether the chosen member leads by now. Another attempt, in a
@@ -134,12 +161,20 @@
 // attempt: without an answer the promotion may be under way.
 func (m *Manager) ordered(now types.Instant, g *types.Group, gr *group, name types.TargetName, e event.TargetReplied) []effect.Effect {
 	r := gr.run
-	if r == nil || r.term != g.Term || r.stage != stagePromote || r.chosen != name {
+	if r == nil || r.term != g.Term || r.chosen != name || r.stage != stagePromote && r.stage != stageConfirm || e.Err != nil {
 		return nil
 	}
-	if e.Err == nil && e.Result.Err == types.TargetErrStaleTerm {
+	switch e.Result.Err {
+	case types.TargetErrStaleTerm:
+		gr.unanswered = 0
 		r.refused = true
 		return m.giveUp(now, g, gr)
+	case types.TargetErrNone:
+		gr.openOrder, gr.unanswered = false, 0 // earlier ones have lower tokens
+	}
+	if r.stage == stageConfirm && !gr.openOrder {
+		r.stage = stageServe
+		return m.serve(now, g, gr)
 	}
 	return nil
 }
--- a/core/promotion/managed_test.go
+++ b/core/promotion/managed_test.go
@@ -263,3 +263,53 @@
 	assert.Assert(t, ok, "the primary stays: %+v", w.group())
 	assert.Equal(t, w.primary().pos.Offset, uint64(7), "acknowledged commits were rolled back")
 }
+
+// TestReturnedPrimaryRulesOutALateOrder takes the old primary back after the
+// answer to the order that was to replace it got lost. The order must not be
+// carried out later, under the leases of proxies that read from the old primary.
+func TestReturnedPrimaryRulesOutALateOrder(t *testing.T) {
+	for name, change := range map[string]func(w *world){
+		"same leader": func(*world) {},
+		"next leader": func(w *world) { w.elect("c2") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := startedManaged(t)
+			old := w.primary()
+			w.outside.lost, w.outside.late = 1, 8*time.Second
+			old.down = true
+			_, ok := w.run(managedFailover, func() bool { return len(w.outside.tokens) == 1 })
+			assert.Assert(t, ok, "no promotion was ordered")
+			ordered := w.clock()
+			for _, target := range w.targets {
+				target.down = target != old
+			}
+			change(w)
+			_, ok = w.run(w.outside.late-time.Second, func() bool { return w.serving(w.group().Term) && w.primary() == old })
+			assert.Assert(t, ok, "the old primary is not taken back: %+v", w.group())
+			for _, target := range w.targets {
+				target.down = false
+			}
+			term := w.group().TargetTerm()
+			w.Run(ordered.Add(w.outside.late + 2*time.Second).Sub(w.clock()))
+			assert.Assert(t, old.primary, "the late order was carried out")
+			assert.Equal(t, w.group().TargetTerm(), term)
+		})
+	}
+}
+
+// TestOutsideServiceIsAwayWhenThePrimaryReturns bounds what the confirmation of
+// a primary costs when nobody answers it.
+func TestOutsideServiceIsAwayWhenThePrimaryReturns(t *testing.T) {
+	w := startedManaged(t)
+	old, before := w.primary(), w.group().Term
+	w.outside.lost = 1000
+	w.outside.late = time.Hour
+	old.down = true
+	_, ok := w.run(managedFailover, func() bool { return len(w.outside.tokens) == 1 })
+	assert.Assert(t, ok, "no promotion was ordered")
+	old.down = false
+	gap, ok := w.run(2*managedFailover, func() bool { return w.group().Term > before && w.serving(before+1) })
+	assert.Assert(t, ok, "nobody leads: %+v", w.group())
+	t.Logf("taken back after %v", gap)
+	assert.Assert(t, w.primary() == old)
+}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -90,6 +90,10 @@
 	moves      int              // tries to replace a primary that leaves
 	movedAt    types.Instant    // last of them
 	followers  map[types.TargetName]*follower
+
+	// Of a managed service.
+	openOrder  bool // an order may still be carried out: it got no answer
+	unanswered int  // orders in a row without one
 }
 
 // call is a question to a target that is not answered yet.
@@ -199,7 +203,8 @@
 func (m *Manager) group(service types.ServiceName) *group {
 	gr := m.groups[service]
 	if gr == nil {
-		gr = &group{}
+		g := m.state.Group(service)
+		gr = &group{openOrder: g != nil && len(g.History) > 0} // by an earlier leader
 		m.groups[service] = gr
 		m.timers[xxhash.Sum64String(string(service))] = service
 	}
--- a/core/promotion/run.go
+++ b/core/promotion/run.go
@@ -18,6 +18,7 @@
 	stageFence   stage = iota // wait until every proxy acts on the new term
 	stageRead                 // read positions
 	stagePromote              // the chosen member is asked to become primary
+	stageConfirm              // a member that leads already is confirmed to the outside service
 	stageServe                // the choice is being committed
 )
 
@@ -87,6 +88,8 @@
 		return m.read(now, g, gr)
 	case stagePromote:
 		return m.awaitPromotion(now, g, gr)
+	case stageConfirm:
+		return m.awaitConfirmation(now, g, gr)
 	case stageServe:
 		return m.serve(now, g, gr)
 	}
@@ -122,7 +125,7 @@
 		if chosen, leads, ok := m.chooseManaged(now, g, r); leads {
 			return m.adopt(now, g, gr, chosen)
 		} else if ok {
-			return m.order(now, g, r, chosen)
+			return m.order(now, g, gr, chosen)
 		}
 	} else if chosen, ok := m.choose(now, g, r); ok {
 		return m.promote(now, g, r, chosen)
@@ -215,7 +218,7 @@
 // primary without saying so.
 func (m *Manager) giveUp(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	reason := gr.run.refusedReason()
-	if m.managed(g) {
+	if m.managed(g) && gr.unanswered < maxUnanswered {
 		gr.avoid = gr.run.avoid // its failure is still the reason for the next attempt
 	}
 	gr.run = nil
