Log when connections to a target begin to fail and when they work again

A dial that failed was not logged at all; after a restart the reason for "no connection came free" had to be guessed. One line at the first failure, with the cause, and one at the next success. Test: TestLostTargetIsLoggedOnce.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -73,6 +73,8 @@
 	DecideAgain        Decision = "request_put_back"
 	DecideLeaderFound  Decision = "leader_found"
 	DecideSuspect      Decision = "primary_suspected"
+	DecideTargetLost   Decision = "target_lost"
+	DecideTargetFound  Decision = "target_found"
 	DecideView         Decision = "view_applied"
 	DecideDrain        Decision = "drain"
 )
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -173,17 +173,22 @@
 	return c
 }
 
-// Connected marks a dialed connection as usable.
-func (t *Target) Connected(c *Conn) {
+// Connected marks a dialed connection as usable. It returns how many dials had
+// failed since the last success.
+func (t *Target) Connected(c *Conn) int {
 	c.state = Idle
+	failed := t.failures
 	t.failures = 0
+	return failed
 }
 
-// DialFailed forgets a connection and holds further dials back.
-func (t *Target) DialFailed(c *Conn, now types.Instant) {
+// DialFailed forgets a connection and holds further dials back. It reports
+// whether the one before had succeeded.
+func (t *Target) DialFailed(c *Conn, now types.Instant) bool {
 	t.Drop(c)
 	t.failures++
 	t.failedAt = now
+	return t.failures == 1
 }
 
 // DialAt returns when the next dial is allowed after a failed one, or zero.
--- a/core/session/connection.go
+++ b/core/session/connection.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -66,13 +67,22 @@
 	s.dirty[svc.name] = true
 	t := svc.target(c.Ref.Name).pool
 	if e.Err != nil {
-		t.DialFailed(c, s.now)
+		if t.DialFailed(c, s.now) {
+			s.decideTarget(effect.DecideTargetLost, c.Ref, fmt.Sprintf("no connection could be opened: %v", e.Err))
+		}
 		delete(s.conns, c.ID)
 		s.emit(effect.CloseTarget{Conn: c.ID})
 		s.replaceQueued(svc)
 		return
 	}
-	t.Connected(c)
+	if failed := t.Connected(c); failed > 0 {
+		s.decideTarget(effect.DecideTargetFound, c.Ref, fmt.Sprintf("a connection was opened after %d tries", failed))
+	}
+}
+
+// decideTarget records that a target can or can't be connected to any more.
+func (s *Shard) decideTarget(kind effect.Decision, ref types.TargetRef, reason string) {
+	s.emit(effect.Decide{Kind: kind, Service: ref.Service, Target: ref.Name, Host: s.options.Host, Version: s.seen(), Reason: reason})
 }
 
 // release gives a clean connection back to its pool.
--- a/core/session/driver_test.go
+++ b/core/session/driver_test.go
@@ -37,6 +37,7 @@
 	reports []event.ShardReport
 	seen    []effect.Observation
 	retried int
+	decided []effect.Decide
 	timers  map[event.TimerID]types.Instant
 }
 
@@ -141,6 +142,7 @@
 	case effect.Observe:
 		d.seen = append(d.seen, e.Observation)
 	case effect.Decide:
+		d.decided = append(d.decided, e)
 		if e.Kind == effect.DecideRetry {
 			d.retried++
 		}
--- a/core/session/limits_test.go
+++ b/core/session/limits_test.go
@@ -1,9 +1,11 @@
 package session
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"gotest.tools/v3/assert"
@@ -167,3 +169,30 @@
 		assert.Equal(t, d.refusal(seq).Outcome, types.Unknown)
 	})
 }
+
+// TestLostTargetIsLoggedOnce states one line when connections to a target begin
+// to fail, and one when they work again.
+func TestLostTargetIsLoggedOnce(t *testing.T) {
+	d := newDriver(t)
+	d.open(1)
+	d.step(event.RequestArrived{Session: 1, Request: types.Request{Seq: 1}})
+	lines := func(kind effect.Decision) (n int) {
+		for _, e := range d.decided {
+			if e.Kind == kind && e.Target == "a" {
+				n++
+			}
+		}
+		return n
+	}
+	for range 20 {
+		for _, e := range slices.Clone(d.dials) {
+			d.step(event.TargetConnected{Conn: e.Conn, Err: errRefused})
+		}
+		d.dials = nil
+		d.advance(50 * time.Millisecond)
+	}
+	assert.Equal(t, lines(effect.DecideTargetLost), 1)
+	d.advance(2 * time.Second)
+	d.connect()
+	assert.Equal(t, lines(effect.DecideTargetFound), 1)
+}
