Replace a primary that answers probes but no requests

All requests of the service failed, one eighth of the load, until it answered again: proxies suspected it for 0.4 s at a time, probed it and were content.

Change: a shard that has sent two requests or more and has had no answer for 1 s tells so (ShardReport.Silent); the proxy then reports the primary as failing, from the first of these requests on, and control replaces it once a majority says so. A rejection does not count as an answer, nor as a request.

Ruled out: a shorter timeout of statements (the configuration's), probes that run a statement (a read of an item is the callers').

--- a/core/node/report.go
+++ b/core/node/report.go
@@ -64,6 +64,19 @@
 	return out
 }
 
+// silent returns since when primaries answer no requests of some shard.
+func (n *Node) silent() map[types.ServiceName]types.Instant {
+	out := make(map[types.ServiceName]types.Instant)
+	for _, r := range n.shards {
+		for s, since := range r.Silent {
+			if at, ok := out[s]; !ok || since < at {
+				out[s] = since
+			}
+		}
+	}
+	return out
+}
+
 // quiet returns the quiescing services without work under way on the primary.
 // All shards must act on the view that said so: until then none is quiet.
 func (n *Node) quiet() []types.ServiceName {
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -55,9 +55,10 @@
 	targets map[types.TargetRef]*target
 	samples map[types.ServiceName]*freshness.Samples
 	waiting map[types.ServiceName]bool
-	suspect map[types.ServiceName]bool // services whose primary failed a shard
-	demand  bool                       // the demand timer is armed
-	news    bool                       // control should hear of a change at once
+	suspect map[types.ServiceName]bool          // services whose primary failed a shard
+	silent  map[types.ServiceName]types.Instant // since when primaries answer no requests
+	demand  bool                                // the demand timer is armed
+	news    bool                                // control should hear of a change at once
 }
 
 // target is what is known of one target.
@@ -167,6 +168,21 @@
 	return out
 }
 
+// SetSilent tells since when primaries answer no requests, whatever they answer
+// to probes.
+func (p *Prober) SetSilent(silent map[types.ServiceName]types.Instant) {
+	if !maps.Equal(p.silent, silent) {
+		p.news = true
+	}
+	p.silent = silent
+}
+
+// silentSince returns since when the target has been silent as a primary.
+func (p *Prober) silentSince(ref types.TargetRef) (types.Instant, bool) {
+	since, ok := p.silent[ref.Service]
+	return since, ok && p.view.Groups[ref.Service].Primary == ref.Name
+}
+
 // seek probes a member of a managed service that is not the primary while
 // another primary may have to be found.
 func (p *Prober) seek(ref types.TargetRef, t *target, now types.Instant) []effect.Effect {
@@ -249,6 +265,9 @@
 		if r.Failing {
 			r.FailingFor = now.Sub(t.health.FailedAt)
 		}
+		if since, ok := p.silentSince(ref); ok {
+			r.Failing, r.FailingFor = true, max(r.FailingFor, now.Sub(since))
+		}
 		out = append(out, r)
 	}
 	return out
--- a/core/promotion/managed_test.go
+++ b/core/promotion/managed_test.go
@@ -147,6 +147,7 @@
 	for name, fail := range map[string]func(w *world, old *fakeTarget){
 		"killed":               func(_ *world, old *fakeTarget) { old.down = true },
 		"cut off from proxies": func(w *world, old *fakeTarget) { w.cutFromProxies(old) },
+		"answers only probes":  func(w *world, old *fakeTarget) { w.silence(old.name, w.clock()) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := startedManaged(t)
@@ -165,6 +166,20 @@
 	}
 }
 
+// silence has the shards of all proxies report that the primary answers no
+// requests. It goes on answering probes.
+func (w *world) silence(primary types.TargetName, since types.Instant) {
+	for _, p := range w.proxies {
+		p.silent = func() map[types.ServiceName]types.Instant {
+			if g := w.group(); g == nil || g.Primary != primary {
+				return nil
+			}
+			return map[types.ServiceName]types.Instant{service: since}
+		}
+		p.report()
+	}
+}
+
 // cutFromProxies keeps the proxies from a target that control still reaches.
 func (w *world) cutFromProxies(t *fakeTarget) {
 	for id := range w.proxies {
--- a/core/promotion/world_test.go
+++ b/core/promotion/world_test.go
@@ -54,6 +54,7 @@
 	state   *cluster.State
 	view    *types.NodeView
 	writing []types.ServiceName
+	silent  func() map[types.ServiceName]types.Instant
 	until   types.Instant // LeadsUntil when cut off from the others
 }
 
@@ -237,7 +238,11 @@
 
 // report is what the only shard of a proxy says of itself.
 func (p *process) report() {
-	p.step(event.ShardReported{Report: event.ShardReport{Seen: p.view.Cluster.Version, Writing: p.writing}})
+	r := event.ShardReport{Seen: p.view.Cluster.Version, Writing: p.writing}
+	if p.silent != nil {
+		r.Silent = p.silent()
+	}
+	p.step(event.ShardReported{Report: r})
 }
 
 func (w *world) requestLease(p *process, e effect.RequestLease) {
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -71,6 +71,9 @@
 	}
 	r.stage, r.step, r.sentAt = stageRunning, st, s.now
 	r.sentTerm = s.termOf(r)
+	if r.service.managed(s.view) && r.target == r.service.leader.name {
+		r.service.silence.asked(s.now)
+	}
 	r.sentLeased = s.leaseLive() && r.service.leader.leased
 	r.chosenAt = r.service.health(s.view, r.target).Pos
 	setup := r.conn.Prepare(r.Setup)
@@ -151,6 +154,9 @@
 		return
 	}
 	r.observed.Answered = s.now
+	if r.target == r.service.leader.name {
+		r.service.silence.answered(ran(e.Results[0]))
+	}
 	if ran(e.Results[0]) {
 		t := r.service.target(r.target)
 		t.answered(s.now, e.Took)
--- a/core/session/leader.go
+++ b/core/session/leader.go
@@ -37,6 +37,9 @@
 			Version: s.seen(), Reason: known.source(),
 		})
 	}
+	if known.name != svc.leader.name {
+		svc.silence = silence{}
+	}
 	svc.leader = known
 	if known.name != "" {
 		svc.samples.Follow(known.name, known.term)
--- a/core/session/report.go
+++ b/core/session/report.go
@@ -114,6 +114,7 @@
 		Shard: s.options.Index, Sessions: len(s.sessions), Busy: s.reports.busy,
 		Seen:   s.seen(),
 		Wanted: make(map[types.TargetRef]int), Open: make(map[types.TargetRef]int),
+		Silent: make(map[types.ServiceName]types.Instant),
 	}
 	for _, name := range sortedKeys(s.services) {
 		svc := s.services[name]
@@ -123,6 +124,9 @@
 		if s.now < svc.suspectUntil {
 			r.Suspect = append(r.Suspect, name)
 		}
+		if since, ok := svc.silence.since(s.now); ok {
+			r.Silent[name] = since
+		}
 		if svc.writing > 0 {
 			r.Writing = append(r.Writing, name)
 		}
@@ -147,5 +151,5 @@
 func sameReport(a, b event.ShardReport) bool {
 	return a.Seen == b.Seen && a.Sessions == b.Sessions && a.Busy == b.Busy &&
 		slices.Equal(a.Waiting, b.Waiting) && slices.Equal(a.Suspect, b.Suspect) && slices.Equal(a.Writing, b.Writing) &&
-		maps.Equal(a.Wanted, b.Wanted) && maps.Equal(a.Open, b.Open)
+		maps.Equal(a.Silent, b.Silent) && maps.Equal(a.Wanted, b.Wanted) && maps.Equal(a.Open, b.Open)
 }
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -31,6 +31,7 @@
 	// Of a managed service.
 	leader       leader
 	suspectUntil types.Instant // the primary has failed a request lately
+	silence      silence       // of the primary
 }
 
 // target is what the shard knows of one member of a service.
--- /dev/null
+++ b/core/session/silent.go
@@ -0,0 +1,51 @@
+package session
+
+import (
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// Bounds of a primary that answers probes but no requests.
+const (
+	// silentAfter is how long requests have to go without any answer. Statements
+	// on the platforms at hand take up to 0.4 s, and those before them in a
+	// target's queue 0.3 s.
+	silentAfter = time.Second
+	// silentRequests is how many requests have to: one may be a long statement.
+	silentRequests = 2
+	// silentMemory is how long requests count that no other one follows.
+	silentMemory = 2 * time.Second
+)
+
+// silence counts the requests that went to a primary since its last answer.
+type silence struct {
+	first, last types.Instant
+	requests    int
+}
+
+// asked takes in that a request was sent.
+func (q *silence) asked(now types.Instant) {
+	if q.requests == 0 || now.Sub(q.last) >= silentMemory {
+		*q = silence{first: now}
+	}
+	q.last = now
+	q.requests++
+}
+
+// answered takes in an answer. One that rejects a request shows nothing of the
+// others: a primary without an answer for any of them has no room for more.
+func (q *silence) answered(ran bool) {
+	if ran || q.requests <= 1 {
+		*q = silence{}
+		return
+	}
+	q.requests--
+}
+
+// since returns when the first request was sent that got no answer, if the
+// primary counts as silent.
+func (q *silence) since(now types.Instant) (types.Instant, bool) {
+	silent := q.requests >= silentRequests && now.Sub(q.first) >= silentAfter && now.Sub(q.last) < silentMemory
+	return q.first, silent
+}
