Leave a replica that does not answer, and pass it over for a while

Cause: a read on a replica that accepts requests and answers none took its whole timeout (1 s, 3 s) there, and the next read was as likely to go there: the mean time of an answer only knows answers.

Change: a read that may be repeated is asked of another member after 400 ms or six times the mean time of an answer, within the retry budget. A replica that left an exchange without an answer gets no new reads for 200 ms, twice as long with each failure in a row up to 2 s; one answer ends that.

Tests, failing before: TestReadLeavesAReplicaThatDoesNotAnswer, TestSilentReplicaIsTriedAgain. TestWriteIsNotRepeated holds before and after.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -29,6 +29,9 @@
 // Earn counts a request.
 func (b *Budget) Earn() { b.tokens = min(maxBudget, b.tokens+retryShare) }
 
+// Left reports whether Spend would take a retry.
+func (b *Budget) Left() bool { return b.tokens >= 1 }
+
 // Spend takes one retry, if there is one left.
 func (b *Budget) Spend() bool {
 	if b.tokens < 1 {
--- /dev/null
+++ b/core/session/attempt_test.go
@@ -0,0 +1,71 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// patientDriver has a known position, and reads that may take 3 s.
+func patientDriver(t *testing.T) *driver {
+	d := newManagedDriver(t)
+	p := d.config.Profiles["catalog"]
+	p.MaxAge, p.RequestTimeout, p.QueueTimeout = time.Minute, 3*time.Second, 3*time.Second
+	d.config.Profiles["catalog"] = p
+	d.openDatabase(1, "catalog")
+	d.readOnce(1)
+	d.reply(40)
+	return d
+}
+
+// TestReadLeavesAReplicaThatDoesNotAnswer covers a replica whose health is good
+// and that answers nothing.
+func TestReadLeavesAReplicaThatDoesNotAnswer(t *testing.T) {
+	d := patientDriver(t)
+	seq := d.readOnce(1)
+	first, silent := d.sent()
+	assert.Assert(t, silent != "a")
+	d.advance(attemptTimeout + 50*time.Millisecond)
+	d.connect()
+	_, other := d.sent()
+	assert.Assert(t, other != silent && other != "a", "sent to %s again", other)
+	assert.Assert(t, d.closed[first.Conn], "the silent replica still holds the connection")
+	d.reply(40)
+	assert.Assert(t, d.answered(seq))
+	for range 6 {
+		d.readOnce(1)
+		_, name := d.sent()
+		assert.Assert(t, name != silent, "the next read went to the silent replica")
+		d.reply(40)
+	}
+}
+
+// TestSilentReplicaIsTriedAgain bounds how long a replica is passed over.
+func TestSilentReplicaIsTriedAgain(t *testing.T) {
+	d := patientDriver(t)
+	d.readOnce(1)
+	_, silent := d.sent()
+	d.advance(attemptTimeout + 50*time.Millisecond)
+	d.connect()
+	d.reply(40)
+	d.advance(firstAvoid)
+	again := false
+	for range 20 {
+		d.readOnce(1)
+		d.connect()
+		_, name := d.sent()
+		again = again || name == silent
+		d.reply(40)
+	}
+	assert.Assert(t, again, "the replica is never asked again")
+}
+
+// TestWriteIsNotRepeated leaves a write with its target: it may have run.
+func TestWriteIsNotRepeated(t *testing.T) {
+	d := patientDriver(t)
+	d.writeOnce(1)
+	sent := len(d.sends)
+	d.advance(attemptTimeout + 500*time.Millisecond)
+	assert.Equal(t, len(d.sends), sent)
+}
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -32,7 +32,7 @@
 func (s *Shard) nextDue(c *session) types.Instant {
 	var at types.Instant
 	if r := c.request; r != nil {
-		at = r.due(s.now)
+		at = s.requestDueAt(r)
 	}
 	if until, ok := s.transactionUntil(c); ok && (at == 0 || until < at) {
 		at = until
@@ -40,6 +40,15 @@
 	return at
 }
 
+// requestDueAt returns when something of the request is due.
+func (s *Shard) requestDueAt(r *request) types.Instant {
+	at := r.due(s.now)
+	if until, ok := s.attemptUntil(r); ok && r.stage == stageRunning {
+		at = min(at, until)
+	}
+	return at
+}
+
 // due returns when the request's present stage ends.
 func (r *request) due(now types.Instant) types.Instant {
 	switch r.stage {
@@ -115,7 +124,7 @@
 
 // requestIsDue reports whether the request's present stage ends now.
 func (s *Shard) requestIsDue(r *request) bool {
-	return s.now >= r.due(s.now) || r.stage == stageFloor && s.now >= r.floorDeadline()
+	return s.now >= s.requestDueAt(r) || r.stage == stageFloor && s.now >= r.floorDeadline()
 }
 
 func (s *Shard) requestDue(r *request) {
@@ -137,6 +146,13 @@
 		r.queueDeadline = min(r.deadline, s.now.Add(orDefault(r.profile.QueueTimeout, defaultQueueTimeout)))
 		s.place(r)
 	case stageRunning:
+		if s.now < r.deadline {
+			s.attemptOver(r)
+			return
+		}
+		if r.replica {
+			r.service.target(r.target).failed(s.now)
+		}
 		r.mayRun = true
 		s.suspectTarget(r)
 		s.refuse(r, types.RefuseTimeout, r.outcome(), fmt.Sprintf("target %s did not answer in time", r.target))
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -245,6 +245,9 @@
 // sends the request again if that is safe, or refuses it.
 func (s *Shard) attemptFailed(r *request, sent bool, code types.RefusalCode, reason string) {
 	s.suspectTarget(r)
+	if sent && r.replica {
+		r.service.target(r.target).failed(s.now)
+	}
 	lostTx := r.inTx || r.session.inTransaction()
 	again := !lostTx && (!sent || r.repeatable())
 	r.mayRun = r.mayRun || sent
--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -101,7 +101,7 @@
 	var names []types.TargetName
 	for _, m := range g.Members {
 		t := r.service.target(m.Name)
-		if m.Name == primary || m.State != types.TargetActive || !t.pool.Reachable() || t.behind.lacks(floor, s.now) {
+		if m.Name == primary || m.State != types.TargetActive || !t.pool.Reachable() || t.behind.lacks(floor, s.now) || s.now < t.avoidUntil {
 			continue
 		}
 		names = append(names, m.Name)
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -50,6 +50,8 @@
 
 	answeredAt  types.Instant // when it last ran an operation
 	steadySince types.Instant // when it began to answer without a pause
+	failures    int           // exchanges in a row that it left without an answer
+	avoidUntil  types.Instant // until when it gets no new reads for that
 }
 
 // answered takes in that the target ran an operation.
@@ -58,6 +60,7 @@
 		t.steadySince = now
 	}
 	t.answeredAt = now
+	t.failures, t.avoidUntil = 0, 0
 	t.stats.Answered(took)
 }
 
