Probe the primary of a managed service only when it answers no requests

Change: a shard tells when the primary last ran a request; it is probed when that is 1 s ago, and at once when a request goes 250 ms without an answer. The connections of probes are closed after 3 s without one. What a proxy knows nothing current of is no longer part of its lease requests: replicas that are never probed were reported in term 0 by every proxy, and control asked each of them to follow every 0.6 s.

Ruled out: a smaller share of connections for requests (each proxy needs one), a new connection for each probe (12 to 27 ms of a slot each). Tests: TestPrimaryThatAnswersRequestsIsNotProbed (failing before), TestSuspectPrimaryIsProbedAtOnce, TestUnansweredRequestMakesThePrimarySuspect, TestServedIsReported.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -116,12 +116,15 @@
 // ShardReport is what a shard tells the control goroutine. A later report
 // replaces an earlier one of the same shard.
 type ShardReport struct {
-	Shard    int
-	Seen     uint64                              // version of the cluster view it acts on
-	Waiting  []types.ServiceName                 // services whose positions it waits for
-	Suspect  []types.ServiceName                 // services whose primary failed it lately
-	Writing  []types.ServiceName                 // services with a write or transaction on the primary
-	Silent   map[types.ServiceName]types.Instant // since when a primary answers no requests
+	Shard   int
+	Seen    uint64                              // version of the cluster view it acts on
+	Waiting []types.ServiceName                 // services whose positions it waits for
+	Suspect []types.ServiceName                 // services whose primary failed it lately
+	Writing []types.ServiceName                 // services with a write or transaction on the primary
+	Silent  map[types.ServiceName]types.Instant // since when a primary answers no requests
+	// Served is when a primary last answered a request. It goes out with other
+	// news, not by itself.
+	Served   map[types.TargetRef]types.Instant
 	Wanted   map[types.TargetRef]int
 	Open     map[types.TargetRef]int // connections it holds or opens
 	Sessions int
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -102,6 +102,7 @@
 		n.seen = seen
 		out = n.holder.Hurry(n.now)
 	}
+	n.prober.SetServed(n.served())
 	n.prober.SetSilent(n.silent())
 	out = append(out, n.prober.SetSuspects(n.suspects(), n.now)...)
 	return append(out, n.prober.SetWaiting(n.waiting(), n.now)...)
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -77,6 +77,17 @@
 	return out
 }
 
+// served returns when primaries last answered a request of some shard.
+func (n *Node) served() map[types.TargetRef]types.Instant {
+	out := make(map[types.TargetRef]types.Instant)
+	for _, r := range n.shards {
+		for ref, at := range r.Served {
+			out[ref] = max(out[ref], at)
+		}
+	}
+	return out
+}
+
 // quiet returns the quiescing services without work under way on the primary.
 // All shards must act on the view that said so: until then none is quiet.
 func (n *Node) quiet() []types.ServiceName {
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -19,9 +19,9 @@
 const (
 	// interval is the time between two probes of a target.
 	interval = 100 * time.Millisecond
-	// managedInterval is the time between two probes of the primary of a
-	// managed service that answers. Its replicas are not probed.
-	managedInterval = 500 * time.Millisecond
+	// managedInterval is how long the primary of a managed service may have
+	// answered nothing until it is probed. Its replicas are not probed.
+	managedInterval = time.Second
 	// seekInterval is the time between two probes of the members of a managed
 	// service while its primary is missing, fails or says that it is none.
 	seekInterval = 200 * time.Millisecond
@@ -68,6 +68,7 @@
 	known    types.Instant // when the target appeared
 	asked    types.Instant // when the last probe was sent; zero before that
 	told     alarm         // what control was told at once
+	served   types.Instant // when it last answered a request of a shard
 	underWay bool
 	pace     time.Duration // time between two probes while it answers; zero for none
 }
@@ -149,7 +150,7 @@
 	}
 	t = &target{address: m.Address, known: now, pace: pace}
 	p.targets[ref] = t
-	if pace == 0 {
+	if pace != interval {
 		return nil
 	}
 	return p.probe(ref, t, now)
@@ -177,6 +178,15 @@
 	p.silent = silent
 }
 
+// SetServed tells when primaries last answered a request of a shard.
+func (p *Prober) SetServed(served map[types.TargetRef]types.Instant) {
+	for ref, at := range served {
+		if t := p.targets[ref]; t != nil {
+			t.served = max(t.served, at)
+		}
+	}
+}
+
 // silentSince returns since when the target has been silent as a primary.
 func (p *Prober) silentSince(ref types.TargetRef) (types.Instant, bool) {
 	since, ok := p.silent[ref.Service]
@@ -239,7 +249,7 @@
 // heardAgo returns the time since the last answer, as if the target were probed
 // at the shortest interval.
 func (t *target) heardAgo(now types.Instant) time.Duration {
-	return now.Sub(max(t.health.HeardAt, t.known)) - max(0, t.pace-interval)
+	return now.Sub(max(t.health.HeardAt, t.served, t.known)) - max(0, t.pace-interval)
 }
 
 // Health returns what is known of each target.
@@ -251,14 +261,19 @@
 	return out
 }
 
-// Reports returns what control is told of each target, in order of target.
+// Reports returns what control is told of the targets that there is something to
+// tell of, in order of target.
 func (p *Prober) Reports(now types.Instant) []proto.TargetReport {
 	out := make([]proto.TargetReport, 0, len(p.targets))
 	for _, ref := range p.refs() {
 		t := p.targets[ref]
+		_, silent := p.silentSince(ref)
+		if !silent && t.unknown(now) {
+			continue
+		}
 		r := proto.TargetReport{
 			Ref:      ref,
-			Status:   types.TargetStatus{Term: t.health.Term, Primary: t.health.Primary, Pos: t.health.Pos},
+			Status:   p.status(ref, t),
 			Failing:  t.health.Failing,
 			HeardAgo: t.heardAgo(now),
 		}
@@ -273,6 +288,27 @@
 	return out
 }
 
+// status returns what a target last said of itself. A primary that was not asked
+// yet shows by its answers to requests that it is one.
+func (p *Prober) status(ref types.TargetRef, t *target) types.TargetStatus {
+	if g := p.view.Groups[ref.Service]; t.health.HeardAt == 0 && t.served != 0 && g.Primary == ref.Name {
+		return types.TargetStatus{Term: g.TargetTerm(), Primary: true}
+	}
+	return types.TargetStatus{Term: t.health.Term, Primary: t.health.Primary, Pos: t.health.Pos}
+}
+
+// unknown reports whether nothing current is known of the target: it is probed on
+// occasion only, or has not been for long enough to say that it is silent.
+func (t *target) unknown(now types.Instant) bool {
+	switch {
+	case t.health.Failing:
+		return false
+	case t.pace == 0:
+		return t.health.HeardAt == 0 || now.Sub(t.health.HeardAt) > SilentBound
+	}
+	return t.health.HeardAt == 0 && t.served == 0 && t.heardAgo(now) < SilentBound
+}
+
 func (p *Prober) refs() []types.TargetRef {
 	return slices.SortedFunc(maps.Keys(p.targets), func(a, b types.TargetRef) int {
 		return strings.Compare(a.String(), b.String())
@@ -296,13 +332,22 @@
 			continue
 		}
 		p.notice(t, now)
-		if t.pace == interval || t.health.Failing || t.asked == 0 || now.Sub(t.asked) >= t.pace {
+		if t.pace == interval || t.health.Failing || p.dueAt(ref, t) <= now {
 			out = append(out, p.probe(ref, t, now)...)
 		}
 	}
 	return out
 }
 
+// dueAt returns when the primary of a managed service is probed next. One that
+// answers requests shows by that that it works.
+func (p *Prober) dueAt(ref types.TargetRef, t *target) types.Instant {
+	if !p.primaryWorks(ref.Service) {
+		return t.asked.Add(seekInterval)
+	}
+	return max(t.asked, t.served, t.known).Add(t.pace)
+}
+
 // probeWaiting probes the targets whose positions are waited for, except those
 // that were asked a moment ago: a timer comes back to them. A failing target
 // is left to the usual interval.
--- a/core/probe/prober_test.go
+++ b/core/probe/prober_test.go
@@ -55,7 +55,6 @@
 func TestOneProbeOfATargetAtATime(t *testing.T) {
 	p, first := started(1000 * ms)
 	assert.DeepEqual(t, probed(first), []types.TargetRef{primary, replica})
-	tick := event.TimerFired{ID: event.TimerID{Domain: event.DomainProbe}}
 	assert.Equal(t, len(probed(p.Step(event.Input{Now: 1050 * ms, Event: tick}))), 0)
 	answer(p, primary, 1000*ms, 1060*ms, 1)
 	again := p.Step(event.Input{Now: 1100 * ms, Event: tick})
@@ -177,3 +176,44 @@
 	p.Step(event.Input{Now: 1202 * ms, Event: event.Probed{Ref: primary, AskedAt: 1200 * ms, Busy: true}})
 	assert.Equal(t, p.Health()[primary].AskedAt, 1100*ms, "an answer without a position tells none")
 }
+
+// managed returns a prober of a managed service, started at 1000 ms.
+func managed() (*probe.Prober, []effect.Effect) {
+	v := view(1, "t1")
+	v.Config = &types.Config{Services: map[types.ServiceName]types.Service{service: {Name: service, Managed: true}}}
+	p := probe.New()
+	return p, p.SetView(v, 1000*ms)
+}
+
+var tick = event.TimerFired{ID: event.TimerID{Domain: event.DomainProbe}}
+
+// TestPrimaryThatAnswersRequestsIsNotProbed saves the connection that a probe
+// takes: of the connections that a target accepts, those of hosts that are gone
+// count for some time.
+func TestPrimaryThatAnswersRequestsIsNotProbed(t *testing.T) {
+	p, first := managed()
+	assert.Equal(t, len(probed(first)), 0, "requests may show soon that it answers")
+	for now := 1100 * ms; now <= 5000*ms; now += 100 * ms {
+		p.SetServed(map[types.TargetRef]types.Instant{primary: now - 50*ms})
+		assert.Equal(t, len(probed(p.Step(event.Input{Now: now, Event: tick}))), 0, "probed at %d", now)
+		assert.Assert(t, !p.TakeNews(), "control hears of a failure at %d", now)
+		reports := p.Reports(now)
+		assert.Equal(t, len(reports), 1, "nothing is known of the replica")
+		assert.Assert(t, reports[0].HeardAgo < probe.SilentBound, "reported silent at %d", now)
+		assert.Assert(t, reports[0].Status.Primary && reports[0].Status.Term == 1)
+	}
+	var again []types.TargetRef
+	now := 5000 * ms
+	for ; len(again) == 0 && now < 8000*ms; now += 100 * ms {
+		again = probed(p.Step(event.Input{Now: now, Event: tick}))
+	}
+	assert.DeepEqual(t, again, []types.TargetRef{primary})
+	assert.Assert(t, now <= 6100*ms, "probed at %d, the last request was answered at 4950", now)
+}
+
+func TestSuspectPrimaryIsProbedAtOnce(t *testing.T) {
+	p, _ := managed()
+	p.SetServed(map[types.TargetRef]types.Instant{primary: 1090 * ms})
+	out := p.SetSuspects(map[types.ServiceName]bool{service: true}, 1100*ms)
+	assert.DeepEqual(t, probed(out), []types.TargetRef{primary, replica})
+}
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -43,9 +43,15 @@
 // requestDueAt returns when something of the request is due.
 func (s *Shard) requestDueAt(r *request) types.Instant {
 	at := r.due(s.now)
-	if until, ok := s.attemptUntil(r); ok && r.stage == stageRunning {
+	if r.stage != stageRunning {
+		return at
+	}
+	if until, ok := s.attemptUntil(r); ok {
 		at = min(at, until)
 	}
+	if suspect, ok := s.suspectAt(r); ok {
+		at = min(at, suspect)
+	}
 	return at
 }
 
@@ -147,7 +153,7 @@
 		s.place(r)
 	case stageRunning:
 		if s.now < r.deadline {
-			s.attemptOver(r)
+			s.stillRunning(r)
 			return
 		}
 		if r.replica {
@@ -161,6 +167,17 @@
 	}
 }
 
+// stillRunning acts on a request whose target takes long.
+func (s *Shard) stillRunning(r *request) {
+	if r.replica {
+		s.attemptOver(r)
+		return
+	}
+	r.suspected = true
+	s.suspectTarget(r)
+	s.armSession(r.session)
+}
+
 // unavailable returns why nothing of the service can be served.
 func (s *Shard) unavailable(r *request) types.RefusalCode {
 	if !s.leaseLive() {
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -69,7 +69,7 @@
 		s.attemptFailed(r, true, types.RefuseNoLease, "the proxy's lease ran out before the request was done")
 		return
 	}
-	r.stage, r.step, r.sentAt = stageRunning, st, s.now
+	r.stage, r.step, r.sentAt, r.suspected = stageRunning, st, s.now, false
 	r.sentTerm = s.termOf(r)
 	if r.service.managed(s.view) && r.target == r.service.leader.name {
 		r.service.silence.asked(s.now)
--- a/core/session/leader.go
+++ b/core/session/leader.go
@@ -74,6 +74,14 @@
 	return []types.TargetName{svc.leader.name}
 }
 
+// leaderServedAt returns when the primary last ran a request, or zero.
+func (svc *service) leaderServedAt() types.Instant {
+	if t, ok := svc.targets[svc.leader.name]; ok {
+		return t.answeredAt
+	}
+	return 0
+}
+
 // suspectFor is how long control is told that a service's primary failed.
 const suspectFor = 400 * time.Millisecond
 
--- a/core/session/report.go
+++ b/core/session/report.go
@@ -114,7 +114,7 @@
 		Shard: s.options.Index, Sessions: len(s.sessions), Busy: s.reports.busy,
 		Seen:   s.seen(),
 		Wanted: make(map[types.TargetRef]int), Open: make(map[types.TargetRef]int),
-		Silent: make(map[types.ServiceName]types.Instant),
+		Silent: make(map[types.ServiceName]types.Instant), Served: make(map[types.TargetRef]types.Instant),
 	}
 	for _, name := range sortedKeys(s.services) {
 		svc := s.services[name]
@@ -124,6 +124,9 @@
 		if s.now < svc.suspectUntil {
 			r.Suspect = append(r.Suspect, name)
 		}
+		if at := svc.leaderServedAt(); at != 0 {
+			r.Served[types.TargetRef{Service: name, Name: svc.leader.name}] = at
+		}
 		if since, ok := svc.silence.since(s.now); ok {
 			r.Silent[name] = since
 		}
--- a/core/session/silent.go
+++ b/core/session/silent.go
@@ -8,6 +8,9 @@
 
 // Bounds of a primary that answers probes but no requests.
 const (
+	// suspectAfter is how long a request goes without an answer until the members
+	// are asked which of them leads.
+	suspectAfter = 250 * time.Millisecond
 	// silentAfter is how long requests have to go without any answer. Statements
 	// on the platforms at hand take up to 0.4 s, and those before them in a
 	// target's queue 0.3 s.
@@ -49,3 +52,12 @@
 	silent := q.requests >= silentRequests && now.Sub(q.first) >= silentAfter && now.Sub(q.last) < silentMemory
 	return q.first, silent
 }
+
+// suspectAt returns when an unanswered request on a primary makes it suspect, and
+// whether that is still to come.
+func (s *Shard) suspectAt(r *request) (types.Instant, bool) {
+	if r.replica || r.suspected || !r.service.managed(s.view) {
+		return 0, false
+	}
+	return r.sentAt.Add(suspectAfter), true
+}
--- a/core/session/silent_test.go
+++ b/core/session/silent_test.go
@@ -74,3 +74,22 @@
 	d.advance(reportInterval)
 	assert.Equal(t, len(d.lastReport().Silent), 0)
 }
+
+// TestUnansweredRequestMakesThePrimarySuspect has the members asked which of
+// them leads before the request's time is over.
+func TestUnansweredRequestMakesThePrimarySuspect(t *testing.T) {
+	d := silentDriver(t, 1)
+	d.advance(suspectAfter + reportInterval + time.Millisecond)
+	assert.Equal(t, len(d.lastReport().Suspect), 1)
+	assert.Equal(t, len(d.refused), 0, "the request is given up")
+}
+
+func TestServedIsReported(t *testing.T) {
+	d := silentDriver(t, 1)
+	d.reply(3)
+	at := d.now
+	d.openDatabase(9, "orders")
+	d.writeOnce(9)
+	d.advance(reportInterval)
+	assert.Equal(t, d.lastReport().Served[ref("a")], at)
+}
--- a/runtime/targets.go
+++ b/runtime/targets.go
@@ -34,8 +34,9 @@
 // jobQueue is how many operations may wait for one target.
 const jobQueue = 4
 
-// targetIdle is how long a connection without operations is kept.
-const targetIdle = 30 * time.Second
+// targetIdle is how long a connection without operations is kept. Probes that go
+// on come within a second.
+const targetIdle = 3 * time.Second
 
 func newTargetCalls(d TargetDialer) *targetCalls {
 	return &targetCalls{dialer: d, workers: make(map[targetKey]chan targetJob)}
