--- a/wire/dial.go
+++ b/wire/dial.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
@@ -25,6 +26,9 @@
 	connectTimeout = 300 * time.Millisecond
 	redialMin      = 100 * time.Millisecond
 	redialMax      = 500 * time.Millisecond
+	// redialAlone bounds the pause while there is no connection to any control
+	// host: a process that has just started can do nothing before.
+	redialAlone = 100 * time.Millisecond
 )
 
 // Options configures a Mesh or a Link.
@@ -47,6 +51,8 @@
 	handle  func(*conn, Frame)
 	tasks   tasks
 
+	live atomic.Int32 // connections that are open
+
 	mu    sync.Mutex
 	known map[types.Address]bool // addresses that are dialed
 }
@@ -96,14 +102,21 @@
 			wait = redialMin
 			d.serve(ctx, c)
 		}
-		pause := wait/2 + time.Duration(random.Int64N(int64(wait/2)))
-		if !sleep(ctx, pause) {
+		if !sleep(ctx, d.pause(wait, random)) {
 			return
 		}
 		wait = min(2*wait, redialMax)
 	}
 }
 
+// pause returns how long to wait after a dial, with jitter.
+func (d *dialer) pause(wait time.Duration, random *rand.Rand) time.Duration {
+	if d.live.Load() == 0 {
+		wait = min(wait, redialAlone)
+	}
+	return wait/2 + time.Duration(random.Int64N(int64(wait/2)))
+}
+
 // sleep waits and reports false when ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -149,6 +162,8 @@
 
 func (d *dialer) serve(ctx context.Context, c *conn) {
 	klog.InfoS("peer_connected", "host", d.self.Host, "peer", c.peer.Host, "role", c.peer.Role.String())
+	d.live.Add(1)
+	defer d.live.Add(-1)
 	d.added(c)
 	err := c.serve(ctx, func(f Frame) { d.handle(c, f) })
 	d.removed(c)
