Let the relay of the lab cut one way, reset and silence connections

For a soak of whole processes: one direction can be held back, open connections can be reset or silenced while new ones work, and the delay can change. Tests: TestOneWayCut, TestResetBreaksConnections, TestSilenceLeavesNewConnectionsAlone.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -71,7 +71,7 @@
 	Service string
 	Member  string
 	Address string
-	relay   *relay // nil without latency
+	relay   *Relay // nil without latency
 }
 
 // Cut cuts a target off from the system and from the other targets. It needs
@@ -80,14 +80,14 @@
 	if t.relay == nil {
 		return trace.BadParameter("a lab without latency can't cut %s off", t.Name)
 	}
-	t.relay.cut()
+	t.relay.Cut()
 	return nil
 }
 
 // Heal ends a cut.
 func (t *Target) Heal() {
 	if t.relay != nil {
-		t.relay.heal()
+		t.relay.Heal()
 	}
 }
 
@@ -101,7 +101,7 @@
 	bin       string
 	ports     *ports
 	processes []*Process
-	relays    []*relay
+	relays    []*Relay
 	announcer *announceRelay // nil without latency
 }
 
@@ -156,7 +156,7 @@
 	}
 	l.processes = nil
 	for _, r := range l.relays {
-		r.close()
+		r.Close()
 	}
 	if l.announcer != nil {
 		l.announcer.close()
--- a/internal/lab/latency.go
+++ b/internal/lab/latency.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			return err
 		}
-		c.peers = r.address()
+		c.peers = r.Address()
 	}
 	if l.config.Latency == 0 {
 		return nil
@@ -39,8 +39,8 @@
 	return err
 }
 
-func (l *Lab) relayTo(address string) (*relay, error) {
-	r, err := newRelay(address, l.config.Latency)
+func (l *Lab) relayTo(address string) (*Relay, error) {
+	r, err := NewRelay(address, l.config.Latency)
 	if err == nil {
 		l.relays = append(l.relays, r)
 	}
@@ -84,12 +84,12 @@
 		return
 	}
 	select {
-	case <-t.relay.passable():
+	case <-t.relay.passable(ToCaller):
 	default:
 		http.Error(w, "the target is cut off", http.StatusServiceUnavailable)
 		return
 	}
-	in.Address = t.relay.address()
+	in.Address = t.relay.Address()
 	var calls errgroup.Group
 	for _, addr := range a.lab.proxyHTTP() {
 		calls.Go(func() error {
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -14,102 +15,171 @@
 	queueChunks = 256 // that may be under way in one direction
 )
 
-// relay passes connections on to an address with a delay each way. A cut holds
-// back all bytes, in both directions, until it is healed.
-type relay struct {
+// Direction is a way through a relay.
+type Direction int
+
+// The directions.
+const (
+	ToTarget Direction = iota
+	ToCaller
+	directions // how many there are
+)
+
+// Relay passes connections on to an address with a delay each way, and does to
+// them what networks do. A cut holds back all bytes until it is healed.
+type Relay struct {
 	target string
-	delay  time.Duration
+	delay  atomic.Int64 // nanoseconds, each way
 	lis    net.Listener
 
 	mu     sync.Mutex
-	healed chan struct{} // closed while the relay is not cut
-	conns  map[net.Conn]struct{}
+	healed [directions]chan struct{} // closed while bytes may pass that way
+	pairs  map[*pair]struct{}
 	closed bool
 }
 
+// pair is a connection and its continuation to the target.
+type pair struct {
+	in, out net.Conn
+	silent  atomic.Bool // drops all bytes
+}
+
 // chunk is a piece of a stream and when it may be passed on.
 type chunk struct {
 	data []byte
 	due  time.Time
 }
 
-func newRelay(target string, delay time.Duration) (*relay, error) {
+// NewRelay opens a relay on a free port of the loopback interface.
+func NewRelay(target string, delay time.Duration) (*Relay, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, trace.Wrap(err, "opening a relay")
 	}
-	r := &relay{
-		target: target, delay: delay, lis: lis,
-		healed: make(chan struct{}), conns: make(map[net.Conn]struct{}),
+	r := &Relay{target: target, lis: lis, pairs: make(map[*pair]struct{})}
+	r.SetDelay(delay)
+	for d := range r.healed {
+		r.healed[d] = make(chan struct{})
+		close(r.healed[d])
 	}
-	close(r.healed)
 	go r.accept()
 	return r, nil
 }
 
-func (r *relay) address() string { return r.lis.Addr().String() }
+// Address returns where the relay listens.
+func (r *Relay) Address() string { return r.lis.Addr().String() }
+
+// SetDelay changes the delay of bytes that come from now on.
+func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
+
+func (r *Relay) delayNow() time.Duration { return time.Duration(r.delay.Load()) }
+
+// Cut holds back all bytes from now on, both ways.
+func (r *Relay) Cut() {
+	r.CutWay(ToTarget)
+	r.CutWay(ToCaller)
+}
 
-// cut holds back all bytes from now on.
-func (r *relay) cut() {
+// CutWay holds back all bytes that go one way.
+func (r *Relay) CutWay(d Direction) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	select {
-	case <-r.healed:
-		r.healed = make(chan struct{})
+	case <-r.healed[d]:
+		r.healed[d] = make(chan struct{})
 	default:
 	}
 }
 
-// heal lets bytes pass again.
-func (r *relay) heal() {
+// Heal lets bytes pass again.
+func (r *Relay) Heal() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	select {
-	case <-r.healed:
-	default:
-		close(r.healed)
+	for d := range r.healed {
+		select {
+		case <-r.healed[d]:
+		default:
+			close(r.healed[d])
+		}
 	}
 }
 
-// passable returns a channel that is closed once bytes may pass.
-func (r *relay) passable() <-chan struct{} {
+// Reset breaks all open connections with a reset.
+func (r *Relay) Reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.healed
+	for p := range r.pairs {
+		p.reset()
+	}
 }
 
-// close ends the relay and its connections.
-func (r *relay) close() {
+// Silence lets nothing pass any more on the connections that are open; new ones
+// work.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.silent.Store(true)
+	}
+}
+
+// passable returns a channel that is closed once bytes may pass that way.
+func (r *Relay) passable(d Direction) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.healed[d]
+}
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
 	_ = r.lis.Close() // nothing is lost by it
-	r.heal()
+	r.Heal()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
-	for c := range r.conns {
-		_ = c.Close() // it is given up
+	for p := range r.pairs {
+		p.close()
 	}
 }
 
-// track remembers a connection for close. It reports false after close.
-func (r *relay) track(c net.Conn) bool {
+// track remembers a pair for Close. It reports false after Close.
+func (r *Relay) track(p *pair) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
-		_ = c.Close() // it is given up
+		p.close()
 		return false
 	}
-	r.conns[c] = struct{}{}
+	r.pairs[p] = struct{}{}
 	return true
 }
 
-func (r *relay) untrack(c net.Conn) {
+func (r *Relay) untrack(p *pair) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.conns, c)
-	_ = c.Close() // both directions have ended
+	delete(r.pairs, p)
+	p.close()
 }
 
-func (r *relay) accept() {
+// close gives up both connections.
+func (p *pair) close() {
+	_ = p.in.Close()
+	if p.out != nil {
+		_ = p.out.Close()
+	}
+}
+
+// reset gives them up with a reset: unsent bytes are dropped.
+func (p *pair) reset() {
+	for _, c := range []net.Conn{p.in, p.out} {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	p.close()
+}
+
+func (r *Relay) accept() {
 	for {
 		in, err := r.lis.Accept()
 		if err != nil {
@@ -120,26 +190,28 @@
 }
 
 // serve passes one connection on; its start takes one round trip.
-func (r *relay) serve(in net.Conn) {
-	if !r.track(in) {
+func (r *Relay) serve(in net.Conn) {
+	time.Sleep(2 * r.delayNow())
+	<-r.passable(ToTarget)
+	<-r.passable(ToCaller)
+	out, err := net.Dial("tcp", r.target)
+	if err != nil {
+		_ = in.Close() // there is nobody to pass it on to
 		return
 	}
-	defer r.untrack(in)
-	time.Sleep(2 * r.delay)
-	<-r.passable()
-	out, err := net.Dial("tcp", r.target)
-	if err != nil || !r.track(out) {
+	p := &pair{in: in, out: out}
+	if !r.track(p) {
 		return
 	}
-	defer r.untrack(out)
+	defer r.untrack(p)
 	var pumps sync.WaitGroup
-	pumps.Go(func() { r.pump(out, in) })
-	pumps.Go(func() { r.pump(in, out) })
+	pumps.Go(func() { r.pump(p, out, in, ToTarget) })
+	pumps.Go(func() { r.pump(p, in, out, ToCaller) })
 	pumps.Wait()
 }
 
 // pump passes on what comes in one direction and then ends that direction.
-func (r *relay) pump(to, from net.Conn) {
+func (r *Relay) pump(p *pair, to, from net.Conn, way Direction) {
 	chunks := make(chan chunk, queueChunks)
 	go func() {
 		defer close(chunks)
@@ -147,7 +219,7 @@
 			buf := make([]byte, chunkBytes)
 			n, err := from.Read(buf)
 			if n > 0 {
-				chunks <- chunk{data: buf[:n], due: time.Now().Add(r.delay)}
+				chunks <- chunk{data: buf[:n], due: time.Now().Add(r.delayNow())}
 			}
 			if err != nil {
 				return
@@ -156,15 +228,19 @@
 	}()
 	for c := range chunks {
 		time.Sleep(time.Until(c.due))
-		<-r.passable()
+		<-r.passable(way)
+		if p.silent.Load() {
+			continue
+		}
 		if _, err := to.Write(c.data); err != nil {
 			break
 		}
 	}
-	time.Sleep(r.delay)
-	<-r.passable()
-	_ = to.Close() // a half that has ended ends the other as well
-	_ = from.Close()
+	time.Sleep(r.delayNow())
+	<-r.passable(way)
+	if !p.silent.Load() {
+		p.close() // a half that has ended ends the other as well
+	}
 	for range chunks { // the reader must not wait for room
 	}
 }
--- a/internal/lab/relay_test.go
+++ b/internal/lab/relay_test.go
@@ -31,12 +31,12 @@
 	return lis.Addr().String()
 }
 
-func startRelay(t *testing.T, delay time.Duration) (*relay, net.Conn) {
+func startRelay(t *testing.T, delay time.Duration) (*Relay, net.Conn) {
 	t.Helper()
-	r, err := newRelay(echo(t), delay)
+	r, err := NewRelay(echo(t), delay)
 	assert.NilError(t, err)
-	t.Cleanup(r.close)
-	c, err := net.Dial("tcp", r.address())
+	t.Cleanup(r.Close)
+	c, err := net.Dial("tcp", r.Address())
 	assert.NilError(t, err)
 	t.Cleanup(func() { c.Close() })
 	return r, c
@@ -60,15 +60,57 @@
 func TestCutHoldsBytesBackUntilHealed(t *testing.T) {
 	r, c := startRelay(t, time.Millisecond)
 	in := bufio.NewReader(c)
-	r.cut()
+	r.Cut()
 	_, err := c.Write([]byte("order\n"))
 	assert.NilError(t, err)
 	assert.NilError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
 	_, err = in.ReadString('\n')
 	assert.ErrorContains(t, err, "timeout")
-	r.heal()
+	r.Heal()
 	assert.NilError(t, c.SetReadDeadline(time.Time{}))
 	line, err := in.ReadString('\n')
 	assert.NilError(t, err)
 	assert.Equal(t, line, "order\n")
 }
+
+// answers reports whether a line comes back within 100 ms.
+func answers(t *testing.T, c net.Conn) bool {
+	t.Helper()
+	if _, err := c.Write([]byte("order\n")); err != nil {
+		return false
+	}
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	line, err := bufio.NewReader(c).ReadString('\n')
+	return err == nil && line == "order\n"
+}
+
+func TestSilenceLeavesNewConnectionsAlone(t *testing.T) {
+	r, c := startRelay(t, 0)
+	assert.Assert(t, answers(t, c))
+	r.Silence()
+	assert.Assert(t, !answers(t, c))
+	next, err := net.Dial("tcp", r.Address())
+	assert.NilError(t, err)
+	defer next.Close()
+	assert.Assert(t, answers(t, next))
+}
+
+func TestResetBreaksConnections(t *testing.T) {
+	r, c := startRelay(t, 0)
+	assert.Assert(t, answers(t, c))
+	r.Reset()
+	_, err := bufio.NewReader(c).ReadString('\n')
+	assert.ErrorContains(t, err, "reset")
+}
+
+func TestOneWayCut(t *testing.T) {
+	r, c := startRelay(t, 0)
+	assert.Assert(t, answers(t, c))
+	r.CutWay(ToCaller)
+	assert.Assert(t, !answers(t, c))
+	r.Heal()
+	assert.NilError(t, c.SetReadDeadline(time.Time{}))
+	line, err := bufio.NewReader(c).ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, line, "order\n")
+}
