Give each proxy of a small fleet a slot of each target

Change: a proxy is left without a slot only where there are two proxies or more for each slot. Test: TestSlotsAmongFewAndManyProxies, failing before.

--- a/core/limits/divide_test.go
+++ b/core/limits/divide_test.go
@@ -77,3 +77,22 @@
 		assert.DeepEqual(t, divide(total, wants), oneByOne(total, wants))
 	})
 }
+
+func TestSlotsAmongFewAndManyProxies(t *testing.T) {
+	cases := []struct {
+		slots, proxies int
+		shares         []int
+	}{
+		{3, 4, []int{1, 1, 1, 1}}, // the last would have none otherwise, whatever its callers ask for
+		{5, 4, []int{2, 1, 1, 1}},
+		{2, 4, []int{1, 1, 0, 0}},
+		{0, 2, []int{0, 0}},
+	}
+	for _, c := range cases {
+		var shares []int
+		for at := range c.proxies {
+			shares = append(shares, slotShare(c.slots, c.proxies, at))
+		}
+		assert.DeepEqual(t, shares, c.shares)
+	}
+}
--- a/core/limits/divider.go
+++ b/core/limits/divider.go
@@ -137,7 +137,7 @@
 	}
 	n := min(divide(total, wants)[at], max(0, free))
 	d.remember(ref, holds[at], n)
-	return types.Share{Connections: n, Slots: equal(svc.Slots, len(holds), at)}
+	return types.Share{Connections: n, Slots: slotShare(svc.Slots, len(holds), at)}
 }
 
 func (d *Divider) remember(ref types.TargetRef, h lease.Hold, n int) {
