Count a primary's failure from the request that it left unanswered

Change: a failed probe of a primary that is suspect counts from the suspicion. Test: TestFailureCountsFromTheUnansweredRequest, failing before.

--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -63,14 +63,15 @@
 
 // target is what is known of one target.
 type target struct {
-	address  types.Address
-	health   types.TargetHealth
-	known    types.Instant // when the target appeared
-	asked    types.Instant // when the last probe was sent; zero before that
-	told     alarm         // what control was told at once
-	served   types.Instant // when it last answered a request of a shard
-	underWay bool
-	pace     time.Duration // time between two probes while it answers; zero for none
+	address   types.Address
+	health    types.TargetHealth
+	known     types.Instant // when the target appeared
+	asked     types.Instant // when the last probe was sent; zero before that
+	told      alarm         // what control was told at once
+	served    types.Instant // when it last answered a request of a shard
+	underWay  bool
+	suspectAt types.Instant // when a request on the primary last failed a shard
+	pace      time.Duration // time between two probes while it answers; zero for none
 }
 
 // alarm is how far the failure of a target has come.
@@ -162,6 +163,7 @@
 	var out []effect.Effect
 	for _, ref := range p.refs() {
 		if t := p.targets[ref]; suspects[ref.Service] && !p.suspect[ref.Service] && t.pace != interval {
+			t.suspectAt = now
 			out = append(out, p.probe(ref, t, now)...)
 		}
 	}
@@ -396,7 +398,7 @@
 	t.underWay = false
 	if e.Err != nil {
 		if !t.health.Failing {
-			t.health.Failing, t.health.FailedAt = true, now
+			t.health.Failing, t.health.FailedAt = true, p.failedSince(e.Ref, t, now)
 		}
 		p.notice(t, now)
 		return nil
@@ -427,6 +429,15 @@
 	return p.probeWaiting(now)
 }
 
+// failedSince returns since when a target has failed whose probe just did. A
+// primary that failed a request of a shard has since then.
+func (p *Prober) failedSince(ref types.TargetRef, t *target, now types.Instant) types.Instant {
+	if g := p.view.Groups[ref.Service]; p.suspect[ref.Service] && g.Primary == ref.Name && t.suspectAt > t.health.HeardAt {
+		return t.suspectAt
+	}
+	return now
+}
+
 func arm(key uint64, at types.Instant) effect.Effect {
 	return effect.ArmTimer{ID: event.TimerID{Domain: event.DomainProbe, Key: key}, At: at}
 }
--- a/core/probe/prober_test.go
+++ b/core/probe/prober_test.go
@@ -217,3 +217,13 @@
 	out := p.SetSuspects(map[types.ServiceName]bool{service: true}, 1100*ms)
 	assert.DeepEqual(t, probed(out), []types.TargetRef{primary, replica})
 }
+
+// TestFailureCountsFromTheUnansweredRequest saves the time between a request
+// without an answer and the probe that fails as well.
+func TestFailureCountsFromTheUnansweredRequest(t *testing.T) {
+	p, _ := managed()
+	p.SetServed(map[types.TargetRef]types.Instant{primary: 1090 * ms})
+	p.SetSuspects(map[types.ServiceName]bool{service: true}, 1400*ms)
+	p.Step(event.Input{Now: 1650 * ms, Event: event.Probed{Ref: primary, AskedAt: 1400 * ms, Err: errors.New("timeout")}})
+	assert.Equal(t, p.Reports(1650 * ms)[0].FailingFor, 250*time.Millisecond)
+}
--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -65,7 +65,17 @@
 	case r.ordered && now < r.catchUp:
 		return best, false, r.answers[best.Name].Pos == r.answers[r.avoid].Pos
 	}
-	return best, false, answered == len(g.Members) || now >= r.quorum.Add(readGrace)
+	return best, false, r.othersAnswered(g) || now >= r.quorum.Add(readGrace)
+}
+
+// othersAnswered reports whether all members have answered that may be promoted.
+func (r *run) othersAnswered(g *types.Group) bool {
+	for _, t := range g.Members {
+		if _, ok := r.answers[t.Name]; !ok && t.Name != r.avoid {
+			return false
+		}
+	}
+	return true
 }
 
 // leading returns the member that leads the latest term, unless it is the one
