Count tries by cause and the age of positions

camphorpaddle_tries_again_total and camphorpaddle_position_age_seconds; log lines about a request that is tried again carry the same cause.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -49,8 +49,20 @@
 	Waiting     int           // requests of the service in queues
 	Waited      time.Duration // since the request arrived
 	Tries       int           // that were made before
+	Cause       Cause         // of another try
 }
 
+// Cause is why a request is tried again.
+type Cause string
+
+// The causes of another try.
+const (
+	CauseNoRoom     Cause = "no_room"     // the target has more work than it takes
+	CauseBehind     Cause = "behind"      // the replica lacks a position
+	CauseNotPrimary Cause = "not_primary" // the target was replaced
+	CauseNoAnswer   Cause = "no_answer"   // the connection broke, or the replica took too long
+)
+
 // Decision is the kind of a recorded decision.
 type Decision string
 
@@ -209,6 +221,8 @@
 	Floor    types.LogPos  // that a replica had to hold
 	Late     time.Duration // past the profile's objective; zero if in time
 	View     uint64        // version of the cluster view at the end
+
+	PositionAge time.Duration // of the primary's last known position at the end; negative if none is known
 }
 
 func (ArmTimer) isEffect()      {}
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -273,7 +273,7 @@
 	}
 	r.retries++
 	r.stage, r.retryAt = stageBackoff, at
-	s.decide(r, effect.DecideRetry, reason)
+	s.decide(r, effect.DecideRetry, effect.CauseNoAnswer, reason)
 	s.armSession(r.session)
 	return true
 }
--- a/core/session/explain.go
+++ b/core/session/explain.go
@@ -11,13 +11,23 @@
 const unknownAge = -time.Millisecond
 
 // decide records a decision about a request with what it rests on.
-func (s *Shard) decide(r *request, kind effect.Decision, reason string) {
+func (s *Shard) decide(r *request, kind effect.Decision, cause effect.Cause, reason string) {
+	basis := s.basis(r)
+	basis.Cause = cause
 	s.emit(effect.Decide{
 		Kind: kind, Service: r.session.service, Target: r.target, Host: s.options.Host,
-		Reason: reason, Request: r.Label, Basis: s.basis(r),
+		Reason: reason, Request: r.Label, Basis: basis,
 	})
 }
 
+// rejections names the causes behind what targets answer instead of running a
+// request.
+var rejections = map[types.TargetErrorKind]effect.Cause{
+	types.TargetErrBusy:     effect.CauseNoRoom,
+	types.TargetErrBehind:   effect.CauseBehind,
+	types.TargetErrReadOnly: effect.CauseNotPrimary,
+}
+
 func (s *Shard) basis(r *request) *effect.Basis {
 	b := &effect.Basis{
 		View: s.seen(), Floor: r.floor, PositionAge: unknownAge, Waited: s.now.Sub(r.arrived), Tries: r.retries,
@@ -31,13 +41,24 @@
 	if r.service == nil {
 		return b
 	}
-	if at := r.service.samples.Latest(); at != 0 {
-		b.PositionAge = s.now.Sub(at)
-	}
+	b.PositionAge = s.positionAge(r.service)
 	b.Waiting += r.service.queued()
 	return b
 }
 
+// positionAge returns how long ago the primary's last known position was asked
+// for, or unknownAge.
+func (s *Shard) positionAge(svc *service) time.Duration {
+	at := types.Instant(0)
+	if svc != nil {
+		at = svc.samples.Latest()
+	}
+	if at == 0 {
+		return unknownAge
+	}
+	return s.now.Sub(at)
+}
+
 // lateBy returns by how much the answer misses the profile's objective.
 func (r *request) lateBy(now types.Instant) time.Duration {
 	if r.profile.Objective <= 0 {
--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -121,7 +121,7 @@
 		s.refuse(r, types.RefuseOverloaded, types.NotRun, reason)
 		return
 	}
-	s.decide(r, effect.DecideAgain, reason)
+	s.decide(r, effect.DecideAgain, effect.CauseNoRoom, reason)
 	r.retries++
 	r.stage, r.retryAt = stageBackoff, at
 	s.armSession(r.session)
@@ -223,7 +223,7 @@
 		s.refuse(r, code, r.outcome(), reason)
 		return
 	}
-	s.decide(r, effect.DecideAgain, reason)
+	s.decide(r, effect.DecideAgain, rejections[res.Err], reason)
 	r.retries++
 	if pause == 0 {
 		s.place(r)
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -225,7 +225,7 @@
 	s.abandon(r)
 	ref := refusal(code, o, reason)
 	s.emit(effect.RefuseCaller{Session: c.id, Seq: r.Seq, Refusal: ref})
-	s.decide(r, effect.DecideRefuse, reason)
+	s.decide(r, effect.DecideRefuse, "", reason)
 	s.finish(r, code)
 	if c.inTransaction() {
 		s.endSession(c, refusal(types.RefuseNotClean, o, "the connection of the transaction was closed: "+reason))
@@ -256,6 +256,7 @@
 	o.Arrived, o.Done = r.arrived, s.now
 	o.Retries, o.Trace = r.retries, r.Trace
 	o.Request, o.Floor, o.Late, o.View = r.Label, r.floor, r.lateBy(s.now), s.seen()
+	o.PositionAge = s.positionAge(r.service)
 	s.emit(effect.Observe{Observation: o})
 	r.session.request = nil
 }
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -90,6 +90,9 @@
 		"view", b.View, "config", b.Config, "lease_left_ms", b.LeaseLeft.Milliseconds(),
 		"waited_ms", b.Waited.Milliseconds(), "waiting", b.Waiting, "tries", b.Tries,
 	}
+	if b.Cause != "" {
+		out = append(out, "cause", string(b.Cause))
+	}
 	if b.PositionAge >= 0 {
 		out = append(out, "position_age_ms", b.PositionAge.Milliseconds())
 	}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -81,6 +81,11 @@
 	m.scope.Tagged(map[string]string{
 		"kind": string(d.Kind), "service": string(d.Service),
 	}).Counter("decisions_total").Inc(1)
+	if d.Basis != nil && d.Basis.Cause != "" {
+		m.scope.Tagged(map[string]string{
+			"service": string(d.Service), "cause": string(d.Basis.Cause),
+		}).Counter("tries_again_total").Inc(1)
+	}
 	switch d.Kind {
 	case effect.DecideLeaseLost:
 		m.scope.Gauge("lease_live").Update(0)
@@ -147,6 +152,10 @@
 	m.duration(scope, "connection_wait_seconds", o.Floored, o.Assigned)
 	m.duration(scope, "target_seconds", o.Assigned, o.Answered)
 	m.duration(scope, "confirm_seconds", o.Answered, o.Done)
+	if o.PositionAge >= 0 {
+		m.scope.Tagged(map[string]string{"service": string(o.Service)}).
+			Histogram("position_age_seconds", latencyBuckets).RecordDuration(o.PositionAge)
+	}
 }
 
 // duration records the time from one instant to the next, if both were reached.
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -150,6 +150,7 @@
 	refused.Refusal = types.RefuseOverloaded
 	r.Observation(refused)
 	r.Decision(effect.Decide{Kind: effect.DecideConfig, Version: 7})
+	r.Decision(effect.Decide{Kind: effect.DecideAgain, Service: "ledger", Basis: &effect.Basis{Cause: effect.CauseBehind}})
 	first, second := types.TargetRef{Service: "ledger", Name: "a"}, types.TargetRef{Service: "ledger", Name: "b"}
 	r.ShardReport(event.ShardReport{Shard: 1, Sessions: 5, Open: map[types.TargetRef]int{first: 2}})
 	r.ShardReport(event.ShardReport{Shard: 1, Sessions: 4, Open: map[types.TargetRef]int{second: 3}})
@@ -161,6 +162,8 @@
 		`camphorpaddle_refusals_total{availability_zone="az-1",class="read",code="overloaded"`,
 		`camphorpaddle_config_version{availability_zone="az-1",host="proxy-1",region="north",role="proxy"} 7`,
 		`camphorpaddle_request_seconds_count{`,
+		`camphorpaddle_tries_again_total{availability_zone="az-1",cause="behind",host="proxy-1",region="north",role="proxy",service="ledger"} 1`,
+		`camphorpaddle_position_age_seconds_count{`,
 		`camphorpaddle_sessions{availability_zone="az-1",host="proxy-1",region="north",role="proxy",shard="1"} 4`,
 		`role="proxy",service="ledger",shard="1",target="a"} 0`,
 		`role="proxy",service="ledger",shard="1",target="b"} 3`,
