Do not take a full primary for a failed one

Change: a member that takes a connection in and answers TOOMANY, BUSY or nothing in time is full, which is a sign of life; only what can't be connected to fails. Any answer to a request, if only a rejection, ends a failure. The primary has a second from when a proxy learns of it. A full member's first answer says nothing of its role.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -122,8 +122,8 @@
 	Suspect []types.ServiceName                 // services whose primary failed it lately
 	Writing []types.ServiceName                 // services with a write or transaction on the primary
 	Silent  map[types.ServiceName]types.Instant // since when a primary answers no requests
-	// Served is when a primary last answered a request. It goes out with other
-	// news, not by itself.
+	// Served is when a primary last answered a request, if only to reject it. It
+	// goes out with other news, not by itself.
 	Served   map[types.TargetRef]types.Instant
 	Wanted   map[types.TargetRef]int
 	Open     map[types.TargetRef]int // connections it holds or opens
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -42,6 +42,11 @@
 	SilentBound = 500 * time.Millisecond
 )
 
+// startGrace is how long the primary of a managed service may fail the probes of a
+// proxy that has just learnt of it. 32 proxies whose new connections take 27 ms of
+// 6 slots each, several at a time, are done within a second.
+const startGrace = time.Second
+
 // Keys of the prober's timers.
 const (
 	timerAll uint64 = iota
@@ -211,7 +216,7 @@
 	if t == nil || p.suspect[name] || t.health.Failing {
 		return false
 	}
-	return t.health.HeardAt == 0 || t.health.Primary && t.health.Term == g.TargetTerm()
+	return t.health.AskedAt == 0 || t.health.Primary && t.health.Term == g.TargetTerm()
 }
 
 // SetWaiting names the services whose positions a shard waits for.
@@ -240,7 +245,7 @@
 
 func (t *target) alarm(now types.Instant) alarm {
 	switch {
-	case t.health.Failing && now.Sub(t.health.FailedAt) >= FailingBound, t.heardAgo(now) >= SilentBound:
+	case t.health.Failing && t.failingFor(now) >= FailingBound, t.heardAgo(now) >= SilentBound:
 		return alarmFailed
 	case t.health.Failing:
 		return alarmFailing
@@ -254,6 +259,17 @@
 	return now.Sub(max(t.health.HeardAt, t.served, t.known)) - max(0, t.pace-interval)
 }
 
+// failingFor returns for how long a failing target has shown no life, neither to
+// probes nor to requests. After a restart of everything, when all proxies connect
+// at once, the primary of a managed service has startGrace to begin with.
+func (t *target) failingFor(now types.Instant) time.Duration {
+	since := max(t.health.FailedAt, t.served)
+	if t.pace == managedInterval {
+		since = max(since, t.known.Add(startGrace))
+	}
+	return max(0, now.Sub(since))
+}
+
 // Health returns what is known of each target.
 func (p *Prober) Health() map[types.TargetRef]types.TargetHealth {
 	out := make(map[types.TargetRef]types.TargetHealth, len(p.targets))
@@ -280,7 +296,7 @@
 			HeardAgo: t.heardAgo(now),
 		}
 		if r.Failing {
-			r.FailingFor = now.Sub(t.health.FailedAt)
+			r.FailingFor = t.failingFor(now)
 		}
 		if since, ok := p.silentSince(ref); ok {
 			r.Failing, r.FailingFor = true, max(r.FailingFor, now.Sub(since))
@@ -293,7 +309,7 @@
 // status returns what a target last said of itself. A primary that was not asked
 // yet shows by its answers to requests that it is one.
 func (p *Prober) status(ref types.TargetRef, t *target) types.TargetStatus {
-	if g := p.view.Groups[ref.Service]; t.health.HeardAt == 0 && t.served != 0 && g.Primary == ref.Name {
+	if g := p.view.Groups[ref.Service]; t.health.AskedAt == 0 && t.served != 0 && g.Primary == ref.Name {
 		return types.TargetStatus{Term: g.TargetTerm(), Primary: true}
 	}
 	return types.TargetStatus{Term: t.health.Term, Primary: t.health.Primary, Pos: t.health.Pos}
@@ -308,7 +324,7 @@
 	case t.pace == 0:
 		return t.health.HeardAt == 0 || now.Sub(t.health.HeardAt) > SilentBound
 	}
-	return t.health.HeardAt == 0 && t.served == 0 && t.heardAgo(now) < SilentBound
+	return t.health.AskedAt == 0 && t.served == 0 && t.heardAgo(now) < SilentBound
 }
 
 func (p *Prober) refs() []types.TargetRef {
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -154,6 +154,7 @@
 		return
 	}
 	r.observed.Answered = s.now
+	r.service.target(r.target).heardAt = s.now
 	if r.target == r.service.leader.name {
 		r.service.silence.answered(ran(e.Results[0]))
 	}
--- a/core/session/leader.go
+++ b/core/session/leader.go
@@ -74,10 +74,10 @@
 	return []types.TargetName{svc.leader.name}
 }
 
-// leaderServedAt returns when the primary last ran a request, or zero.
-func (svc *service) leaderServedAt() types.Instant {
+// leaderHeardAt returns when the primary last answered a request, or zero.
+func (svc *service) leaderHeardAt() types.Instant {
 	if t, ok := svc.targets[svc.leader.name]; ok {
-		return t.answeredAt
+		return t.heardAt
 	}
 	return 0
 }
--- a/core/session/report.go
+++ b/core/session/report.go
@@ -124,7 +124,7 @@
 		if s.now < svc.suspectUntil {
 			r.Suspect = append(r.Suspect, name)
 		}
-		if at := svc.leaderServedAt(); at != 0 {
+		if at := svc.leaderHeardAt(); at != 0 {
 			r.Served[types.TargetRef{Service: name, Name: svc.leader.name}] = at
 		}
 		if since, ok := svc.silence.since(s.now); ok {
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -48,6 +48,7 @@
 
 	behind behind // of a managed service
 
+	heardAt     types.Instant // when it last answered anything
 	answeredAt  types.Instant // when it last ran an operation
 	steadySince types.Instant // when it began to answer without a pause
 	failures    int           // exchanges in a row that it left without an answer
--- a/runtime/ports.go
+++ b/runtime/ports.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
@@ -46,6 +47,10 @@
 	Dial(ctx context.Context, ref types.TargetRef, addr types.Address) (TargetConn, error)
 }
 
+// ErrTargetFull is the error of a dial that the target took in and had no room
+// for: it works, unlike one that can't be reached.
+var ErrTargetFull = errors.New("the target has no room for a connection")
+
 // TargetConn is a connection to a target. One goroutine uses it.
 type TargetConn interface {
 	// Exchange sends the operations in one go and reads a result for each.
--- a/runtime/proxy.go
+++ b/runtime/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 
@@ -114,9 +115,11 @@
 	p.calls.do(p.ctx, targetKey{e.Ref, e.Address}, targetJob{
 		operation: types.Operation{Kind: types.OpPosition}, timeout: e.Timeout,
 		done: func(r types.Result, err error) {
-			p.loop.post(event.Probed{
-				Ref: e.Ref, AskedAt: asked, Err: err, Busy: r.Err == types.TargetErrBusy, Status: r.Status,
-			})
+			busy := r.Err == types.TargetErrBusy
+			if errors.Is(err, ErrTargetFull) {
+				busy, err = true, nil
+			}
+			p.loop.post(event.Probed{Ref: e.Ref, AskedAt: asked, Err: err, Busy: busy, Status: r.Status})
 		},
 	})
 }
