Send reads to the primary when the replicas are full and it has room

Change: a read of a managed service that has waited 30 ms for full replicas goes to the primary if that has room and nothing else waits for it.

--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -89,13 +89,14 @@
 }
 
 // Limit returns how many exchanges may be under way before others wait.
-func (t *Target) Limit() int {
-	own := max(1, exchangesPerSlot*t.share.Slots)
-	return max(own, min(own+t.extra, t.share.Connections))
-}
+func (t *Target) Limit() int { return max(t.own(), min(t.own()+t.extra, t.share.Connections)) }
+
+// own returns how many exchanges the share's slots allow.
+func (t *Target) own() int { return max(1, exchangesPerSlot*t.share.Slots) }
 
-// Widen allows one more exchange: others wait here while the target has room.
-func (t *Target) Widen() { t.extra = min(t.extra+1, t.share.Connections) }
+// Widen allows one more exchange, up to twice the share's: others wait here while
+// the target has room.
+func (t *Target) Widen() { t.extra = min(t.extra+1, t.own()) }
 
 // Narrow halves what Widen has allowed.
 func (t *Target) Narrow() { t.extra /= 2 }
--- a/core/session/fleet_test.go
+++ b/core/session/fleet_test.go
@@ -41,6 +41,7 @@
 	length  time.Duration
 	pauseAt time.Duration // when all members stop answering
 	pause   time.Duration
+	members int     // 3 if not set
 	uneven  float64 // share of all callers that come to the last proxy alone
 }
 
@@ -113,7 +114,7 @@
 		Service: svcName, Term: 1, LogTerm: logTerm, Phase: types.GroupServing, Primary: "a",
 		History: types.TermHistory{{Term: logTerm}},
 	}
-	for _, name := range []types.TargetName{"a", "b", "c"} {
+	for _, name := range []types.TargetName{"a", "b", "c"}[:cmp.Or(c.members, 3)] {
 		f.members[name] = &fleetMember{name: name, last: f.now}
 		g.Members = append(g.Members, types.Target{Name: name, Address: types.Address(name), Slots: c.slots})
 	}
--- a/core/session/overload_test.go
+++ b/core/session/overload_test.go
@@ -93,3 +93,19 @@
 		assert.Assert(t, f.share() > 0.99)
 	}
 }
+
+// TestOneReplicaIsLeft covers a service that has lost a replica: the other one
+// has more reads than it can do, while the primary has room.
+func TestOneReplicaIsLeft(t *testing.T) {
+	c := boothLoad()
+	c.proxies, c.slots, c.members = 4, 5, 2
+	for i := range c.classes {
+		c.classes[i].perSecond *= 1.05
+	}
+	for seed := range uint64(3) {
+		f := newFleet(c, seed)
+		f.run()
+		t.Log(f)
+		assert.Assert(t, f.share() > 0.95)
+	}
+}
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -21,6 +21,9 @@
 	// tookMargin is how many times the mean time of an answer has to be left for
 	// it to come in time: half of them take longer than the mean.
 	tookMargin = 2
+	// overflowAfter is how long a read waits for a replica of a managed service
+	// before the primary may serve it: about as long as a statement takes.
+	overflowAfter = 30 * time.Millisecond
 	// maxQueue bounds the requests that wait for one candidate set.
 	maxQueue = 4096
 )
@@ -227,7 +230,11 @@
 		if !ok || best != nil && !r.goesBefore(first) {
 			continue
 		}
-		if ready := s.readyTargets(svc, q); len(ready) > 0 {
+		ready := s.readyTargets(svc, q)
+		if len(ready) == 0 {
+			ready = s.overflow(svc, q, r)
+		}
+		if len(ready) > 0 {
 			best, bestReady, first = q, ready, r
 		}
 	}
@@ -281,6 +288,22 @@
 	})
 }
 
+// overflow returns the primary for a read whose replicas have been full for some
+// time, if it has room that nothing else waits for.
+func (s *Shard) overflow(svc *service, q *queue, r *request) []types.TargetName {
+	lead := svc.leader
+	if len(q.candidates) == 0 || !lead.leased || !s.leaseLive() || s.now.Sub(r.arrived) < overflowAfter {
+		return nil
+	}
+	if waiting, ok := svc.queues[primaryKey]; ok && waiting.len() > 0 || svc.departures.Leaving(lead.name) {
+		return nil
+	}
+	if t := svc.target(lead.name); !t.pool.Ready() || t.stats.Congested() {
+		return nil
+	}
+	return []types.TargetName{lead.name}
+}
+
 // choose applies the routing policy.
 func (s *Shard) choose(svc *service, names []types.TargetName) types.TargetName {
 	g := s.view.Group(svc.name)
--- a/core/session/queue.go
+++ b/core/session/queue.go
@@ -25,7 +25,7 @@
 	// others.
 	shedShare = 0.5
 	// pressedFor is how long a refusal shows that work has to be left undone.
-	pressedFor = 2 * time.Second
+	pressedFor = 4 * time.Second
 )
 
 // queue holds the requests that wait for one candidate set. Those that can
