Wait while the disk of a control host is full

Change: a write that found no room is tried again every 100 ms. What depends on it is held back, as with a slow disk; the other hosts go on with their majority. A sync that fails is still final, since it is not known what reached the disk. Tests, failing before: TestFullDiskIsWaitedFor, TestWriteToAFullDiskIsTriedAgain.

--- a/runtime/control.go
+++ b/runtime/control.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -11,6 +14,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
 )
 
 // controlQueue is how many events may wait for a control loop.
@@ -78,14 +82,42 @@
 			return nil
 		}
 		for _, p := range batch {
-			if err := h.Log.Persist(p); err != nil {
+			if err := h.persist(ctx, p); err != nil {
 				return trace.Wrap(err, "writing the control log")
 			}
+			if ctx.Err() != nil {
+				return nil
+			}
 			h.loop.post(event.Persisted{Seq: p.Seq})
 		}
 	}
 }
 
+// fullDiskPause is the time between two tries to write to a full disk.
+const fullDiskPause = 100 * time.Millisecond
+
+// persist writes to the log. While the disk is full it tries again until ctx ends:
+// what depends on the write is held back, and the other hosts go on without it.
+func (h *ControlHost) persist(ctx context.Context, p effect.Persist) error {
+	for full := false; ; full = true {
+		err := h.Log.Persist(p)
+		switch {
+		case !errors.Is(err, syscall.ENOSPC):
+			if full && err == nil {
+				klog.InfoS("control_log_written", "seq", p.Seq, "reason", "the disk has room again")
+			}
+			return err
+		case !full:
+			klog.ErrorS(nil, "control_log_waits", "seq", p.Seq, "reason", "the disk is full")
+		}
+		select {
+		case <-time.After(fullDiskPause):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // PeerMessage hands over a message from another control host.
 func (h *ControlHost) PeerMessage(m proto.Message) { h.loop.post(event.PeerMessage{Message: m}) }
 
--- a/runtime/control_test.go
+++ b/runtime/control_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"syscall"
 	"testing"
 	"time"
 
@@ -98,6 +100,40 @@
 	assert.ErrorContains(t, host.Run(ctx), "no space left")
 }
 
+// TestFullDiskIsWaitedFor checks that a host whose disk has no room goes on, and
+// reports the write only once it is on the disk.
+func TestFullDiskIsWaitedFor(t *testing.T) {
+	tries, written := 0, make(chan int, 1)
+	host := testControlHost(
+		logFunc(func(effect.Persist) error {
+			if tries++; tries < 3 {
+				return fmt.Errorf("writing: %w", syscall.ENOSPC)
+			}
+			return nil
+		}),
+		func(in event.Input) []effect.Effect {
+			switch in.Event.(type) {
+			case event.Start:
+				return []effect.Effect{effect.Persist{Seq: 1}}
+			case event.Persisted:
+				written <- tries
+			}
+			return nil
+		})
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- host.Run(ctx) }()
+	select {
+	case n := <-written:
+		assert.Equal(t, n, 3)
+	case err := <-ended:
+		t.Fatalf("the host ended: %v", err)
+	}
+	cancel()
+	assert.NilError(t, <-ended)
+}
+
 // TestOperatorCallGetsItsOwnReply answers calls in reverse order.
 func TestOperatorCallGetsItsOwnReply(t *testing.T) {
 	const calls = 5
--- a/storage/folder.go
+++ b/storage/folder.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	if err := os.Rename(temp, f.file(name)); err != nil {
-		return trace.ConvertSystemError(err)
+		return trace.Wrap(err)
 	}
 	return f.sync()
 }
@@ -85,23 +85,23 @@
 func writeSynced(path string, content []byte) error {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return trace.Wrap(err)
 	}
 	_, err = file.Write(content)
 	if err == nil {
 		err = file.Sync()
 	}
-	return trace.ConvertSystemError(errors.Join(err, file.Close()))
+	return trace.Wrap(errors.Join(err, file.Close()))
 }
 
 // sync makes renames in the folder last.
 func (f *folder) sync() error {
 	dir, err := os.Open(f.path)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return trace.Wrap(err)
 	}
 	err = dir.Sync()
-	return trace.ConvertSystemError(errors.Join(err, dir.Close()))
+	return trace.Wrap(errors.Join(err, dir.Close()))
 }
 
 // identity returns the identity of the folder. A folder that holds nothing is
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io/fs"
 	"os"
+	"syscall"
 
 	"github.com/camphorpaddle/camphorpaddle/core/consensus"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -20,7 +21,7 @@
 type Log struct {
 	folder *folder
 	host   types.HostID
-	file   *os.File
+	file   logHandle
 	size   int64
 	saved  consensus.Saved // what the files hold
 	failed error           // first error of Persist; the files are of no more use
@@ -158,10 +159,11 @@
 
 // openLog opens the log for appending and drops the torn tail on disk.
 func (l *Log) openLog() (err error) {
-	l.file, err = os.OpenFile(l.folder.file(logFile), os.O_RDWR, 0o600)
+	file, err := os.OpenFile(l.folder.file(logFile), os.O_RDWR, 0o600)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
+	l.file = file
 	if err := l.file.Truncate(l.size); err != nil {
 		return trace.ConvertSystemError(err)
 	}
@@ -174,14 +176,26 @@
 // Saved returns what the folder holds.
 func (l *Log) Saved() consensus.Saved { return l.saved }
 
-// Persist appends and syncs. After an error the log takes nothing more: it is
-// not known what reached the disk.
+// logHandle is the open log file.
+type logHandle interface {
+	WriteAt(b []byte, at int64) (int, error)
+	Truncate(size int64) error
+	Sync() error
+	Close() error
+}
+
+// Persist appends and syncs. A full disk is told by an error that is
+// syscall.ENOSPC: the same write may be tried again. After any other error the log
+// takes nothing more: it is not known what reached the disk.
 func (l *Log) Persist(p effect.Persist) error {
 	if l.failed != nil {
 		return l.failed
 	}
-	l.failed = l.persist(p)
-	return l.failed
+	err := l.persist(p)
+	if !errors.Is(err, syscall.ENOSPC) {
+		l.failed = err
+	}
+	return err
 }
 
 func (l *Log) persist(p effect.Persist) error {
@@ -196,10 +210,13 @@
 		return err
 	}
 	if _, err := l.file.WriteAt(b, l.size); err != nil {
-		return trace.ConvertSystemError(err)
+		return trace.Wrap(err, "appending to the log")
+	}
+	if err := l.file.Sync(); err != nil {
+		return trace.Errorf("syncing the log: %v", err) // not to be tried again, whatever it is
 	}
 	l.size += int64(len(b))
-	return trace.ConvertSystemError(l.file.Sync())
+	return nil
 }
 
 // rotate writes a snapshot and then a new log with what follows it. After a
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -1,9 +1,11 @@
 package storage
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/camphorpaddle/camphorpaddle/core/consensus"
@@ -121,3 +123,60 @@
 	assert.Equal(t, len(got.Entries), 1)
 	assert.Equal(t, got.Entries[0].Index, uint64(5))
 }
+
+// fullFile takes part of each write while the disk is full.
+type fullFile struct {
+	logHandle
+	full, syncFails bool
+}
+
+func (f *fullFile) WriteAt(b []byte, at int64) (int, error) {
+	if !f.full {
+		return f.logHandle.WriteAt(b, at)
+	}
+	n, _ := f.logHandle.WriteAt(b[:len(b)/2], at)
+	return n, &os.PathError{Op: "write", Err: syscall.ENOSPC}
+}
+
+func (f *fullFile) Sync() error {
+	if f.syncFails {
+		return &os.PathError{Op: "sync", Err: syscall.ENOSPC}
+	}
+	return f.logHandle.Sync()
+}
+
+func TestWriteToAFullDiskIsTriedAgain(t *testing.T) {
+	l := initialized(t)
+	disk := &fullFile{logHandle: l.file, full: true}
+	l.file = disk
+	for range 2 {
+		assert.Assert(t, errors.Is(l.Persist(write(3, 6, 8)), syscall.ENOSPC))
+	}
+	disk.full = false
+	assert.NilError(t, l.Persist(write(3, 6, 8)))
+	assert.NilError(t, l.Persist(write(3, 9, 9)))
+	saved := reopen(t, l)
+	assert.Equal(t, saved.Entries[len(saved.Entries)-1].Index, uint64(9))
+	assert.Equal(t, saved.HardState.Term, proto.ControlTerm(3))
+}
+
+// TestRestartWithAFullDisk finds what was synced before the disk was full.
+func TestRestartWithAFullDisk(t *testing.T) {
+	l := initialized(t)
+	l.file = &fullFile{logHandle: l.file, full: true}
+	assert.Assert(t, l.Persist(write(3, 6, 8)) != nil)
+	saved := reopen(t, l)
+	assert.Equal(t, saved.Entries[len(saved.Entries)-1].Index, uint64(5))
+}
+
+// TestFailedSyncIsFinal takes nothing more after a sync that failed, even for want
+// of room: it is not known what reached the disk.
+func TestFailedSyncIsFinal(t *testing.T) {
+	l := initialized(t)
+	disk := &fullFile{logHandle: l.file, syncFails: true}
+	l.file = disk
+	err := l.Persist(write(3, 6, 6))
+	assert.Assert(t, err != nil && !errors.Is(err, syscall.ENOSPC))
+	disk.syncFails = false
+	assert.Assert(t, l.Persist(write(3, 6, 6)) != nil)
+}
