--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -11,7 +11,6 @@
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/freshness"
-	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -162,63 +161,6 @@
 	return p.probe(ref, t, now)
 }
 
-// SetSuspects names the services whose primary failed a shard, so that another
-// member may lead by now.
-func (p *Prober) SetSuspects(suspects map[types.ServiceName]bool, now types.Instant) []effect.Effect {
-	var out []effect.Effect
-	for _, ref := range p.refs() {
-		if t := p.targets[ref]; suspects[ref.Service] && !p.suspect[ref.Service] && t.pace != interval {
-			t.suspectAt = now
-			out = append(out, p.probe(ref, t, now)...)
-		}
-	}
-	p.suspect = suspects
-	return out
-}
-
-// SetSilent tells since when primaries answer no requests, whatever they answer
-// to probes.
-func (p *Prober) SetSilent(silent map[types.ServiceName]types.Instant) {
-	if !maps.Equal(p.silent, silent) {
-		p.news = true
-	}
-	p.silent = silent
-}
-
-// SetServed tells when primaries last answered a request of a shard.
-func (p *Prober) SetServed(served map[types.TargetRef]types.Instant) {
-	for ref, at := range served {
-		if t := p.targets[ref]; t != nil {
-			t.served = max(t.served, at)
-		}
-	}
-}
-
-// silentSince returns since when the target has been silent as a primary.
-func (p *Prober) silentSince(ref types.TargetRef) (types.Instant, bool) {
-	since, ok := p.silent[ref.Service]
-	return since, ok && p.view.Groups[ref.Service].Primary == ref.Name
-}
-
-// seek probes a member of a managed service that is not the primary while
-// another primary may have to be found.
-func (p *Prober) seek(ref types.TargetRef, t *target, now types.Instant) []effect.Effect {
-	if p.primaryWorks(ref.Service) || t.asked != 0 && now.Sub(t.asked) < seekInterval {
-		return nil
-	}
-	return p.probe(ref, t, now)
-}
-
-// primaryWorks reports whether the primary of a service answers as such.
-func (p *Prober) primaryWorks(name types.ServiceName) bool {
-	g := p.view.Groups[name]
-	t := p.targets[types.TargetRef{Service: name, Name: g.Primary}]
-	if t == nil || p.suspect[name] || t.health.Failing {
-		return false
-	}
-	return t.health.AskedAt == 0 || t.health.Primary && t.health.Term == g.TargetTerm()
-}
-
 // SetWaiting names the services whose positions a shard waits for.
 func (p *Prober) SetWaiting(waiting map[types.ServiceName]bool, now types.Instant) []effect.Effect {
 	p.waiting = waiting
@@ -228,105 +170,6 @@
 	return p.probeWaiting(now)
 }
 
-// TakeNews reports whether control should hear at once of what happened since
-// the last call: a target began to fail, failed for long, or came back.
-func (p *Prober) TakeNews() bool {
-	news := p.news
-	p.news = false
-	return news
-}
-
-// notice remembers a change of a target's alarm for TakeNews.
-func (p *Prober) notice(t *target, now types.Instant) {
-	if level := t.alarm(now); level != t.told {
-		t.told, p.news = level, true
-	}
-}
-
-func (t *target) alarm(now types.Instant) alarm {
-	switch {
-	case t.health.Failing && t.failingFor(now) >= FailingBound, t.heardAgo(now) >= SilentBound:
-		return alarmFailed
-	case t.health.Failing:
-		return alarmFailing
-	}
-	return alarmNone
-}
-
-// heardAgo returns the time since the last answer, as if the target were probed
-// at the shortest interval.
-func (t *target) heardAgo(now types.Instant) time.Duration {
-	return now.Sub(max(t.health.HeardAt, t.served, t.known)) - max(0, t.pace-interval)
-}
-
-// failingFor returns for how long a failing target has shown no life, neither to
-// probes nor to requests. After a restart of everything, when all proxies connect
-// at once, the primary of a managed service has startGrace to begin with.
-func (t *target) failingFor(now types.Instant) time.Duration {
-	since := max(t.health.FailedAt, t.served)
-	if t.pace == managedInterval {
-		since = max(since, t.known.Add(startGrace))
-	}
-	return max(0, now.Sub(since))
-}
-
-// Health returns what is known of each target.
-func (p *Prober) Health() map[types.TargetRef]types.TargetHealth {
-	out := make(map[types.TargetRef]types.TargetHealth, len(p.targets))
-	for ref, t := range p.targets {
-		out[ref] = t.health
-	}
-	return out
-}
-
-// Reports returns what control is told of the targets that there is something to
-// tell of, in order of target.
-func (p *Prober) Reports(now types.Instant) []proto.TargetReport {
-	out := make([]proto.TargetReport, 0, len(p.targets))
-	for _, ref := range p.refs() {
-		t := p.targets[ref]
-		_, silent := p.silentSince(ref)
-		if !silent && t.unknown(now) {
-			continue
-		}
-		r := proto.TargetReport{
-			Ref:      ref,
-			Status:   p.status(ref, t),
-			Failing:  t.health.Failing,
-			HeardAgo: t.heardAgo(now),
-		}
-		if r.Failing {
-			r.FailingFor = t.failingFor(now)
-		}
-		if since, ok := p.silentSince(ref); ok {
-			r.Failing, r.FailingFor = true, max(r.FailingFor, now.Sub(since))
-		}
-		out = append(out, r)
-	}
-	return out
-}
-
-// status returns what a target last said of itself. A primary that was not asked
-// yet shows by its answers to requests that it is one.
-func (p *Prober) status(ref types.TargetRef, t *target) types.TargetStatus {
-	if g := p.view.Groups[ref.Service]; t.health.AskedAt == 0 && t.served != 0 && g.Primary == ref.Name {
-		return types.TargetStatus{Term: g.TargetTerm(), Primary: true}
-	}
-	return types.TargetStatus{Term: t.health.Term, Primary: t.health.Primary, Pos: t.health.Pos}
-}
-
-// unknown reports whether nothing current is known of the target: it is probed on
-// occasion only, or has not been for long enough to say that it is silent.
-func (t *target) unknown(now types.Instant) bool {
-	switch {
-	case t.health.Failing:
-		return false
-	case t.pace == 0:
-		return t.health.HeardAt == 0 || now.Sub(t.health.HeardAt) > SilentBound
-	}
-	return t.health.AskedAt == 0 && t.served == 0 && t.heardAgo(now) < SilentBound
-}
-
 func (p *Prober) refs() []types.TargetRef {
 	return slices.SortedFunc(maps.Keys(p.targets), func(a, b types.TargetRef) int {
 		return strings.Compare(a.String(), b.String())
@@ -357,15 +200,6 @@
 	return out
 }
 
-// dueAt returns when the primary of a managed service is probed next. One that
-// answers requests shows by that that it works.
-func (p *Prober) dueAt(ref types.TargetRef, t *target) types.Instant {
-	if !p.primaryWorks(ref.Service) {
-		return t.asked.Add(seekInterval)
-	}
-	return max(t.asked, t.served, t.known).Add(t.pace)
-}
-
 // probeWaiting probes the targets whose positions are waited for, except those
 // that were asked a moment ago: a timer comes back to them. A failing target
 // is left to the usual interval.
@@ -445,15 +279,6 @@
 	return p.probeWaiting(now)
 }
 
-// failedSince returns since when a target has failed whose probe just did. A
-// primary that failed a request of a shard has since then.
-func (p *Prober) failedSince(ref types.TargetRef, t *target, now types.Instant) types.Instant {
-	if g := p.view.Groups[ref.Service]; p.suspect[ref.Service] && g.Primary == ref.Name && t.suspectAt > t.health.HeardAt {
-		return t.suspectAt
-	}
-	return now
-}
-
 func arm(key uint64, at types.Instant) effect.Effect {
 	return effect.ArmTimer{ID: event.TimerID{Domain: event.DomainProbe, Key: key}, At: at}
 }
