--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -22,6 +22,7 @@
 var beliefs = map[string]bool{
 	"leader_found": true, "primary_suspected": true, "view_applied": true, "lease_lost": true, "lease_gained": true,
 	"term_begun": true, "term_serving": true, "promotion_waits": true, "promotion_called": true, "member_changed": true,
+	"target_lost": true, "target_found": true, "control_log_waits": true, "control_log_written": true,
 	"drain": true, "starting": true, "stopping": true, "drained": true, "sessions_cut_off": true, "reloaded": true,
 	"leader_elected": true, "leader_stepped_down": true, "voters_changed": true, "config_accepted": true,
 	"peer_connected": true, "peer_disconnected": true, "records_dropped": true, "log_lines_dropped": true,
@@ -54,11 +55,12 @@
 	return own, nil
 }
 
-// concerns reports whether a belief has to do with the request: it is about its
-// service, or about no service and held by a host that served it or by control.
+// concerns reports whether a belief has to do with the request: one of a host that
+// served it, or of control, about the request's service or about none. In lines
+// about a peer the role is the peer's.
 func concerns(l Line, hosts, services map[string]bool) bool {
-	if service := l.Pairs["service"]; service != "" {
-		return services[service]
+	if service := l.Pairs["service"]; service != "" && !services[service] {
+		return false
 	}
-	return hosts[l.Host] || l.Pairs["role"] == "control"
+	return hosts[l.Host] || l.Pairs["role"] == "control" && l.Pairs["peer"] == ""
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -15,22 +15,25 @@
 I1204 09:59:00.000000   10 log.go:37] "lease_lost" role="proxy" host="p1.bb" reason="long before"
 I1204 10:00:01.800000   10 log.go:37] "lease_lost" role="proxy" host="p2.cc" reason="another proxy"
 I1204 10:00:01.900000   10 log.go:37] "leader_found" role="proxy" host="p1.bb" service="other" target="t9"
+I1204 10:00:01.850000   10 log.go:37] "leader_found" role="proxy" host="p2.cc" service="ledger" target="t1"
+I1204 10:00:01.860000   10 log.go:37] "peer_disconnected" role="control" host="p2.cc" peer="c1.aa" reason="EOF"
+I1204 10:00:01.950000   10 log.go:37] "target_lost" role="proxy" host="p1.bb" service="ledger" target="t1" reason="refused"
 panic: this is no event
 `
 
 func TestRequestWithItsBeliefs(t *testing.T) {
 	lines, err := Read(strings.NewReader(log))
 	assert.NilError(t, err)
-	assert.Equal(t, len(lines), 6)
+	assert.Equal(t, len(lines), 9)
 	got, err := Request("q7", lines, DefaultWindow())
 	assert.NilError(t, err)
 	var events []string
 	for _, l := range got {
 		events = append(events, l.Event)
 	}
-	assert.DeepEqual(t, events, []string{"primary_suspected", "term_begun", "request_refused"})
-	assert.Equal(t, got[2].Text(), `service=ledger view=4 waited_ms=900 reason=no connection "free" in time`)
-	assert.Equal(t, got[2].At-got[1].At, 500*time.Millisecond)
+	assert.DeepEqual(t, events, []string{"primary_suspected", "term_begun", "target_lost", "request_refused"})
+	assert.Equal(t, got[3].Text(), `service=ledger view=4 waited_ms=900 reason=no connection "free" in time`)
+	assert.Equal(t, got[3].At-got[1].At, 500*time.Millisecond)
 }
 
 func TestUnknownRequest(t *testing.T) {
