--- a/core/node/report.go
+++ b/core/node/report.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -66,23 +67,28 @@
 
 // silent returns since when primaries answer no requests of some shard.
 func (n *Node) silent() map[types.ServiceName]types.Instant {
-	out := make(map[types.ServiceName]types.Instant)
-	for _, r := range n.shards {
-		for s, since := range r.Silent {
-			if at, ok := out[s]; !ok || since < at {
-				out[s] = since
-			}
-		}
-	}
-	return out
+	return merged(n.shards, func(r event.ShardReport) map[types.ServiceName]types.Instant { return r.Silent }, earlier)
 }
 
 // served returns when primaries last answered a request of some shard.
 func (n *Node) served() map[types.TargetRef]types.Instant {
-	out := make(map[types.TargetRef]types.Instant)
-	for _, r := range n.shards {
-		for ref, at := range r.Served {
-			out[ref] = max(out[ref], at)
+	return merged(n.shards, func(r event.ShardReport) map[types.TargetRef]types.Instant { return r.Served }, later)
+}
+
+func earlier(a, b types.Instant) types.Instant { return min(a, b) }
+func later(a, b types.Instant) types.Instant   { return max(a, b) }
+
+// merged puts together what shards report; pick chooses among two of them.
+func merged[K comparable](
+	shards map[int]event.ShardReport, of func(event.ShardReport) map[K]types.Instant, pick func(a, b types.Instant) types.Instant,
+) map[K]types.Instant {
+	out := make(map[K]types.Instant)
+	for _, r := range shards {
+		for k, at := range of(r) {
+			if have, ok := out[k]; ok {
+				at = pick(have, at)
+			}
+			out[k] = at
 		}
 	}
 	return out
