Give each of many proxies a connection to each target

Change: of a managed service, whose primary is probed on occasion only, at least one connection a proxy is divided, as far as the target has them. Test: TestEachOfManyProxiesGetsAConnection, failing before (three proxies had one).

--- a/core/limits/divider.go
+++ b/core/limits/divider.go
@@ -16,7 +16,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
-// Connections that are not divided. Each proxy uses one more for its probes.
+// Connections that are not divided.
 const (
 	// controlConnections is how many connections to a target control uses.
 	controlConnections = 1
@@ -116,7 +116,7 @@
 	if svc.Managed {
 		holds, at = working(holds, at)
 	}
-	total := max(0, svc.Connections-controlConnections-spareProbes-len(holds))
+	total := divisible(svc, len(holds))
 	free := total
 	wants := make([]int, len(holds))
 	for i, h := range holds {
@@ -140,6 +140,18 @@
 	return types.Share{Connections: n, Slots: slotShare(svc.Slots, len(holds), at)}
 }
 
+// divisible returns how many connections of a target are divided among so many
+// proxies. Each keeps one more for its probes; those of a managed service need that
+// on occasion only, and each of them has to reach the target.
+func divisible(svc types.Service, proxies int) int {
+	all := svc.Connections - controlConnections - spareProbes
+	total := all - proxies
+	if svc.Managed {
+		total = max(total, min(proxies, all))
+	}
+	return max(0, total)
+}
+
 func (d *Divider) remember(ref types.TargetRef, h lease.Hold, n int) {
 	u := d.use(ref, h.Host)
 	if u.held != n {
--- a/core/limits/divider_test.go
+++ b/core/limits/divider_test.go
@@ -1,6 +1,7 @@
 package limits_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
@@ -71,3 +72,19 @@
 	}
 	assert.Assert(t, sum <= svc.Connections)
 }
+
+// TestEachOfManyProxiesGetsAConnection covers hosts that are added to a managed
+// service: 30 of them before 56 connections, as on the deployments at hand.
+func TestEachOfManyProxiesGetsAConnection(t *testing.T) {
+	svc := types.Service{Name: "a", Slots: 5, Connections: 56, Managed: true}
+	var hosts []types.HostID
+	for i := range 30 {
+		hosts = append(hosts, types.HostID(fmt.Sprint("p", i)))
+	}
+	sum := 0
+	for i, got := range afterRestart(svc, hosts...) {
+		assert.Assert(t, got.Connections >= 1, "proxy %d has none", i)
+		sum += got.Connections
+	}
+	assert.Assert(t, sum <= svc.Connections)
+}
