Count what a connection lacks by the operations that Prepare asks for

Cause: missing counted on its own what Prepare does. For a connection with a value too many it forgot that the reset also drops prepared statements, and counted settings with other values twice, so that Take could prefer a connection that needs more. Found by reading. Change: both go through needs. One of the seven cases of the test failed first.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -51,30 +51,46 @@
 // session needs, and takes them for done: a connection on which one fails is
 // dropped.
 func (c *Conn) Prepare(want *types.Setup) []types.Operation {
+	var ops []types.Operation
+	c.needs(want, func(op types.Operation) { ops = append(ops, op) })
+	c.applied(ops)
+	return ops
+}
+
+// missing returns how many operations Prepare would ask for.
+func (c *Conn) missing(want *types.Setup) int {
+	n := 0
+	c.needs(want, func(types.Operation) { n++ })
+	return n
+}
+
+// needs names the operations that give the connection the state that a session
+// needs, in order.
+func (c *Conn) needs(want *types.Setup, name func(types.Operation)) {
 	if want == nil {
 		want = &types.Setup{}
 	}
-	var ops []types.Operation
+	have := c.setup
 	if !c.within(want.Settings) {
-		ops = append(ops, types.Operation{Kind: types.OpReset})
-		c.setup = setup{}
+		name(types.Operation{Kind: types.OpReset})
+		have = setup{}
 	}
 	for _, s := range want.Settings {
-		if have, ok := c.setup.values[s.Name]; !ok || have != s.Value {
-			ops = append(ops, types.Operation{Kind: types.OpSetValue, Setting: s})
+		if value, ok := have.values[s.Name]; !ok || value != s.Value {
+			name(types.Operation{Kind: types.OpSetValue, Setting: s})
 		}
 	}
-	if p := want.Prepared; p != nil && !c.setup.prepared[p.Name] {
-		ops = append(ops, types.Operation{Kind: types.OpPrepare, Statement: *p})
+	if p := want.Prepared; p != nil && !have.prepared[p.Name] {
+		name(types.Operation{Kind: types.OpPrepare, Statement: *p})
 	}
-	c.applied(ops)
-	return ops
 }
 
 // applied records operations that change the connection's state.
 func (c *Conn) applied(ops []types.Operation) {
 	for _, op := range ops {
 		switch op.Kind {
+		case types.OpReset:
+			c.setup = setup{}
 		case types.OpSetValue:
 			if c.setup.values == nil {
 				c.setup.values = make(map[string]string)
@@ -101,25 +117,5 @@
 	return found == len(c.setup.values)
 }
 
-// missing returns how many operations Prepare would ask for.
-func (c *Conn) missing(want *types.Setup) int {
-	if want == nil {
-		want = &types.Setup{}
-	}
-	n := 0
-	if !c.within(want.Settings) {
-		n += 1 + len(want.Settings)
-	}
-	for _, s := range want.Settings {
-		if c.setup.values[s.Name] != s.Value {
-			n++
-		}
-	}
-	if p := want.Prepared; p != nil && !c.setup.prepared[p.Name] {
-		n++
-	}
-	return n
-}
-
 // State returns the state of the connection.
 func (c *Conn) State() State { return c.state }
