--- a/cmd/paddlectl/explain.go
+++ b/cmd/paddlectl/explain.go
@@ -15,7 +15,7 @@
 	return &cli.Command{
 		Name: "explain", Usage: "show from logs what led to the outcome of a request", ArgsUsage: "ID FILE...",
 		Description: "Reads the logs of any number of processes, in any order, and shows in order of time\n" +
-			"the lines about the request and what the processes believed meanwhile.\n" +
+			"the lines about the request and the changes of state in the processes meanwhile.\n" +
 			"It calls no control host. docs/OPERATIONS.md has examples.",
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: "before", Value: window.Before, Usage: "how long before the request's first line to look"},
--- a/core/limits/divide.go
+++ b/core/limits/divide.go
@@ -76,15 +76,15 @@
 	return part
 }
 
-// crowd is how many proxies there are for each slot of a target from which on one
+// proxiesPerSlot is how many proxies there are for each slot of a target from which on one
 // exchange of each proxy fills the slots. Half of the proxies are then enough.
-const crowd = 2
+const proxiesPerSlot = 2
 
 // slotShare returns part number at of a target's slots among n proxies. While they
 // are few each may use one at least, as callers don't spread evenly over proxies.
 func slotShare(slots, n, at int) int {
 	part := equal(slots, n, at)
-	if part == 0 && n < crowd*slots {
+	if part == 0 && n < proxiesPerSlot*slots {
 		return 1
 	}
 	return part
--- a/core/session/queue.go
+++ b/core/session/queue.go
@@ -24,9 +24,9 @@
 	// for a steady target is refused. docs/design/overload.md compares it with
 	// others.
 	shedShare = 0.45
-	// pressedFor is how long a refusal shows that work has to be left undone.
+	// overloadedFor is how long a refusal shows that work has to be left undone.
 	// Chosen, not measured on its own.
-	pressedFor = 4 * time.Second
+	overloadedFor = 4 * time.Second
 )
 
 // queue holds the requests that wait for one candidate set. Those that can
@@ -75,7 +75,7 @@
 		}
 		waits := now.Add(took).Sub(r.arrived)
 		limit := time.Duration(shedShare * float64(r.profile.Objective))
-		if r.Begins && q.shedAt != 0 && now.Sub(q.shedAt) < pressedFor {
+		if r.Begins && q.shedAt != 0 && now.Sub(q.shedAt) < overloadedFor {
 			limit /= beginShare
 		}
 		if limit <= 0 || waits <= limit {
--- a/front/pg/caller.go
+++ b/front/pg/caller.go
@@ -42,8 +42,8 @@
 	ended *types.Refusal // set once the proxy ended the session
 }
 
-func newCaller(s *Server, conn net.Conn) *caller {
-	c := &caller{server: s, batch: newBatcher(s.config)}
+func newCaller(forced context.Context, s *Server, conn net.Conn) *caller {
+	c := &caller{ctx: forced, server: s, batch: newBatcher(s.config)}
 	c.use(conn)
 	return c
 }
@@ -58,7 +58,7 @@
 
 // run serves the session until the caller leaves or the proxy ends it.
 func (c *caller) run() error {
-	ctx, cancel := context.WithCancel(c.server.forced)
+	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	c.ctx = ctx
 	session, err := c.server.proxy.Open(c.params)
--- a/front/pg/fuzz_test.go
+++ b/front/pg/fuzz_test.go
@@ -53,7 +53,7 @@
 // serveBytes feeds bytes to a new connection and returns what came back.
 func serveBytes(s *Server, data []byte) string {
 	conn := &memoryConn{in: bytes.NewReader(data)}
-	s.serve(conn, false)
+	s.serve(context.Background(), conn, 1)
 	return conn.out.String()
 }
 
--- a/front/pg/startup.go
+++ b/front/pg/startup.go
@@ -103,7 +103,7 @@
 		return trace.Wrap(err)
 	}
 	secured := tls.Server(c.conn, c.server.config.TLS)
-	if err := secured.HandshakeContext(c.server.forced); err != nil {
+	if err := secured.HandshakeContext(c.ctx); err != nil {
 		return trace.Wrap(err, "TLS handshake with the caller")
 	}
 	c.use(secured)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -8,8 +8,8 @@
 	"github.com/gravitational/trace"
 )
 
-// Window is how far around a request's own lines the beliefs behind them are
-// looked for.
+// Window is how far around a request's own lines changes of state are looked
+// for.
 type Window struct {
 	Before time.Duration
 	After  time.Duration
@@ -18,8 +18,8 @@
 // DefaultWindow covers a change of primary before a request and its end.
 func DefaultWindow() Window { return Window{Before: 5 * time.Second, After: time.Second} }
 
-// beliefs are the events that change what a process takes for true.
-var beliefs = map[string]bool{
+// stateChanges are the events after which a process decides otherwise.
+var stateChanges = map[string]bool{
 	"leader_found": true, "primary_suspected": true, "view_applied": true, "lease_lost": true, "lease_gained": true,
 	"term_begun": true, "term_serving": true, "promotion_waits": true, "promotion_called": true, "member_changed": true,
 	"target_lost": true, "target_found": true, "control_log_waits": true, "control_log_written": true,
@@ -28,8 +28,8 @@
 	"peer_connected": true, "peer_disconnected": true, "records_dropped": true, "log_lines_dropped": true,
 }
 
-// Request returns the lines about a request and those about what the processes
-// believed meanwhile, in order of time.
+// Request returns the lines about a request and those about changes of
+// state meanwhile, in order of time.
 func Request(id string, lines []Line, w Window) ([]Line, error) {
 	var own []Line
 	hosts, services := make(map[string]bool), make(map[string]bool)
@@ -47,7 +47,7 @@
 	from := slices.MinFunc(own, byTime).At - w.Before
 	to := slices.MaxFunc(own, byTime).At + w.After
 	for _, l := range lines {
-		if beliefs[l.Event] && l.At >= from && l.At <= to && concerns(l, hosts, services) {
+		if stateChanges[l.Event] && l.At >= from && l.At <= to && concerns(l, hosts, services) {
 			own = append(own, l)
 		}
 	}
@@ -55,7 +55,7 @@
 	return own, nil
 }
 
-// concerns reports whether a belief has to do with the request: one of a host that
+// concerns reports whether a change of state has to do with the request: one of a host that
 // served it, or of control, about the request's service or about none. In lines
 // about a peer the role is the peer's.
 func concerns(l Line, hosts, services map[string]bool) bool {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -135,9 +135,9 @@
 }
 
 // stop ends the process, by force after a while.
-func (p *Process) stop(patience time.Duration) {
+func (p *Process) stop(limit time.Duration) {
 	_ = p.cmd.Process.Signal(syscall.SIGCONT) // it may be frozen, or have ended
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	if _, err := p.Terminate(ctx); err != nil {
 		_ = p.Kill() // an error means that it has ended
