--- a/scripts/failover.sh
+++ b/scripts/failover.sh
@@ -14,18 +14,21 @@
 
 play() {
   "$FLEETBENCH" run "$site" "$1" --vary --seed "$2" --no-cpu --until 14 --log core,front --jobs 1 \
-    --why "failover, $(basename "$1" .toml)" >"$out/$(basename "$1" .toml)-$2.log" 2>&1 || true
+    --why "failover, $(basename "$1" .toml)" >"$out/$(basename "$1" .toml).$2.log" 2>&1 || true
 }
 
 # times prints "detected ordered known" of one log, or nothing without a failover.
+# The time of the fault stands behind the log lines.
 times() {
-  awk '
-    / s to .*(srv_crash|primary_cut|release)/ { fault = $1 }
-    /"term_begun"/ && match($0, /service="[^"]*"/) { if (!begun) { begun = $1; service = substr($0, RSTART, RLENGTH) } }
+  local fault
+  fault=$(awk '/ s to .*(srv_crash|primary_cut|release)/ { print $1; exit }' "$1")
+  [ -n "$fault" ] || return 0
+  awk -v fault="$fault" '
+    $1 + 0 < fault { next }
+    /"term_begun"/ && !begun { begun = $1; match($0, /service="[^"]*"/); service = substr($0, RSTART, RLENGTH) }
     /"promotion_called".*status=200/ && begun && !called { called = $1 }
-    /"term_serving"/ && called && !serving { serving = $1 }
-    /"leader_found"/ && / target=/ && called && index($0, service) { if (!($2 in known)) { known[$2]; last = $1 } }
-    END { if (fault && called) printf "%d %d %d\n", 1000*(begun-fault), 1000*(called-fault), 1000*(last-fault) }' "$1"
+    /"leader_found"/ && / target=/ && called && index($0, service) && !($2 in known) { known[$2]; last = $1 }
+    END { if (last) printf "%d %d %d\n", 1000*(begun-fault), 1000*(called-fault), 1000*(last-fault) }' "$1"
 }
 
 for day in deploy/failover/*.toml; do
@@ -35,7 +38,7 @@
   done
   wait
   name=$(basename "$day" .toml)
-  for log in "$out/$name"-*.log; do times "$log"; done >"$out/$name.times"
+  for log in "$out/$name".*.log; do times "$log"; done >"$out/$name.times"
   printf '%-28s %2d of %d' "$name" "$(wc -l <"$out/$name.times")" "$seeds"
   for column in 1 2 3; do
     awk -v c="$column" '{ print $c }' "$out/$name.times" | sort -n |
