--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -76,7 +76,8 @@
 
 	lead     leadership
 	reported effect.ChangeRole
-	hosts    []types.Address // made known last
+	hosts    []types.Address               // made known last
+	joiners  map[types.HostID]types.HostID // leader at the last recorded request to join, by joiner
 }
 
 // New returns a node that begins with what was saved. Without any voter in
@@ -88,7 +89,7 @@
 	if o.Policy == (Policy{}) {
 		o.Policy = DefaultPolicy()
 	}
-	n := &Node{opt: o, self: o.Self.Host}
+	n := &Node{opt: o, self: o.Self.Host, joiners: make(map[types.HostID]types.HostID)}
 	n.term, n.vote = o.Saved.HardState.Term, o.Saved.HardState.Vote
 	n.snapshot = o.Saved.Snapshot
 	n.log = newLog(o.Saved.Snapshot, o.Saved.Entries)
--- a/core/consensus/voters.go
+++ b/core/consensus/voters.go
@@ -55,12 +55,30 @@
 	if m.Joiner == nil || isMember(n.log.voters(), m.Joiner.Host) {
 		return
 	}
+	n.recordJoin(m.Joiner.Host)
 	joiner := *m.Joiner
 	joiner.Learner = true
 	delete(n.lead.peers, joiner.Host) // it may have been a member before
 	n.changeVoters(append(slices.Clone(n.log.voters()), joiner), joiner.Host, "a new host asked to join")
 }
 
+// recordJoin records a request to join, once for each leader that this host
+// knows meanwhile.
+func (n *Node) recordJoin(joiner types.HostID) {
+	if leader, ok := n.joiners[joiner]; ok && leader == n.leader {
+		return
+	}
+	n.joiners[joiner] = n.leader
+	reason := "this host leads"
+	switch {
+	case n.leader == "":
+		reason = "no leader is known"
+	case n.leader != n.self:
+		reason = "this host does not lead, " + string(n.leader) + " does"
+	}
+	n.decide(effect.DecideJoin, joiner, reason)
+}
+
 // mayChangeVoters reports whether voters may be proposed: no change is
 // uncommitted, and it differs from the set in force in one host.
 func (n *Node) mayChangeVoters(voters []proto.Voter) bool {
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -89,6 +89,9 @@
 	DecideTargetFound  Decision = "target_found"
 	DecideView         Decision = "view_applied"
 	DecideDrain        Decision = "drain"
+	DecideJoin         Decision = "join_requested"
+	DecideControlLost  Decision = "control_host_silent"
+	DecideViewIgnored  Decision = "view_ignored"
 )
 
 // Effects of control hosts.
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -83,8 +83,9 @@
 	case timerRequest:
 		return h.request(now)
 	case timerAnswer:
+		out := h.leftLeader()
 		h.leader = ""
-		return h.request(now)
+		return append(out, h.request(now)...)
 	case timerExpiry:
 		if now >= h.until {
 			return h.expire()
@@ -93,6 +94,16 @@
 	return nil
 }
 
+// leftLeader records that the leader is given up.
+func (h *Holder) leftLeader() []effect.Effect {
+	if h.leader == "" {
+		return nil
+	}
+	return []effect.Effect{effect.Decide{
+		Kind: effect.DecideControlLost, Host: h.leader, Reason: "no answer within " + answerTimeout.String(),
+	}}
+}
+
 // expire gives up the shares together with the lease, but for those of managed
 // services: their targets fence themselves, so that the proxy may serve on, and
 // they refuse connections beyond their limit.
@@ -137,7 +148,7 @@
 	g := e.Grant
 	sentAt, ok := h.sent[g.Seq]
 	if !ok || sentAt != g.SentAt {
-		return nil
+		return h.ignored(e)
 	}
 	if g.NotLeader {
 		return append(h.takeFirstView(g), h.redirect(now, g)...)
@@ -158,6 +169,17 @@
 	return append(out, h.extend(now, sentAt, g)...)
 }
 
+// ignored records that an answer with a view is not taken.
+func (h *Holder) ignored(e event.LeaseGranted) []effect.Effect {
+	if e.Grant.View == nil {
+		return nil
+	}
+	return []effect.Effect{effect.Decide{
+		Kind: effect.DecideViewIgnored, Host: e.From, Version: e.Grant.View.Version,
+		Reason: "it answers a request that was given up since",
+	}}
+}
+
 // learnHosts makes the addresses of the control hosts known when they changed.
 func (h *Holder) learnHosts(hosts []types.Address) []effect.Effect {
 	if len(hosts) == 0 || slices.Equal(hosts, h.hosts) {
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -18,6 +18,10 @@
 	silenceLimit  = 3 * time.Second // without any frame, then the connection is closed
 )
 
+// largeFrame is the size in bytes from which on a frame that is written gets a
+// log line: at the 4.5 Mbit/s of the slowest links at hand it takes 0.1 s.
+const largeFrame = 56 << 10
+
 // conn is a connection after its hellos. One goroutine reads it and one
 // writes it.
 type conn struct {
@@ -78,7 +82,7 @@
 			return ctx.Err()
 		}
 		for _, f := range c.out.take() {
-			if err := writeFrame(ctx, c.ws, f); err != nil {
+			if err := c.writeLogged(ctx, f); err != nil {
 				return err
 			}
 		}
@@ -86,6 +90,21 @@
 	}
 }
 
+// writeLogged writes a frame and logs how long a large one took.
+func (c *conn) writeLogged(ctx context.Context, f Frame) error {
+	b, err := Encode(f)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	err = writeBytes(ctx, c.ws, b)
+	if len(b) >= largeFrame {
+		klog.InfoS("large_frame_written", "peer", c.peer.Host, "role", c.peer.Role.String(), "content", f.content(),
+			"bytes", len(b), "took_ms", time.Since(began).Milliseconds(), "err", err)
+	}
+	return err
+}
+
 // readFrame reads one frame. After an error the connection is of no more use.
 func readFrame(ctx context.Context, ws *websocket.Conn, limit int, timeout time.Duration) (Frame, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -106,6 +125,11 @@
 	if err != nil {
 		return err
 	}
+	return writeBytes(ctx, ws, b)
+}
+
+// writeBytes writes an encoded frame.
+func writeBytes(ctx context.Context, ws *websocket.Conn, b []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	return trace.Wrap(ws.Write(ctx, websocket.MessageBinary, b), "writing a frame")
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -40,6 +40,23 @@
 	KeepAlive    *KeepAlive
 }
 
+// content names what a frame carries, for logs.
+func (f *Frame) content() string {
+	switch {
+	case f.Message != nil && f.Message.Snapshot != nil:
+		return "snapshot"
+	case f.Message != nil:
+		return "consensus"
+	case f.LeaseGrant != nil && f.LeaseGrant.View != nil:
+		return "view"
+	case f.LeaseGrant != nil:
+		return "grant"
+	case f.LeaseRequest != nil:
+		return "lease request"
+	}
+	return "other"
+}
+
 // KeepAlive shows that a connection without other frames still works.
 type KeepAlive struct{}
 
