--- /dev/null
+++ b/core/lease/control_hosts_test.go
@@ -0,0 +1,39 @@
+package lease_test
+
+import (
+	"testing"
+
+	"github.com/camphorpaddle/camphorpaddle/core/cluster"
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/lease"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"gotest.tools/v3/assert"
+)
+
+// TestProxyLearnsControlHostsFromAFollower guards against a proxy that reaches
+// followers only, since the control hosts were replaced, and never learns where
+// the leader is.
+func TestProxyLearnsControlHostsFromAFollower(t *testing.T) {
+	for _, have := range []uint64{0, 7} {
+		state := cluster.New()
+		table := lease.NewTable("c1", state, follows{})
+		state.Step(event.Input{Event: event.Committed{Entry: proto.Entry{Index: 1, Command: proto.Command{
+			Voters: &proto.SetVoters{Voters: []proto.Voter{{Host: "c1", Address: "1:1"}, {Host: "c9", Address: "9:9"}}},
+		}}}})
+		a := newAsker()
+		request := a.last().Request
+		request.Have = have
+		var known []types.Address
+		for _, eff := range table.Step(event.Input{Event: event.LeaseRequested{Request: request}}) {
+			grant := eff.(effect.GrantLease).Grant
+			for _, learnt := range a.holder.Step(event.Input{Now: 1010 * ms, Event: event.LeaseGranted{From: "c1", Grant: grant}}) {
+				if k, ok := learnt.(effect.KnowHosts); ok {
+					known = k.Addresses
+				}
+			}
+		}
+		assert.DeepEqual(t, known, []types.Address{"1:1", "9:9"})
+	}
+}
--- a/core/systemtest/world_test.go
+++ b/core/systemtest/world_test.go
@@ -53,6 +53,7 @@
 	spares    int           // control hosts added to the first ones
 	healed    time.Duration // when the last cuts ended
 	replies   map[uint64]proto.OperatorReply
+	links     links
 }
 
 // proxy is a proxy with one shard. Both are hosts of the cluster.
@@ -192,7 +193,7 @@
 func (w *world) execute(h *coretest.Host, eff effect.Effect) {
 	switch e := eff.(type) {
 	case effect.GrantLease:
-		w.cluster.Message(h.ID, e.Grant.Proxy, event.LeaseGranted{From: h.ID, Grant: e.Grant})
+		w.grant(h.ID, e.Grant)
 	case effect.RequestLease:
 		w.requestLease(h, e)
 	case effect.CallTarget:
