Pass a request to join on to the leader

Cause: a new host asks the hosts that it is connected to, and only the leader acts on it. With three of five addresses in its settings, none of the leader's among them, it stayed out, so that the loss of two more disks left two of five voters.

Why it works: a follower sends the request on to the leader that it knows, once, and the leader dials the new host as soon as its entry is in the log.

--- a/core/consensus/voters.go
+++ b/core/consensus/voters.go
@@ -50,18 +50,32 @@
 	n.send(proto.Message{Kind: proto.MsgJoin, Term: n.term, Joiner: &self})
 }
 
-// handleJoin adds an unknown host as a learner.
+// handleJoin adds an unknown host as a learner. A host that does not lead passes
+// the request on: the new one may know none but followers.
 func (n *Node) handleJoin(m proto.Message) {
 	if m.Joiner == nil || isMember(n.log.voters(), m.Joiner.Host) {
 		return
 	}
 	n.recordJoin(m.Joiner.Host)
+	if n.role != leader {
+		n.passOnJoin(m)
+		return
+	}
 	joiner := *m.Joiner
 	joiner.Learner = true
 	delete(n.lead.peers, joiner.Host) // it may have been a member before
 	n.changeVoters(append(slices.Clone(n.log.voters()), joiner), joiner.Host, "a new host asked to join")
 }
 
+// passOnJoin sends a request to join to the leader, if one is known. It is passed
+// on once only, as hosts may take each other for the leader.
+func (n *Node) passOnJoin(m proto.Message) {
+	if n.leader == "" || m.From != m.Joiner.Host {
+		return
+	}
+	n.send(proto.Message{Kind: proto.MsgJoin, To: n.leader, Term: n.term, Joiner: m.Joiner})
+}
+
 // recordJoin records a request to join, once for each leader that this host
 // knows meanwhile.
 func (n *Node) recordJoin(joiner types.HostID) {
@@ -74,7 +88,7 @@
 	case n.leader == "":
 		reason = "no leader is known"
 	case n.leader != n.self:
-		reason = "this host does not lead, " + string(n.leader) + " does"
+		reason = "passed on to the leader " + string(n.leader)
 	}
 	n.decide(effect.DecideJoin, joiner, reason)
 }
