Name the control hosts in every answer to a proxy

A proxy that reaches followers only, since the control hosts were replaced after it had its first view, is told the leader's identity, but not its address, and asks followers for ever.

Cause: a host that does not lead named the control hosts only to a proxy without a view, and only where all services are managed.

Operators' calls were ruled out: they are redirected to the leader's address by each host that knows it.

--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -151,7 +151,8 @@
 		return h.ignored(e)
 	}
 	if g.NotLeader {
-		return append(h.takeFirstView(g), h.redirect(now, g)...)
+		h.takeFirstView(g)
+		return append(h.learnHosts(g.Hosts), h.redirect(now, g)...)
 	}
 	if g.Term < h.term || now >= sentAt.Add(Duration-driftMargin) {
 		return nil
@@ -197,13 +198,12 @@
 
 // takeFirstView takes over what a follower knows while the proxy knows nothing.
 // It brings no lease; managed services are served without one.
-func (h *Holder) takeFirstView(g proto.LeaseGrant) []effect.Effect {
+func (h *Holder) takeFirstView(g proto.LeaseGrant) {
 	if h.cluster != nil || g.View == nil {
-		return nil
+		return
 	}
 	h.takeView(g.View)
 	h.shares = provisionalShares(h.cluster)
-	return h.learnHosts(g.Hosts)
 }
 
 // provisionalShares returns what a proxy may use of managed targets until
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -127,14 +127,17 @@
 func (t *Table) SurelyLeads() bool { return t.role.Leading && t.now < t.lead.LeadsUntil() }
 
 func (t *Table) refuse(r proto.LeaseRequest) []effect.Effect {
-	g := proto.LeaseGrant{Proxy: r.Proxy, Seq: r.Seq, SentAt: r.SentAt, Term: t.role.Term, NotLeader: true}
+	g := proto.LeaseGrant{
+		Proxy: r.Proxy, Seq: r.Seq, SentAt: r.SentAt, Term: t.role.Term, NotLeader: true,
+		Hosts: proto.Addresses(t.state.Voters()),
+	}
 	if t.role.Leader != t.self {
 		g.Leader = t.role.Leader
 	}
 	if r.Have == 0 && t.state.Config().AllManaged() {
 		// What this host knows is committed, if not the latest. A proxy that has
 		// just started may work with it where that needs no lease.
-		g.View, g.Hosts = t.state.Update(0), proto.Addresses(t.state.Voters())
+		g.View = t.state.Update(0)
 	}
 	return []effect.Effect{effect.GrantLease{Grant: g}}
 }
