Send views as what changed, in parts, and take them whenever they come

Callers saw: confirmed changes not in force for up to 12 s, requests refused for routes that had been acknowledged (CONFIG), 29 to 40% of requests late or refused after a large configuration, proxies without any view after a restart.

Cause: an answer to a proxy that was behind carried the whole configuration, 123 KB with 1,400 routes. Over 4.5 Mbit/s, next to callers' traffic, that takes longer than the 200 ms after which the proxy asks another host, and from then on it ignored what still came of the first. Each repetition put one more copy on the same link.

Why it works: what is sent is bounded by what changed, one part of 16 KB for each request; a part is of use whenever it comes and whoever sent it, so that every transfer makes progress. The property test found that a host that is behind could end a transfer and leave an item out; the cursor names the newest state since.

--- a/core/cluster/apply.go
+++ b/core/cluster/apply.go
@@ -37,6 +37,7 @@
 }
 
 func (s *State) applyChange(index uint64, c proto.ChangeConfig) []effect.Effect {
+	before := s.ledger.Config()
 	result, changed := s.ledger.Apply(c)
 	if !changed {
 		if result.Accepted {
@@ -46,6 +47,7 @@
 	}
 	s.touch(index)
 	s.configVersion = index
+	s.items.changeConfig(before, s.ledger.Config(), index)
 	s.followConfig(index)
 	return decide(effect.Decide{
 		Kind: effect.DecideConfig, Version: result.Version,
@@ -65,8 +67,7 @@
 	for _, name := range s.Services() {
 		if _, ok := services[name]; !ok {
 			delete(s.groups, name)
-			delete(s.groupVersion, name)
-			s.gone[name] = index
+			s.items.remove(groupItem(name), index)
 		}
 	}
 }
@@ -205,8 +206,7 @@
 
 func (s *State) setGroup(index uint64, g *types.Group) {
 	s.groups[g.Service] = g
-	s.groupVersion[g.Service] = index
-	delete(s.gone, g.Service)
+	s.items.change(groupItem(g.Service), index)
 	s.touch(index)
 }
 
--- /dev/null
+++ b/core/cluster/parts_test.go
@@ -0,0 +1,201 @@
+package cluster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/cluster"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/wire"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// routedConfig returns a configuration with the routes from first on.
+func routedConfig(first, count int) *types.Config {
+	c := config(3, "a")
+	c.Profiles, c.Routes = make(map[types.ProfileName]types.Profile), make(map[types.DatabaseName]types.Route)
+	for r := first; r < first+count; r++ {
+		name := fmt.Sprintf("database-%06d", r)
+		profile := types.ProfileName(name)
+		c.Profiles[profile] = types.Profile{
+			Name: profile, Freshness: types.FreshAge, MaxAge: 1500 * time.Millisecond, RequestTimeout: time.Second,
+			QueueTimeout: time.Second, Objective: 800 * time.Millisecond, DrainTimeout: 5600 * time.Millisecond, Weight: 4,
+		}
+		database := types.DatabaseName(name)
+		c.Routes[database] = types.Route{Database: database, Service: "a", Profile: profile}
+	}
+	return c
+}
+
+func (l *log) configure(c *types.Config) {
+	l.apply(change(fmt.Sprint("change-", l.index), l.state.Config().Version, c))
+}
+
+// TestChangeOfOneRouteTravelsAlone guards against updates that bring the whole
+// configuration whenever anything in it has changed.
+func TestChangeOfOneRouteTravelsAlone(t *testing.T) {
+	l := &log{state: cluster.New()}
+	l.configure(routedConfig(0, 1400))
+	held, _ := cluster.Merge(nil, l.state.Update(0))
+	l.configure(routedConfig(1, 1400))
+	u := l.state.Update(held.Version)
+	assert.Equal(t, len(u.Config.Routes), 1)
+	assert.Equal(t, len(u.Config.Profiles), 1)
+	assert.Equal(t, len(u.Config.Services), 0)
+	assert.Equal(t, len(u.Removed), 2)
+	held, _ = cluster.Merge(held, u)
+	assert.DeepEqual(t, held.Config, l.state.Config())
+}
+
+// TestPartsPassSlowLinks guards against parts that take longer than the 200 ms
+// after which a proxy asks another host, on a quarter of a link of 4.5 Mbit/s.
+func TestPartsPassSlowLinks(t *testing.T) {
+	const most = 4_500_000 / 8 / 4 / 5 // bytes in 200 ms
+	l := &log{state: cluster.New()}
+	l.configure(routedConfig(0, 1400))
+	for i := range 24 {
+		service := types.ServiceName(fmt.Sprintf("service-%d", i))
+		c := routedConfig(0, 1400)
+		for n := range i + 1 {
+			name := types.ServiceName(fmt.Sprintf("service-%d", n))
+			c.Services[name] = types.Service{Name: name, Members: 3}
+		}
+		l.configure(c)
+		for m := range 3 {
+			l.apply(proto.Command{Member: &proto.SetMember{Service: service, Target: types.Target{
+				Name: types.TargetName(fmt.Sprintf("i-%010d", m)), Address: "10.128.100.100:8080", AvailabilityZone: "lowcountry-a", Slots: 5,
+			}}})
+		}
+	}
+	var a cluster.Assembly
+	parts := 0
+	for u := l.state.Part(a.Have(), a.At()); u != nil; u = l.state.Part(a.Have(), a.At()) {
+		frame, err := wire.Encode(wire.Frame{LeaseGrant: &proto.LeaseGrant{View: u}})
+		assert.NilError(t, err)
+		assert.Assert(t, len(frame) <= most, "a part takes %d bytes", len(frame))
+		assert.Assert(t, a.Take(u))
+		parts++
+	}
+	assert.Assert(t, parts > 5, "%d parts", parts)
+	assert.DeepEqual(t, a.View().Config, l.state.Config())
+	assert.DeepEqual(t, a.View().Groups, l.state.View().Groups)
+}
+
+// TestOldSnapshotRestartsTheTransfer guards against items that are passed over
+// when a proxy goes on with a host whose snapshot does not say when they changed.
+func TestOldSnapshotRestartsTheTransfer(t *testing.T) {
+	l := &log{state: cluster.New()}
+	for n := range 5 {
+		l.configure(routedConfig(100*n, 500))
+	}
+	var a cluster.Assembly
+	assert.Assert(t, a.Take(l.state.Part(0, proto.ViewCursor{})))
+	old := l.state.Snapshot()
+	old.Views = proto.ViewVersions{}
+	other := cluster.New()
+	other.Step(event.Input{Event: event.Restored{Snapshot: proto.Snapshot{Index: l.index, State: old}}})
+	for u := other.Part(a.Have(), a.At()); u != nil; u = other.Part(a.Have(), a.At()) {
+		assert.Assert(t, a.Take(u))
+	}
+	assert.DeepEqual(t, a.View().Config, other.Config())
+}
+
+// TestPartsMakeTheView lets a proxy collect parts from two control hosts, one of
+// them behind, while the configuration changes and hosts restore snapshots. Parts
+// are lost, repeated and late. Whatever the proxy acts on is a state that the log
+// had, it never goes back, and in the end it is the last one.
+func TestPartsMakeTheView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &log{state: cluster.New()}
+		behind := cluster.New()
+		var entries []proto.Entry
+		states := make(map[uint64]*types.ClusterView)
+		var late []*proto.ViewUpdate
+		var a cluster.Assembly
+		take := func(u *proto.ViewUpdate) {
+			before := a.Have()
+			a.Take(u)
+			assert.Assert(t, a.Have() >= before, "the view went back")
+			if a.Have() > before {
+				assert.DeepEqual(t, a.View(), states[a.Have()], cmpopts.EquateEmpty())
+			}
+		}
+		commit := func(c proto.Command) {
+			l.apply(c)
+			entries = append(entries, proto.Entry{Index: l.index, Command: c})
+			states[l.state.View().Version] = l.state.View()
+		}
+		host := func(t *rapid.T) *cluster.State {
+			if rapid.Bool().Draw(t, "host that is behind") {
+				return behind
+			}
+			return l.state
+		}
+		restored := func(s *cluster.State, index uint64) *cluster.State {
+			next := cluster.New()
+			next.Step(event.Input{Event: event.Restored{Snapshot: proto.Snapshot{Index: index, State: s.Snapshot()}}})
+			return next
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"configure": func(t *rapid.T) {
+				c := routedConfig(100*rapid.IntRange(0, 9).Draw(t, "first"), rapid.IntRange(0, 900).Draw(t, "count"))
+				commit(change(fmt.Sprint("change-", l.index), l.state.Config().Version, c))
+			},
+			"change": func(t *rapid.T) { commit(randomCommand(t, l)) },
+			"follow": func(t *rapid.T) {
+				for _, e := range entries[:rapid.IntRange(0, len(entries)).Draw(t, "entries")] {
+					behind.Step(event.Input{Event: event.Committed{Entry: e}})
+				}
+			},
+			"restore": func(*rapid.T) {
+				l.state = restored(l.state, l.index)
+				states[l.state.View().Version] = l.state.View()
+			},
+			"ask": func(t *rapid.T) {
+				if u := host(t).Part(a.Have(), a.At()); u != nil {
+					late = append(late, u)
+				}
+			},
+			"fetch": func(t *rapid.T) {
+				if u := host(t).Part(a.Have(), a.At()); u != nil {
+					take(u)
+				}
+			},
+			"receive": func(t *rapid.T) {
+				if len(late) > 0 {
+					take(rapid.SampledFrom(late).Draw(t, "update"))
+				}
+			},
+		})
+		for u := l.state.Part(a.Have(), a.At()); u != nil; u = l.state.Part(a.Have(), a.At()) {
+			assert.Assert(t, a.Take(u), "a part of the only host left is not taken")
+			if !u.More {
+				assert.DeepEqual(t, a.View(), l.state.View(), cmpopts.EquateEmpty())
+			}
+		}
+		assert.Equal(t, a.Have(), l.state.View().Version)
+	})
+}
+
+// TestHostThatIsBehindEndsNoTransfer guards against a view that lacks an item: the
+// last part of a newer state left it out, since it was removed there, and a host
+// that is behind, which still has it, takes it for sent.
+func TestHostThatIsBehindEndsNoTransfer(t *testing.T) {
+	l, behind := &log{state: cluster.New()}, &log{state: cluster.New()}
+	l.configure(routedConfig(0, 400))
+	behind.configure(routedConfig(0, 400))
+	var a cluster.Assembly
+	assert.Assert(t, a.Take(behind.state.Part(a.Have(), a.At())))
+	l.configure(routedConfig(0, 200))
+	assert.Assert(t, a.Take(l.state.Part(a.Have(), a.At())))
+	assert.Assert(t, behind.state.Part(a.Have(), a.At()) == nil)
+	for u := l.state.Part(a.Have(), a.At()); u != nil; u = l.state.Part(a.Have(), a.At()) {
+		assert.Assert(t, a.Take(u))
+	}
+	assert.DeepEqual(t, a.View().Config, l.state.Config())
+}
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -24,10 +24,8 @@
 	applied uint64
 
 	version       uint64 // last entry that changed what proxies see
-	since         uint64 // changes are known for versions from here on
 	configVersion uint64 // entry that brought the current configuration
-	groupVersion  map[types.ServiceName]uint64
-	gone          map[types.ServiceName]uint64
+	items         itemVersions
 
 	view *types.ClusterView // built when asked for; nil after a change
 }
@@ -35,11 +33,10 @@
 // New returns the empty state.
 func New() *State {
 	return &State{
-		ledger:       configuration.New(),
-		groups:       make(map[types.ServiceName]*types.Group),
-		proxies:      make(map[types.HostID]proto.SetProxy),
-		groupVersion: make(map[types.ServiceName]uint64),
-		gone:         make(map[types.ServiceName]uint64),
+		ledger:  configuration.New(),
+		groups:  make(map[types.ServiceName]*types.Group),
+		proxies: make(map[types.HostID]proto.SetProxy),
+		items:   newItemVersions(),
 	}
 }
 
@@ -65,7 +62,7 @@
 func (s *State) Services() []types.ServiceName { return slices.Sorted(maps.Keys(s.groups)) }
 
 // GroupVersion returns the version at which a group changed last.
-func (s *State) GroupVersion(name types.ServiceName) uint64 { return s.groupVersion[name] }
+func (s *State) GroupVersion(name types.ServiceName) uint64 { return s.items.changed[groupItem(name)] }
 
 // ConfigSince returns the version of the view that brought the configuration.
 func (s *State) ConfigSince() uint64 { return s.configVersion }
@@ -83,6 +80,7 @@
 		Source:  s.ledger.Source(),
 		Changes: s.ledger.Records(),
 		Proxies: s.Proxies(),
+		Views:   s.viewVersions(),
 	}
 	for _, name := range s.Services() {
 		out.Groups = append(out.Groups, s.groups[name])
@@ -136,18 +134,45 @@
 	}
 	s.ledger = configuration.Restore(snap.State.Config, snap.State.Source, snap.State.Changes)
 	s.groups = make(map[types.ServiceName]*types.Group)
-	s.groupVersion = make(map[types.ServiceName]uint64)
-	s.gone = make(map[types.ServiceName]uint64)
 	s.proxies = make(map[types.HostID]proto.SetProxy)
 	for _, g := range snap.State.Groups {
 		s.groups[g.Service] = g
-		s.groupVersion[g.Service] = snap.Index
 	}
 	for _, p := range snap.State.Proxies {
 		s.proxies[p.Host] = p
 	}
-	s.voters = snap.Voters
-	s.applied, s.version = snap.Index, snap.Index
-	s.since, s.configVersion = snap.Index, snap.Index
+	s.voters, s.applied = snap.Voters, snap.Index
+	s.restoreVersions(snap.Index, snap.State.Views)
 	s.view = nil
 }
+
+// viewVersions returns what a snapshot keeps of the versions of views.
+func (s *State) viewVersions() proto.ViewVersions {
+	return proto.ViewVersions{
+		Version: s.version, ConfigSince: s.configVersion, Since: s.items.since,
+		Changed: sorted(s.items.changed), Removed: sorted(s.items.removed),
+	}
+}
+
+// restoreVersions takes over the versions of a snapshot. One without them counts
+// as a change of everything.
+func (s *State) restoreVersions(index uint64, v proto.ViewVersions) {
+	s.items = newItemVersions()
+	if v.Version == 0 {
+		s.version, s.configVersion, s.items.since = index, index, index
+		for name := range s.groups {
+			s.items.change(groupItem(name), index)
+		}
+		for item := range configItems(s.ledger.Config()) {
+			s.items.change(item, index)
+		}
+		return
+	}
+	s.version, s.configVersion, s.items.since = v.Version, v.ConfigSince, v.Since
+	for _, c := range v.Changed {
+		s.items.changed[c.Item] = c.Version
+	}
+	for _, r := range v.Removed {
+		s.items.removed[r.Item] = r.Version
+	}
+}
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -91,7 +91,7 @@
 	DecideDrain        Decision = "drain"
 	DecideJoin         Decision = "join_requested"
 	DecideControlLost  Decision = "control_host_silent"
-	DecideViewIgnored  Decision = "view_ignored"
+	DecideViewBegun    Decision = "view_begun"
 )
 
 // Effects of control hosts.
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -26,17 +27,18 @@
 	fill func(*proto.LeaseRequest)
 
 	seq    uint64
+	first  uint64                   // number of the first request of this process
 	sent   map[uint64]types.Instant // requests that may still be granted
 	sentAt types.Instant            // of the last request
 	leader types.HostID             // whom to ask; empty stands for any
 	asked  types.HostID             // whom the last request went to
 	term   proto.ControlTerm        // latest term of a grant
 
-	until   types.Instant
-	cluster *types.ClusterView
-	shares  map[types.TargetRef]types.Share
-	taken   uint64 // number of the grant that brought shares
-	hosts   []types.Address
+	until  types.Instant
+	views  cluster.Assembly
+	shares map[types.TargetRef]types.Share
+	taken  uint64 // number of the grant that brought shares
+	hosts  []types.Address
 }
 
 // NewHolder returns a holder without a lease. fill completes a request with
@@ -49,7 +51,7 @@
 func (h *Holder) Until() types.Instant { return h.until }
 
 // Cluster returns the last cluster view, or nil.
-func (h *Holder) Cluster() *types.ClusterView { return h.cluster }
+func (h *Holder) Cluster() *types.ClusterView { return h.views.View() }
 
 // Shares returns this proxy's part of each target.
 func (h *Holder) Shares() map[types.TargetRef]types.Share { return h.shares }
@@ -67,6 +69,7 @@
 	switch e := in.Event.(type) {
 	case event.Start:
 		h.seq = in.Seed >> 1
+		h.first = h.seq + 1
 		return h.request(in.Now)
 	case event.TimerFired:
 		if e.ID.Domain == event.DomainLeaseHolder {
@@ -110,7 +113,7 @@
 func (h *Holder) expire() []effect.Effect {
 	kept := make(map[types.TargetRef]types.Share)
 	for ref, share := range h.shares {
-		if h.cluster.Config.Managed(ref.Service) {
+		if h.views.View().Config.Managed(ref.Service) {
 			kept[ref] = share
 		}
 	}
@@ -132,9 +135,7 @@
 	h.sent[h.seq] = now
 	r := proto.LeaseRequest{
 		Proxy: h.self, AvailabilityZone: h.zone, Seq: h.seq, SentAt: now, Taken: h.taken,
-	}
-	if h.cluster != nil {
-		r.Have = h.cluster.Version
+		Have: h.views.Have(), At: h.views.At(),
 	}
 	h.fill(&r)
 	return []effect.Effect{
@@ -144,43 +145,74 @@
 	}
 }
 
+// granted takes in an answer. What it says of the view and of the control hosts
+// is of use whenever it comes, also from a host that does not lead: a view never
+// goes back. The lease and the shares are taken of the host that was asked last.
 func (h *Holder) granted(now types.Instant, e event.LeaseGranted) []effect.Effect {
 	g := e.Grant
-	sentAt, ok := h.sent[g.Seq]
-	if !ok || sentAt != g.SentAt {
-		return h.ignored(e)
+	if g.Seq < h.first || g.Seq > h.seq {
+		return nil // of an earlier process
 	}
-	if g.NotLeader {
-		h.takeFirstView(g)
-		return append(h.learnHosts(g.Hosts), h.redirect(now, g)...)
-	}
-	if g.Term < h.term || now >= sentAt.Add(Duration-driftMargin) {
-		return nil
+	out := h.learnHosts(g.Hosts)
+	progress, begun := h.takeView(e)
+	out = append(out, begun...)
+	sentAt, ok := h.sent[g.Seq]
+	switch {
+	case !ok || sentAt != g.SentAt:
+		return append(out, h.nextPart(now, progress)...)
+	case g.NotLeader:
+		return append(append(out, h.redirect(now, g)...), h.nextPart(now, progress)...)
+	case g.Term < h.term || now >= sentAt.Add(Duration-driftMargin):
+		return append(out, h.nextPart(now, progress)...)
 	}
 	h.forgetBefore(g.Seq)
 	h.leader, h.term = e.From, g.Term
-	out := h.learnHosts(g.Hosts)
 	if g.Seq == h.seq {
 		out = append(out, effect.StopTimer{ID: timerID(timerAnswer)})
 	}
-	if !h.takeView(g.View) {
-		return append(out, h.Hurry(now)...)
+	if g.View != nil && h.views.Have() < g.View.Version {
+		return append(out, h.catchUp(now, progress)...)
 	}
 	h.takeShares(g)
 	return append(out, h.extend(now, sentAt, g)...)
 }
 
-// ignored records that an answer with a view is not taken.
-func (h *Holder) ignored(e event.LeaseGranted) []effect.Effect {
-	if e.Grant.View == nil {
-		return nil
+// takeView takes over what an answer says of the view, and reports whether it
+// was of use.
+func (h *Holder) takeView(e event.LeaseGranted) (bool, []effect.Effect) {
+	u, first := e.Grant.View, h.Cluster() == nil
+	if u == nil || !h.views.Take(u) {
+		return false, nil
 	}
-	return []effect.Effect{effect.Decide{
-		Kind: effect.DecideViewIgnored, Host: e.From, Version: e.Grant.View.Version,
-		Reason: "it answers a request that was given up since",
+	if first && e.Grant.NotLeader && h.Cluster() != nil {
+		h.shares = provisionalShares(h.Cluster())
+	}
+	if !u.More || u.After != (proto.ViewCursor{}) {
+		return true, nil
+	}
+	return true, []effect.Effect{effect.Decide{
+		Kind: effect.DecideViewBegun, Host: e.From, Version: u.Version,
+		Reason: fmt.Sprintf("the first of several parts, since version %d", u.Base),
 	}}
 }
 
+// nextPart asks for the next part of a view after one was taken.
+func (h *Holder) nextPart(now types.Instant, progress bool) []effect.Effect {
+	if !progress || h.views.At().Begun == 0 {
+		return nil
+	}
+	return h.Hurry(now)
+}
+
+// catchUp asks again when a view is newer than this one. A part that was there
+// already calls for nothing: the request that followed it is under way.
+func (h *Holder) catchUp(now types.Instant, progress bool) []effect.Effect {
+	if !progress && h.views.At().Begun != 0 {
+		return nil
+	}
+	return h.Hurry(now)
+}
+
 // learnHosts makes the addresses of the control hosts known when they changed.
 func (h *Holder) learnHosts(hosts []types.Address) []effect.Effect {
 	if len(hosts) == 0 || slices.Equal(hosts, h.hosts) {
@@ -196,16 +228,6 @@
 	maps.DeleteFunc(h.sent, func(other uint64, _ types.Instant) bool { return other < seq })
 }
 
-// takeFirstView takes over what a follower knows while the proxy knows nothing.
-// It brings no lease; managed services are served without one.
-func (h *Holder) takeFirstView(g proto.LeaseGrant) {
-	if h.cluster != nil || g.View == nil {
-		return
-	}
-	h.takeView(g.View)
-	h.shares = provisionalShares(h.cluster)
-}
-
 // provisionalShares returns what a proxy may use of managed targets until
 // control has divided them: they refuse what is above their limit.
 func provisionalShares(v *types.ClusterView) map[types.TargetRef]types.Share {
@@ -237,18 +259,6 @@
 	return h.Hurry(now)
 }
 
-// takeView merges an update and reports whether the view is now at least as
-// new as control's was.
-func (h *Holder) takeView(u *proto.ViewUpdate) bool {
-	if u == nil {
-		return true
-	}
-	if next, ok := cluster.Merge(h.cluster, u); ok {
-		h.cluster = next
-	}
-	return h.cluster != nil && h.cluster.Version >= u.Version
-}
-
 // takeShares replaces the shares by those of the newest grant.
 func (h *Holder) takeShares(g proto.LeaseGrant) {
 	if g.Duration == 0 {
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -134,10 +134,10 @@
 	if t.role.Leader != t.self {
 		g.Leader = t.role.Leader
 	}
-	if r.Have == 0 && t.state.Config().AllManaged() {
-		// What this host knows is committed, if not the latest. A proxy that has
-		// just started may work with it where that needs no lease.
-		g.View = t.state.Update(0)
+	if t.state.Config().AllManaged() {
+		// What this host knows is committed, if not the latest. A proxy may work
+		// with it where that needs no lease.
+		g.View = t.state.Part(r.Have, r.At)
 	}
 	return []effect.Effect{effect.GrantLease{Grant: g}}
 }
@@ -171,18 +171,23 @@
 	return t.grant(p)
 }
 
-// grant answers the last request of a proxy. A proxy that stops gets no more
-// time, and none is given while its removal is under way.
+// grant answers the last request of a proxy. A proxy that stops, or lacks further
+// parts of the view, gets no more time, and none is given while its removal is
+// under way.
 func (t *Table) grant(p *proxyLease) []effect.Effect {
 	if p.removing {
 		return nil
 	}
 	g := proto.LeaseGrant{
 		Proxy: p.request.Proxy, Seq: p.request.Seq, SentAt: p.request.SentAt,
-		Term: t.role.Term, View: t.state.Update(p.request.Have), Hosts: proto.Addresses(t.state.Voters()),
+		Term: t.role.Term, View: t.state.Part(p.request.Have, p.request.At), Hosts: proto.Addresses(t.state.Voters()),
 	}
-	p.sent = t.state.View().Version
-	if !p.request.Draining && t.keepsUp(p) {
+	whole := g.View == nil || !g.View.More
+	p.sent = p.request.Have
+	if whole {
+		p.sent = t.state.View().Version
+	}
+	if whole && !p.request.Draining && t.keepsUp(p) {
 		g.Duration = Duration
 		p.until = t.now.Add(Duration + driftMargin)
 	}
@@ -203,7 +208,8 @@
 }
 
 // push sends a new view to the proxies that hold a lease, as a further answer
-// to their last request. It brings no time and no shares.
+// to their last request. It brings no time and no shares. A view of several parts
+// waits for their requests, one for each part.
 func (t *Table) push() []effect.Effect {
 	if !t.SurelyLeads() {
 		return nil
@@ -215,9 +221,12 @@
 		if p == nil || p.heard == 0 || t.now >= p.until || p.sent >= version {
 			continue
 		}
+		update := t.state.Part(p.sent, proto.ViewCursor{})
+		if update.More {
+			continue
+		}
 		out = append(out, effect.GrantLease{Grant: proto.LeaseGrant{
-			Proxy: reg.Host, Seq: p.request.Seq, SentAt: p.request.SentAt,
-			Term: t.role.Term, View: t.state.Update(p.sent),
+			Proxy: reg.Host, Seq: p.request.Seq, SentAt: p.request.SentAt, Term: t.role.Term, View: update,
 		}})
 		p.sent = version
 	}
--- a/core/proto/command.go
+++ b/core/proto/command.go
@@ -100,4 +100,15 @@
 	Changes []ChangeRecord
 	Groups  []*types.Group
 	Proxies []SetProxy
+	Views   ViewVersions
+}
+
+// ViewVersions is what a snapshot keeps of the versions of views. It is empty in
+// snapshots of programs that sent views whole.
+type ViewVersions struct {
+	Version     uint64 // of the view
+	ConfigSince uint64 // version that brought the configuration
+	Since       uint64 // changes are known for versions from here on
+	Changed     []ItemVersion
+	Removed     []ItemVersion
 }
--- a/core/proto/lease.go
+++ b/core/proto/lease.go
@@ -20,6 +20,7 @@
 	Taken            uint64              // Seq of the last grant whose shares it took
 	Quiet            []types.ServiceName // quiescing services without work under way
 	Draining         bool                // the proxy stops; its lease may be forgotten
+	At               ViewCursor          // how far it has come in taking over the next view
 }
 
 // TargetReport is what a proxy's probes say of one target.
@@ -52,14 +53,53 @@
 	Hosts     []types.Address // control hosts
 }
 
-// ViewUpdate brings a proxy's view to Version. With Base zero it is whole;
-// otherwise it holds what changed since Base.
+// ViewUpdate brings a proxy's view to Version, or a part of the way there. With
+// Base zero it builds on nothing; otherwise it holds what changed since Base.
 type ViewUpdate struct {
 	Base    uint64
 	Version uint64
-	Config  *types.Config // nil when unchanged since Base
+	Config  *types.Config // what changed of the configuration; nil if nothing did
 	Groups  []*types.Group
-	Gone    []types.ServiceName
+	Gone    []types.ServiceName // services without a group
+	Removed []ViewItem          // what the configuration no longer holds
+
+	After   ViewCursor // where this part begins; the zero value for the first
+	Through ViewCursor // where it ends
+	More    bool       // parts are left
+}
+
+// ItemKind is the kind of a ViewItem.
+type ItemKind uint8
+
+// The kinds of items that a view consists of.
+const (
+	ItemGroup ItemKind = iota + 1
+	ItemService
+	ItemProfile
+	ItemRoute
+)
+
+// ViewItem names the smallest unit in which a view changes.
+type ViewItem struct {
+	Kind ItemKind
+	Name string
+}
+
+// ItemVersion is the version of the view at which an item changed last.
+type ItemVersion struct {
+	Item    ViewItem
+	Version uint64
+}
+
+// ViewCursor is how far a proxy has come in taking over a view in parts. The
+// parts follow the order in which items changed last, so that a proxy goes on
+// with any control host that knows the same versions of items.
+type ViewCursor struct {
+	Since  uint64 // index from which on the versions of items are known
+	Base   uint64 // version of the view that the parts build on
+	Begun  uint64 // version of the state at the first part
+	Newest uint64 // version of the state at the last part
+	Last   ItemVersion
 }
 
 // ShareGrant is the part of a target that the proxy may use from now on.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -9,7 +9,7 @@
 )
 
 // Version is the version of the protocol. Both ends must speak the same one.
-const Version = 1
+const Version = 2
 
 // Path is where control hosts serve the protocol.
 const Path = "/v1/peer"
