Tell a caller that a database does not exist only under a live lease

Callers saw: requests refused for good (404 in the users' terms) for routes that had been acknowledged, by proxies that were behind.

Cause: a proxy without a lease, or with a follower's first view, knows that its configuration may be outdated, yet answered as if it knew. Callers don't try such a refusal again at another proxy.

The test fails with the condition turned off. Such a request has not run and is refused as by a proxy without a lease, so that it is tried elsewhere. The rule stands once in core/session; the platform's front and the shards ask the same function.

--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -260,6 +260,25 @@
 	assert.Equal(t, d.refusal(after).Outcome, types.NotRun)
 }
 
+// TestNameIsUnknownOnlyUnderALease guards against callers that are told that a
+// database does not exist by a proxy whose configuration is outdated.
+func TestNameIsUnknownOnlyUnderALease(t *testing.T) {
+	d := newManagedDriver(t)
+	d.openDatabase(1, "orders")
+	next := *d.config
+	next.Routes = map[types.DatabaseName]types.Route{}
+	d.config = &next
+	d.endLease()
+	refused := d.refusal(d.writeOnce(1))
+	assert.Equal(t, refused.Code, types.RefuseNoLease)
+	assert.Equal(t, refused.Outcome, types.NotRun)
+	for name, want := range map[types.DatabaseName]types.RefusalCode{"orders": types.RefuseNoLease, "other": types.RefuseNoLease} {
+		r, ok := RefuseDatabase(d.view, name, d.now)
+		assert.Assert(t, ok)
+		assert.Equal(t, r.Code, want)
+	}
+}
+
 func TestSessionStateIsRestored(t *testing.T) {
 	d := newManagedDriver(t)
 	d.share("a", types.Share{Connections: 1, Slots: 1})
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -144,7 +144,8 @@
 		return false
 	}
 	if !s.route(r) {
-		s.refuse(r, types.RefuseUnknownDatabase, r.outcome(), fmt.Sprintf("database %q is not routed", r.session.database))
+		why := refuseUnrouted(s.view, r.session.database, s.now)
+		s.refuse(r, why.Code, r.outcome(), why.Reason)
 		return false
 	}
 	name := r.session.service
@@ -168,6 +169,25 @@
 	return true
 }
 
+// RefuseDatabase returns why sessions with a database name can't be served, and
+// whether they can't.
+func RefuseDatabase(view *types.NodeView, name types.DatabaseName, now types.Instant) (types.Refusal, bool) {
+	if view.Routes(name) {
+		return types.Refusal{}, false
+	}
+	return refuseUnrouted(view, name, now), true
+}
+
+// refuseUnrouted refuses a name for good under a live lease only: without one the
+// configuration may be outdated, and another proxy may know the name.
+func refuseUnrouted(view *types.NodeView, name types.DatabaseName, now types.Instant) types.Refusal {
+	if !view.Configured() || !view.LeaseLive(now) {
+		return refusal(types.RefuseNoLease, types.NotRun, fmt.Sprintf(
+			"database %q is not routed by a configuration that may be outdated", name))
+	}
+	return refusal(types.RefuseUnknownDatabase, types.NotRun, fmt.Sprintf("database %q is not routed", name))
+}
+
 // route takes over the service and profile that the session's database name has
 // now. A transaction stays where it began.
 func (s *Shard) route(r *request) bool {
--- a/runtime/session.go
+++ b/runtime/session.go
@@ -6,6 +6,7 @@
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/session"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
@@ -48,6 +49,12 @@
 	return s, nil
 }
 
+// RefuseDatabase returns why sessions with a database name can't be served now, and
+// whether they can't.
+func (p *Proxy) RefuseDatabase(name types.DatabaseName) (types.Refusal, bool) {
+	return session.RefuseDatabase(p.View(), name, p.Clock())
+}
+
 // service returns the service that a session begins with.
 func (p *Proxy) service(params types.SessionParams) types.ServiceName {
 	view := p.View()
