--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -173,9 +173,7 @@
 	es := n.log.from(index, maxEntriesPerAppend)
 	size := 0
 	for i, e := range es {
-		if c := e.Command.Change; c != nil {
-			size += len(c.Source)
-		}
+		size += entryBytes(e)
 		if size > maxBytesPerAppend && i > 0 {
 			return es[:i:i]
 		}
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -64,6 +64,8 @@
 	commit   uint64
 	applied  uint64
 
+	appliedBytes int // of the entries since the last snapshot
+
 	now  types.Instant
 	seed uint64
 	out  []effect.Effect
@@ -215,6 +217,7 @@
 	for n.applied < n.commit {
 		n.applied++
 		e := n.log.entry(n.applied)
+		n.appliedBytes += entryBytes(e)
 		n.emit(effect.Commit{Entry: e})
 		if e.Command.Voters != nil {
 			n.votersCommitted()
