--- a/core/cluster/assembly.go
+++ b/core/cluster/assembly.go
@@ -63,15 +63,6 @@
 	return a.view, true
 }
 
-// Merge returns the view that an update in one part makes of base, and whether it
-// fits. A view never goes back to an older version. An update since an earlier
-// version than base fits too, because it holds all that changed since base.
-func Merge(base *types.ClusterView, u *proto.ViewUpdate) (*types.ClusterView, bool) {
-	a := Assembly{view: base}
-	fits := a.Take(u)
-	return a.view, fits
-}
-
 // merged returns a view with what an update changes. Neither is changed.
 func merged(base *types.ClusterView, u *proto.ViewUpdate) *types.ClusterView {
 	next := &types.ClusterView{Version: u.Version, Config: base.Config, Groups: maps.Clone(base.Groups)}
--- a/core/cluster/update.go
+++ b/core/cluster/update.go
@@ -18,15 +18,6 @@
 	groupBytes = 640
 )
 
-// Update returns all that a proxy that holds version have lacks, or nil. It is a
-// whole view when the changes since have are not known.
-func (s *State) Update(have uint64) *proto.ViewUpdate {
-	if have >= s.version {
-		return nil
-	}
-	return s.part(proto.ViewCursor{}, s.begin(have), math.MaxInt)
-}
-
 // Part returns the next part of what a proxy lacks that holds version have and
 // has come as far as a cursor, or nil. It is of bounded size.
 func (s *State) Part(have uint64, at proto.ViewCursor) *proto.ViewUpdate {
