Read the settings again without a signal

Callers saw: nothing of its own; the same class as a host that reaches no leader. A process whose addresses are all of hosts that are gone finds the others in its settings file only, and read it at SIGHUP only, while it may change without one.

Wrong or half-written settings change nothing; the same addresses are not taken in again.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -5,7 +5,9 @@
 	"net"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
+	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
@@ -39,7 +41,8 @@
 	// nothing.
 	ControlRoutes func(*khttp.Server, *runtime.ControlHost)
 	ProxyRoutes   func(srv *khttp.Server, ready func() bool)
-	// Reload reads the addresses of the control hosts again; nil ignores SIGHUP.
+	// Reload reads the addresses of the control hosts again; nil if they are read at
+	// the start only.
 	Reload func() ([]types.Address, error)
 }
 
@@ -48,38 +51,79 @@
 	Know(addresses []types.Address)
 }
 
-// reloadOnHangup reads the settings again at each SIGHUP. Settings that are
-// wrong change nothing.
-func (e Edge) reloadOnHangup(book addressBook) (stop func()) {
+// reloadInterval is the time between two looks at the settings without a signal.
+// Short against the seconds within which a lost control host is to be replaced,
+// and one read of a small file for a process.
+const reloadInterval = 2 * time.Second
+
+// reloader reads the addresses of the control hosts again, at each SIGHUP and now
+// and then: the file may change without a signal, and a process that knows none
+// but lost hosts finds the others in no other way.
+type reloader struct {
+	read  func() ([]types.Address, error)
+	book  addressBook
+	known []types.Address
+}
+
+// keepReloading reloads until stop is called.
+func (e Edge) keepReloading(book addressBook, interval time.Duration) (stop func()) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
+	r := &reloader{read: e.Reload, book: book}
+	tick := time.NewTicker(interval)
+	if e.Reload == nil {
+		tick.Stop()
+	}
 	done := make(chan struct{})
 	go func() {
 		for {
 			select {
 			case <-hangup:
-				e.reload(book)
+				r.hangup()
+			case <-tick.C:
+				r.look()
 			case <-done:
 				return
 			}
 		}
 	}()
 	return func() {
+		tick.Stop()
 		signal.Stop(hangup)
 		close(done)
 	}
 }
 
-func (e Edge) reload(book addressBook) {
-	if e.Reload == nil {
+// hangup reloads at a signal. Settings that are wrong change nothing.
+func (r *reloader) hangup() {
+	if r.read == nil {
 		klog.InfoS("reload_ignored", "reason", "the settings of this daemon are read at its start only")
 		return
 	}
-	addresses, err := e.Reload()
+	addresses, err := r.read()
 	if err != nil {
 		klog.ErrorS(nil, "reload_refused", "reason", telemetry.Reason(err))
 		return
 	}
-	book.Know(addresses)
-	klog.InfoS("reloaded", "control_hosts", len(addresses))
+	r.take(addresses)
+	klog.InfoS("reloaded", "control_hosts", len(addresses), "reason", "SIGHUP")
+}
+
+// look reloads without a signal. A file that can't be read may be half written:
+// the next look, or a signal, tells.
+func (r *reloader) look() {
+	addresses, err := r.read()
+	if err != nil {
+		klog.V(1).InfoS("reload_postponed", "reason", telemetry.Reason(err))
+		return
+	}
+	if !slices.Equal(addresses, r.known) {
+		r.take(addresses)
+		klog.InfoS("reloaded", "control_hosts", len(addresses), "reason", "the addresses have changed")
+	}
+}
+
+func (r *reloader) take(addresses []types.Address) {
+	r.known = addresses
+	r.book.Know(addresses)
 }
