--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -78,8 +78,8 @@
 
 	lead     leadership
 	reported effect.ChangeRole
-	hosts    []types.Address               // made known last
-	joiners  map[types.HostID]types.HostID // leader at the last recorded request to join, by joiner
+	hosts    []types.Address // made known last
+	joining  joinRecord
 }
 
 // New returns a node that begins with what was saved. Without any voter in
@@ -91,7 +91,7 @@
 	if o.Policy == (Policy{}) {
 		o.Policy = DefaultPolicy()
 	}
-	n := &Node{opt: o, self: o.Self.Host, joiners: make(map[types.HostID]types.HostID)}
+	n := &Node{opt: o, self: o.Self.Host}
 	n.term, n.vote = o.Saved.HardState.Term, o.Saved.HardState.Vote
 	n.snapshot = o.Saved.Snapshot
 	n.log = newLog(o.Saved.Snapshot, o.Saved.Entries)
--- a/core/consensus/voters.go
+++ b/core/consensus/voters.go
@@ -76,13 +76,17 @@
 	n.send(proto.Message{Kind: proto.MsgJoin, To: n.leader, Term: n.term, Joiner: m.Joiner})
 }
 
-// recordJoin records a request to join, once for each leader that this host
-// knows meanwhile.
+// joinRecord is the last request to join that was recorded.
+type joinRecord struct{ joiner, leader types.HostID }
+
+// recordJoin records a request to join. One that is repeated is recorded again
+// when this host knows another leader.
 func (n *Node) recordJoin(joiner types.HostID) {
-	if leader, ok := n.joiners[joiner]; ok && leader == n.leader {
+	record := joinRecord{joiner: joiner, leader: n.leader}
+	if record == n.joining {
 		return
 	}
-	n.joiners[joiner] = n.leader
+	n.joining = record
 	reason := "this host leads"
 	switch {
 	case n.leader == "":
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -156,17 +156,24 @@
 	out := h.learnHosts(g.Hosts)
 	progress, begun := h.takeView(e)
 	out = append(out, begun...)
-	sentAt, ok := h.sent[g.Seq]
-	switch {
-	case !ok || sentAt != g.SentAt:
-		return append(out, h.nextPart(now, progress)...)
-	case g.NotLeader:
-		return append(append(out, h.redirect(now, g)...), h.nextPart(now, progress)...)
-	case g.Term < h.term || now >= sentAt.Add(Duration-driftMargin):
+	sentAt, asked := h.sent[g.Seq]
+	asked = asked && sentAt == g.SentAt
+	if asked && g.NotLeader {
+		out = append(out, h.redirect(now, g)...)
+	}
+	if !asked || g.NotLeader || g.Term < h.term || now >= sentAt.Add(Duration-driftMargin) {
 		return append(out, h.nextPart(now, progress)...)
 	}
+	return append(out, h.takeGrant(now, sentAt, e, progress)...)
+}
+
+// takeGrant takes over the lease and the shares, unless control's view is newer
+// than this one.
+func (h *Holder) takeGrant(now, sentAt types.Instant, e event.LeaseGranted, progress bool) []effect.Effect {
+	g := e.Grant
 	h.forgetBefore(g.Seq)
 	h.leader, h.term = e.From, g.Term
+	var out []effect.Effect
 	if g.Seq == h.seq {
 		out = append(out, effect.StopTimer{ID: timerID(timerAnswer)})
 	}
