--- a/core/cluster/parts_test.go
+++ b/core/cluster/parts_test.go
@@ -199,3 +199,30 @@
 	}
 	assert.DeepEqual(t, a.View().Config, l.state.Config())
 }
+
+// BenchmarkFirstView reports the frames of a first view of 1,400 routes and of the
+// update after one more, before compression.
+func BenchmarkFirstView(b *testing.B) {
+	l := &log{state: cluster.New()}
+	l.configure(routedConfig(0, 1400))
+	var first, parts, update int
+	for b.Loop() {
+		first, parts = 0, 0
+		var a cluster.Assembly
+		for u := l.state.Part(a.Have(), a.At()); u != nil; u = l.state.Part(a.Have(), a.At()) {
+			frame, err := wire.Encode(wire.Frame{LeaseGrant: &proto.LeaseGrant{View: u}})
+			assert.NilError(b, err)
+			first += len(frame)
+			parts++
+			a.Take(u)
+		}
+	}
+	have := l.state.View().Version
+	l.configure(routedConfig(0, 1401))
+	frame, err := wire.Encode(wire.Frame{LeaseGrant: &proto.LeaseGrant{View: l.state.Part(have, proto.ViewCursor{})}})
+	assert.NilError(b, err)
+	update = len(frame)
+	b.ReportMetric(float64(first), "B/view")
+	b.ReportMetric(float64(parts), "parts")
+	b.ReportMetric(float64(update), "B/update")
+}
