--- a/daemon/control.go
+++ b/daemon/control.go
@@ -114,7 +114,7 @@
 	if c.edge.ControlRoutes != nil {
 		c.edge.ControlRoutes(httpServer, c.host)
 	}
-	stopReload := c.edge.keepReloading(c.mesh, reloadInterval)
+	stopReload := c.edge.keepReloading(c.mesh, c.settings.Control, reloadInterval)
 	defer stopReload()
 	c.mesh.Start(wire.Handlers{Message: c.host.PeerMessage, LeaseRequest: c.host.LeaseRequest})
 	app := kratos.New(
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -65,11 +65,11 @@
 	known []types.Address
 }
 
-// keepReloading reloads until stop is called.
-func (e Edge) keepReloading(book addressBook, interval time.Duration) (stop func()) {
+// keepReloading reloads until stop is called. known is what was read at the start.
+func (e Edge) keepReloading(book addressBook, known []types.Address, interval time.Duration) (stop func()) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	r := &reloader{read: e.Reload, book: book}
+	r := &reloader{read: e.Reload, book: book, known: known}
 	tick := time.NewTicker(interval)
 	if e.Reload == nil {
 		tick.Stop()
--- a/daemon/edge_test.go
+++ b/daemon/edge_test.go
@@ -19,7 +19,7 @@
 // TestChangedSettingsAreReadWithoutASignal guards against a process that knows none
 // but lost control hosts and never learns of the ones that its settings name now.
 func TestChangedSettingsAreReadWithoutASignal(t *testing.T) {
-	lists := [][]types.Address{{"1:1"}, {"1:1"}, nil, {"2:2", "3:3"}, {"2:2", "3:3"}}
+	lists := [][]types.Address{{"0:0"}, {"1:1"}, {"1:1"}, nil, {"2:2", "3:3"}, {"2:2", "3:3"}}
 	var reads atomic.Int64
 	edge := Edge{Reload: func() ([]types.Address, error) {
 		list := lists[min(reads.Add(1)-1, int64(len(lists)-1))]
@@ -29,7 +29,7 @@
 		return list, nil
 	}}
 	book := make(bookOf, len(lists))
-	stop := edge.keepReloading(book, time.Millisecond)
+	stop := edge.keepReloading(book, lists[0], time.Millisecond)
 	assert.DeepEqual(t, <-book, []types.Address{"1:1"})
 	assert.DeepEqual(t, <-book, []types.Address{"2:2", "3:3"})
 	for reads.Load() < int64(len(lists))+2 {
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -117,7 +117,7 @@
 	if p.edge.ProxyRoutes != nil {
 		p.edge.ProxyRoutes(httpServer, p.ready)
 	}
-	stopReload := p.edge.keepReloading(p.link, reloadInterval)
+	stopReload := p.edge.keepReloading(p.link, s.Control, reloadInterval)
 	defer stopReload()
 	p.link.Start(p.leaseGrant)
 	app := kratos.New(
