--- a/core/systemtest/link_test.go
+++ b/core/systemtest/link_test.go
@@ -84,6 +84,17 @@
 	return true
 }
 
+// enlarge puts a large configuration in force and returns the route that was added
+// last.
+func (m *machine) enlarge(t *testing.T) types.DatabaseName {
+	t.Helper()
+	c, added := m.operators.largeChange(3)
+	m.operators.send(m.leading, operatorCall{change: c})
+	inForce := m.cluster.RunUntil(inForceEverywhere, func() bool { return m.routed(added) })
+	assert.Assert(t, inForce, "the large change is not in force")
+	return added
+}
+
 // TestChangesOverSlowLinks guards against changes of a large configuration that
 // don't reach proxies in time, as each brings the whole configuration again. The
 // changes come faster than a whole configuration passes the links.
@@ -91,11 +102,10 @@
 	const changes, gap = 8, 500 * time.Millisecond
 	m := &machine{world: newWorld(t, 71, voters, 6, 3)}
 	m.waitServing()
-	c, added := m.operators.largeChange(3)
 	m.slowDown(slowLink)
-	m.operators.send(m.leading, operatorCall{change: c})
-	assert.Assert(t, m.cluster.RunUntil(inForceEverywhere, func() bool { return m.routed(added) }), "the large change is not in force")
+	added := m.enlarge(t)
 	for range changes {
+		var c proto.ChangeConfig
 		c, added = m.operators.largeChange(3)
 		m.operators.send(m.leading, operatorCall{change: c})
 		m.cluster.Run(gap)
@@ -114,9 +124,7 @@
 		t.Run(fmt.Sprint("restarts of the leader ", restarts), func(t *testing.T) {
 			m := &machine{world: newWorld(t, 72, voters, 6, 3)}
 			m.waitServing()
-			c, added := m.operators.largeChange(3)
-			m.operators.send(m.leading, operatorCall{change: c})
-			assert.Assert(t, m.cluster.RunUntil(inForceEverywhere, func() bool { return m.routed(added) }))
+			added := m.enlarge(t)
 			m.slowDown(slowLink)
 			for _, id := range m.proxyIDs() {
 				m.stop(id)
@@ -139,11 +147,9 @@
 	const budget = 9 << 10
 	m := &machine{world: newWorld(t, 73, voters, 3, 3)}
 	m.waitServing()
-	c, added := m.operators.largeChange(3)
-	m.operators.send(m.leading, operatorCall{change: c})
-	assert.Assert(t, m.cluster.RunUntil(inForceEverywhere, func() bool { return m.routed(added) }))
+	m.enlarge(t)
 	m.slowDown(slowLink)
-	c, added = m.operators.largeChange(3)
+	c, added := m.operators.largeChange(3)
 	m.operators.send(m.leading, operatorCall{change: c})
 	m.cluster.Run(time.Second)
 	assert.Assert(t, m.routed(added))
