Record sessions that are refused at their start

A proxy without a configuration and one with an outdated one are told apart. The test fails without the call.

--- a/core/session/explain.go
+++ b/core/session/explain.go
@@ -29,15 +29,8 @@
 }
 
 func (s *Shard) basis(r *request) *effect.Basis {
-	b := &effect.Basis{
-		View: s.seen(), Floor: r.floor, PositionAge: unknownAge, Waited: s.now.Sub(r.arrived), Tries: r.retries,
-	}
-	if s.view != nil && s.view.Cluster != nil {
-		b.LeaseLeft = s.view.LeaseUntil.Sub(s.now)
-		if s.view.Cluster.Config != nil {
-			b.Config = s.view.Cluster.Config.Version
-		}
-	}
+	b := ViewBasis(s.view, s.now)
+	b.Floor, b.Waited, b.Tries = r.floor, s.now.Sub(r.arrived), r.retries
 	if r.service == nil {
 		return b
 	}
@@ -46,6 +39,19 @@
 	return b
 }
 
+// ViewBasis returns the part of a decision's basis that a view tells.
+func ViewBasis(view *types.NodeView, now types.Instant) *effect.Basis {
+	b := &effect.Basis{PositionAge: unknownAge}
+	if view == nil || view.Cluster == nil {
+		return b
+	}
+	b.View, b.LeaseLeft = view.Cluster.Version, view.LeaseUntil.Sub(now)
+	if view.Cluster.Config != nil {
+		b.Config = view.Cluster.Config.Version
+	}
+	return b
+}
+
 // positionAge returns how long ago the primary's last known position was asked
 // for, or unknownAge.
 func (s *Shard) positionAge(svc *service) time.Duration {
--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -277,6 +277,9 @@
 		assert.Assert(t, ok)
 		assert.Equal(t, r.Code, want)
 	}
+	r, ok := RefuseDatabase(nil, "orders", d.now)
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Code, types.RefuseNoLease)
 }
 
 func TestSessionStateIsRestored(t *testing.T) {
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -181,7 +181,10 @@
 // refuseUnrouted refuses a name for good under a live lease only: without one the
 // configuration may be outdated, and another proxy may know the name.
 func refuseUnrouted(view *types.NodeView, name types.DatabaseName, now types.Instant) types.Refusal {
-	if !view.Configured() || !view.LeaseLive(now) {
+	switch {
+	case !view.Configured():
+		return refusal(types.RefuseNoLease, types.NotRun, "the proxy has no configuration yet")
+	case !view.LeaseLive(now):
 		return refusal(types.RefuseNoLease, types.NotRun, fmt.Sprintf(
 			"database %q is not routed by a configuration that may be outdated", name))
 	}
--- a/runtime/session.go
+++ b/runtime/session.go
@@ -50,9 +50,14 @@
 }
 
 // RefuseDatabase returns why sessions with a database name can't be served now, and
-// whether they can't.
+// whether they can't. A refusal is recorded like that of a request.
 func (p *Proxy) RefuseDatabase(name types.DatabaseName) (types.Refusal, bool) {
-	return session.RefuseDatabase(p.View(), name, p.Clock())
+	view, now := p.View(), p.Clock()
+	refusal, refused := session.RefuseDatabase(view, name, now)
+	if refused {
+		p.Recorder.Decision(effect.Decide{Kind: effect.DecideRefuse, Reason: refusal.Reason, Basis: session.ViewBasis(view, now)})
+	}
+	return refusal, refused
 }
 
 // service returns the service that a session begins with.
--- a/runtime/session_test.go
+++ b/runtime/session_test.go
@@ -120,3 +120,40 @@
 	assert.Equal(t, refusal.Code, types.RefuseNoLease)
 	assert.Equal(t, refusal.Error(), "not run: the lease ran out")
 }
+
+// keptDecisions is a recorder that keeps the decisions.
+type keptDecisions struct {
+	noRecorder
+	decisions []effect.Decide
+}
+
+// Decision implements Recorder.
+func (k *keptDecisions) Decision(d effect.Decide) { k.decisions = append(k.decisions, d) }
+
+// TestRefusedSessionsAreRecorded guards against sessions that a proxy refuses at
+// their start without a line that tells why.
+func TestRefusedSessionsAreRecorded(t *testing.T) {
+	var kept keptDecisions
+	p := NewProxy(ProxyOptions{
+		Control: core.New(), Shards: 1, Clock: func() types.Instant { return 10 }, Seed: zeroSeed,
+		Shard: func(int) *core.Reducer { return core.New() }, Recorder: &kept,
+	})
+	_, refused := p.RefuseDatabase("orders")
+	assert.Assert(t, refused)
+	p.view.Store(&types.NodeView{
+		LeaseUntil: 20,
+		Cluster: &types.ClusterView{Version: 7, Config: &types.Config{
+			Version: 3, Routes: map[types.DatabaseName]types.Route{"orders": {Database: "orders"}},
+		}},
+	})
+	_, refused = p.RefuseDatabase("orders")
+	assert.Assert(t, !refused)
+	_, refused = p.RefuseDatabase("other")
+	assert.Assert(t, refused)
+	assert.Equal(t, len(kept.decisions), 2)
+	last := kept.decisions[1]
+	assert.Equal(t, last.Kind, effect.DecideRefuse)
+	assert.Equal(t, last.Basis.View, uint64(7))
+	assert.Equal(t, last.Basis.Config, uint64(3))
+	assert.Equal(t, last.Basis.LeaseLeft, 10*time.Nanosecond)
+}
