Handle SIGHUP before the ports and the data folder are opened

Cause: the process was stopped by SIGSTOP as it started, and got SIGHUP meanwhile, which ends a Go program that does not handle it yet. It was handled only in Run, after the ports, and on a control host the log, had been opened.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"os"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core"
@@ -38,6 +39,7 @@
 	host     *runtime.ControlHost
 	http     net.Listener
 	peers    net.Listener
+	hangup   chan os.Signal
 }
 
 // InitControl writes the data folder of the first control host of a new
@@ -57,7 +59,7 @@
 
 // NewControlAt opens the data folder and the ports of a control host.
 func NewControlAt(e Edge, s *settings.Daemon, version string) (*Control, error) {
-	c := &Control{edge: e, settings: s, version: version}
+	c := &Control{edge: e, settings: s, version: version, hangup: hangups()}
 	if err := c.open(); err != nil {
 		c.release()
 		return nil, err
@@ -114,7 +116,7 @@
 	if c.edge.ControlRoutes != nil {
 		c.edge.ControlRoutes(httpServer, c.host)
 	}
-	stopReload := c.edge.keepReloading(c.mesh, c.settings.Control, reloadInterval)
+	stopReload := c.edge.keepReloading(c.hangup, c.mesh, c.settings.Control, reloadInterval)
 	defer stopReload()
 	c.mesh.Start(wire.Handlers{Message: c.host.PeerMessage, LeaseRequest: c.host.LeaseRequest})
 	app := kratos.New(
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -65,10 +65,18 @@
 	known []types.Address
 }
 
-// keepReloading reloads until stop is called. known is what was read at the start.
-func (e Edge) keepReloading(book addressBook, known []types.Address, interval time.Duration) (stop func()) {
+// hangups returns a channel of SIGHUP. A process takes it as the first thing it does:
+// until then the signal ends it.
+func hangups() chan os.Signal {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
+	return hangup
+}
+
+// keepReloading reloads until stop is called. known is what was read at the start.
+func (e Edge) keepReloading(
+	hangup chan os.Signal, book addressBook, known []types.Address, interval time.Duration,
+) (stop func()) {
 	r := &reloader{read: e.Reload, book: book, known: known}
 	tick := time.NewTicker(interval)
 	if e.Reload == nil {
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,7 @@
 	callers  net.Listener
 	draining atomic.Bool
 	drained  sync.Once
+	hangup   chan os.Signal
 }
 
 // NewProxy opens the ports of a proxy whose callers and targets speak
@@ -51,7 +53,7 @@
 
 // NewProxyAt opens the ports of a proxy.
 func NewProxyAt(e Edge, s *settings.Daemon, version string) (*Proxy, error) {
-	p := &Proxy{edge: e, settings: s, version: version, clock: runtime.NewClock()}
+	p := &Proxy{edge: e, settings: s, version: version, clock: runtime.NewClock(), hangup: hangups()}
 	if err := p.open(); err != nil {
 		p.release()
 		return nil, err
@@ -117,7 +119,7 @@
 	if p.edge.ProxyRoutes != nil {
 		p.edge.ProxyRoutes(httpServer, p.ready)
 	}
-	stopReload := p.edge.keepReloading(p.link, s.Control, reloadInterval)
+	stopReload := p.edge.keepReloading(p.hangup, p.link, s.Control, reloadInterval)
 	defer stopReload()
 	p.link.Start(p.leaseGrant)
 	app := kratos.New(
