Odd announcements name no member and shut none out

One with a seq or born that the target never reaches, under the name of a living target, made all its later heartbeats count as late, so that it was silent after 3 s and removed after 18 s. A heartbeat held back until after its target had said that it has ended made it a member again. An announcement outweighs those with lower numbers only until it has not been repeated for 2 s while they go on. The leader remembers ended targets for a minute. A new leader does not know which targets ended before.

--- a/core/membership/managed.go
+++ b/core/membership/managed.go
@@ -13,6 +13,14 @@
 // itself again under the same name. The time is five times SilentAfter, after which the member gets no work.
 const managedRemoveAfter = 15 * time.Second
 
+// disputeAfter is how long the latest announcement of a target outweighs those that
+// were made before it by their numbers. It is longer than the interval of announcements,
+// and shorter than SilentAfter, so that a target whose numbers were wrong once stays active.
+const disputeAfter = 2 * time.Second
+
+// goneRetention is how long late announcements of a target that ended are ignored.
+const goneRetention = time.Minute
+
 // outdated reports whether an announcement was made before another one of the
 // same target, or by an earlier process of it.
 func outdated(a, last proto.Announcement) bool {
@@ -22,6 +30,33 @@
 	return a.Seq < last.Seq
 }
 
+// outweighed reports whether an outdated announcement is to be ignored, and records it.
+// It counts if the latest one has not been repeated for disputeAfter while outdated ones
+// kept arriving: then the latest one came from another writer or had wrong numbers.
+func (l *lastAnnouncement) outweighed(a proto.Announcement, now types.Instant) bool {
+	goesOn := l.disputedBy.StartedAt == a.StartedAt && l.disputedBy.Seq < a.Seq
+	l.disputedBy = a
+	return !goesOn || now.Sub(l.sentAt) < disputeAfter
+}
+
+// ended reports whether an announcement is a late one of a process that has ended.
+func (t *Tracker) ended(ref types.TargetRef, a proto.Announcement, now types.Instant) bool {
+	g, ok := t.gone[ref]
+	return ok && now.Sub(g.at) < goneRetention && a.StartedAt <= g.startedAt
+}
+
+// recordGone remembers that a member has ended, after its removal.
+func (t *Tracker) recordGone(ref types.TargetRef, now types.Instant) {
+	for other, g := range t.gone {
+		if now.Sub(g.at) >= goneRetention {
+			delete(t.gone, other)
+		}
+	}
+	if last := t.announced[ref]; last.announcement.Terminated {
+		t.gone[ref] = goneTarget{startedAt: last.announcement.StartedAt, at: now}
+	}
+}
+
 // join adds a target that announced itself to the group of a managed service.
 // Such a group has no fixed size: the external promotion service also decides
 // which members it has. A new target replaces an earlier one at the same
@@ -32,7 +67,7 @@
 			continue
 		}
 		ref := types.TargetRef{Service: g.Service, Name: m.Name}
-		if t.announced[ref].announcement.StartedAt > a.StartedAt {
+		if last := t.announced[ref]; last.announcement.StartedAt > a.StartedAt && now.Sub(last.sentAt) < SilentAfter {
 			return nil
 		}
 		if m.Name == g.Primary {
--- a/core/membership/managed_test.go
+++ b/core/membership/managed_test.go
@@ -114,3 +114,63 @@
 	h.advance(20 * time.Second)
 	assert.Equal(t, len(h.members()), 0)
 }
+
+// TestOddNumbersDoNotShutATargetOut covers another writer's announcement under the name
+// of a living target, with numbers that the target will never reach.
+func TestOddNumbersDoNotShutATargetOut(t *testing.T) {
+	for _, odd := range []proto.Announcement{
+		{Name: "a", Address: "odd", StartedAt: 1, Seq: 1 << 53},
+		{Name: "a", Address: "odd", StartedAt: 1 << 40, Seq: 1},
+		{Name: "b", Address: "x", StartedAt: 1 << 40, Seq: 1},
+	} {
+		h := newHarness()
+		beat := func(seq uint64) { h.announce(proto.Announcement{Name: "a", Address: "x", StartedAt: 1, Seq: seq}) }
+		beat(1)
+		h.announce(odd)
+		for seq := uint64(2); seq < 6; seq++ {
+			for range 4 {
+				h.advance(300 * time.Millisecond)
+			}
+			beat(seq)
+		}
+		assert.Equal(t, h.members()["a"].Address, types.Address("x"), "after %+v", odd)
+		assert.Equal(t, h.members()["a"].State, types.TargetActive, "after %+v", odd)
+	}
+}
+
+// TestTargetWithWrongNumbersStaysActive covers the time until the target's own
+// announcements count again.
+func TestTargetWithWrongNumbersStaysActive(t *testing.T) {
+	h := newHarness()
+	h.announce(proto.Announcement{Name: "a", Address: "x", StartedAt: 1, Seq: 1})
+	h.announce(proto.Announcement{Name: "a", Address: "x", StartedAt: 1, Seq: 1 << 53})
+	for seq := uint64(2); seq < 12; seq++ {
+		for range 4 {
+			h.advance(300 * time.Millisecond)
+			assert.Equal(t, h.members()["a"].State, types.TargetActive, "before announcement %d", seq)
+		}
+		h.announce(proto.Announcement{Name: "a", Address: "x", StartedAt: 1, Seq: seq})
+	}
+}
+
+// TestOneLateAnnouncementOfAnEarlierProcess covers a target that has restarted and died:
+// what a partition held back of its earlier process does not make it active again.
+func TestOneLateAnnouncementOfAnEarlierProcess(t *testing.T) {
+	h := newHarness()
+	h.announce(proto.Announcement{Name: "a", Address: "x", StartedAt: 2, Seq: 1})
+	h.advance(4 * time.Second)
+	h.announce(proto.Announcement{Name: "a", Address: "x", StartedAt: 1, Seq: 7})
+	assert.Equal(t, h.members()["a"].State, types.TargetSilent)
+}
+
+// TestEndedTargetDoesNotComeBack delivers an announcement that was held back until after
+// the target said that it has ended. A new process under the same name does join.
+func TestEndedTargetDoesNotComeBack(t *testing.T) {
+	h := newHarness()
+	h.announce(proto.Announcement{Name: "a", Address: "x", StartedAt: 1, Seq: 5})
+	h.announce(proto.Announcement{Name: "a", Terminated: true, Leaving: true})
+	h.announce(proto.Announcement{Name: "a", Address: "x", StartedAt: 1, Seq: 4})
+	assert.Equal(t, len(h.members()), 0)
+	h.announce(proto.Announcement{Name: "a", Address: "x", StartedAt: 2, Seq: 1})
+	assert.Equal(t, len(h.members()), 1)
+}
--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -40,12 +40,20 @@
 	announced   map[types.TargetRef]lastAnnouncement
 	proposed    map[types.TargetRef]proposal
 	vacancies   map[types.ServiceName]vacancy
+	gone        map[types.TargetRef]goneTarget
+}
+
+// goneTarget is a target that said that it has ended.
+type goneTarget struct {
+	startedAt int64 // of its process, as announced
+	at        types.Instant
 }
 
 // lastAnnouncement is the most recent announcement of a target.
 type lastAnnouncement struct {
 	announcement proto.Announcement
 	sentAt       types.Instant
+	disputedBy   proto.Announcement // the last one that was made before it by its numbers
 }
 
 // proposal is the last command proposed for a target.
@@ -61,6 +69,7 @@
 		announced: make(map[types.TargetRef]lastAnnouncement),
 		proposed:  make(map[types.TargetRef]proposal),
 		vacancies: make(map[types.ServiceName]vacancy),
+		gone:      make(map[types.TargetRef]goneTarget),
 	}
 }
 
@@ -93,6 +102,7 @@
 	clear(t.announced)
 	clear(t.proposed)
 	clear(t.vacancies)
+	clear(t.gone)
 	t.leaderSince = now
 	if !e.Leading {
 		return nil
@@ -123,11 +133,15 @@
 	}
 	ref := types.TargetRef{Service: a.Service, Name: a.Name}
 	sentAt := now.Add(-a.Age)
-	if last, ok := t.announced[ref]; ok && (last.sentAt > sentAt || outdated(a, last.announcement)) {
+	if t.state.Group(a.Service) == nil || t.ended(ref, a, now) {
 		return nil
 	}
-	if t.state.Group(a.Service) == nil {
-		return nil
+	if last, ok := t.announced[ref]; ok && (last.sentAt > sentAt || outdated(a, last.announcement)) {
+		outweighed := last.sentAt > sentAt || last.outweighed(a, now)
+		t.announced[ref] = last
+		if outweighed {
+			return nil
+		}
 	}
 	t.announced[ref] = lastAnnouncement{announcement: a, sentAt: sentAt}
 	return t.reconcile(now, ref)
@@ -234,6 +248,7 @@
 	if !c.Member.Remove {
 		return t.reconcile(now, ref)
 	}
+	t.recordGone(ref, now)
 	delete(t.announced, ref)
 	var out []effect.Effect
 	for _, other := range t.refs() {
