--- a/storage/damage_test.go
+++ b/storage/damage_test.go
@@ -19,12 +19,19 @@
 	path = filepath.Join(l.folder.path, logFile)
 	content, err := os.ReadFile(path)
 	assert.NilError(t, err)
+	return path, content, lastRecord(t, content)
+}
+
+// lastRecord returns the offset of the last record.
+func lastRecord(t *testing.T, content []byte) (last int) {
+	t.Helper()
+	var err error
 	for rest := content; len(rest) > 0; {
 		last = len(content) - len(rest)
 		rest, err = decodeRecord(rest, &logRecord{})
 		assert.NilError(t, err)
 	}
-	return path, content, last
+	return last
 }
 
 // TestTornTailIsCutOff cuts the last record at every byte, once with the file
@@ -64,6 +71,28 @@
 	}
 }
 
+// TestDamageBeforeATornTailStopsStart changes a bit in each byte of the records before
+// one that a crash left filled with zeros. They were synced, so they may not be dropped
+// with it.
+func TestDamageBeforeATornTailStopsStart(t *testing.T) {
+	l := newClusterLog(t)
+	assert.NilError(t, l.Persist(persistEntries(2, 6, 6)))
+	assert.NilError(t, l.Persist(persistEntries(2, 7, 7)))
+	path, content, last := logBytes(t, l)
+	clear(content[last+headerSize:])
+	before := lastRecord(t, content[:last])
+	for i := range last {
+		if i >= before && i < before+headerSize {
+			continue // where the record ends is not known then, so that its end may be torn
+		}
+		damaged := bytes.Clone(content)
+		damaged[i] ^= 0x40
+		assert.NilError(t, os.WriteFile(path, damaged, 0o600))
+		_, err := Open(l.folder.path, "c1")
+		assert.ErrorContains(t, err, "move the folder away", "flipped a bit of byte %d", i)
+	}
+}
+
 func TestMissingFileStopsStart(t *testing.T) {
 	for _, name := range []string{logFile, identityFile, snapshotFile} {
 		l := newClusterLog(t)
--- a/storage/folder.go
+++ b/storage/folder.go
@@ -75,6 +75,7 @@
 func (f *folder) replaceFile(name string, content []byte) error {
 	temp := f.filePath(name + tempSuffix)
 	if err := writeFileSynced(temp, content); err != nil {
+		_ = os.Remove(temp) // what was written of it would keep a full disk full
 		return err
 	}
 	if err := os.Rename(temp, f.filePath(name)); err != nil {
--- a/storage/record.go
+++ b/storage/record.go
@@ -63,7 +63,7 @@
 		return nil, tornError{}
 	}
 	if binary.LittleEndian.Uint32(b[4:]) != crc32.Checksum(b[:4], castagnoli) {
-		return nil, checkFailure(b, "checksum of the length does not match")
+		return nil, checkFailure(b, nil, "checksum of the length does not match")
 	}
 	size := uint64(binary.LittleEndian.Uint32(b))
 	if uint64(len(b)) < headerSize+size+trailerSize {
@@ -72,10 +72,10 @@
 	payload := b[headerSize : headerSize+size]
 	rest = b[headerSize+size+trailerSize:]
 	if binary.LittleEndian.Uint32(b[8:]) != crc32.Checksum(payload, castagnoli) {
-		return nil, checkFailure(b, "checksum of the payload does not match")
+		return nil, checkFailure(b, rest, "checksum of the payload does not match")
 	}
 	if b[headerSize+size] != trailer {
-		return nil, checkFailure(b, fmt.Sprintf("trailer is %#x, not %#x", b[headerSize+size], trailer))
+		return nil, checkFailure(b, rest, fmt.Sprintf("trailer is %#x, not %#x", b[headerSize+size], trailer))
 	}
 	if err := payloadCodec.Decode(payload, v); err != nil {
 		return nil, corruptError{fmt.Sprintf("payload can't be decoded: %v", err)}
@@ -85,10 +85,27 @@
 
 // checkFailure returns the error for a record that fails its checks. A record that
 // was being written during a crash may be filled with zeros up to the end of the
-// file, so it counts as torn if the file ends in a zero byte.
-func checkFailure(b []byte, reason string) error {
-	if b[len(b)-1] == 0 {
-		return tornError{}
+// file, so it counts as torn if the file ends in a zero byte and nothing follows: each
+// record is synced before the next one is written. rest is what follows a record whose
+// length is known.
+func checkFailure(b, rest []byte, reason string) error {
+	if b[len(b)-1] != 0 || len(rest) > 0 || containsRecord(b[1:]) {
+		return corruptError{reason}
 	}
-	return corruptError{reason}
+	return tornError{}
+}
+
+// containsRecord reports whether a complete record begins anywhere in b.
+func containsRecord(b []byte) bool {
+	for ; len(b) >= headerSize+trailerSize; b = b[1:] {
+		size := uint64(binary.LittleEndian.Uint32(b))
+		if size == 0 || uint64(len(b)) < headerSize+size+trailerSize || b[headerSize+size] != trailer {
+			continue
+		}
+		if binary.LittleEndian.Uint32(b[4:]) == crc32.Checksum(b[:4], castagnoli) &&
+			binary.LittleEndian.Uint32(b[8:]) == crc32.Checksum(b[headerSize:headerSize+size], castagnoli) {
+			return true
+		}
+	}
+	return false
 }
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -237,8 +237,12 @@
 
 // reopenLog opens the log file that replaced the previous one.
 func (l *Log) reopenLog() error {
-	if err := l.file.Close(); err != nil {
-		return trace.ConvertSystemError(err)
+	if l.file != nil {
+		err := l.file.Close()
+		l.file = nil // a retry must not close it again
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
 	}
 	info, err := os.Stat(l.folder.filePath(logFile))
 	if err != nil {
