paddlectl: an unknown outcome stays unknown

Cause: a call whose time ended during a later try reported "unreachable" (6) although an earlier try had answered "outcome unknown" (9). A change that was sent and got no answer was reported as unreachable too, which reads as not run.

--- a/cmd/paddlectl/config.go
+++ b/cmd/paddlectl/config.go
@@ -157,21 +157,19 @@
 // waitApplied waits until every proxy has applied a version of the configuration,
 // or has no lease and therefore serves nothing.
 func (inv *invocation) waitApplied(ctx context.Context, version uint64) error {
+	var behind []string
 	for {
 		st, err := inv.LeaderStatus(ctx)
-		if err != nil {
-			return err
+		if err == nil {
+			behind = st.ProxiesBehind(version)
 		}
-		behind := st.ProxiesBehind(version)
-		if st.Leading && len(behind) == 0 {
+		if err == nil && st.Leading && len(behind) == 0 {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return &api.Error{
-				Kind:    api.ErrUnknown,
-				Message: fmt.Sprintf("version %d was accepted, but is not yet applied by proxies %v", version, behind),
-			}
+			message := fmt.Sprintf("version %d was accepted, but is not known to be applied by every proxy; behind at the last answer: %v", version, behind)
+			return &api.Error{Kind: api.ErrUnknown, Message: message}
 		case <-time.After(statusPollInterval):
 		}
 	}
--- a/cmd/paddlectl/main_test.go
+++ b/cmd/paddlectl/main_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/daemon/api"
 	"github.com/camphorpaddle/camphorpaddle/internal/cmdline"
@@ -26,12 +27,17 @@
 // fakeControl answers like a control host and records the changes it receives.
 type fakeControl struct {
 	refusal *api.Error // returned for every call when set
+	delay   time.Duration
+	silent  bool // closes the connection of every change without an answer
 	changes []api.ConfigChange
 	status  api.Status
 }
 
 func (f *fakeControl) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(f.delay)
 	switch {
+	case f.silent && r.Method != http.MethodGet:
+		panic(http.ErrAbortHandler)
 	case f.refusal != nil:
 		w.WriteHeader(http.StatusConflict)
 		f.writeJSON(w, f.refusal)
@@ -102,6 +108,22 @@
 	}
 }
 
+// TestUnknownOutcomeIsKept covers calls whose time ends while they are tried again: an
+// earlier try, or one without an answer, may have been executed.
+func TestUnknownOutcomeIsKept(t *testing.T) {
+	good := writeFile(t, validConfig)
+	for delay := 40 * time.Millisecond; delay < 120*time.Millisecond; delay += 20 * time.Millisecond {
+		_, code := ctl(t, &fakeControl{refusal: &api.Error{Kind: api.ErrUnknown}, delay: delay}, "promote", "ledger")
+		assert.Equal(t, code, cmdline.ExitUnknown, "answers after %s", delay)
+		_, code = ctl(t, &fakeControl{delay: delay}, "config", "apply", "--wait", good)
+		assert.Equal(t, code, cmdline.ExitUnknown, "applied to no proxy, answers after %s", delay)
+	}
+	_, code := ctl(t, &fakeControl{silent: true}, "config", "apply", good)
+	assert.Equal(t, code, cmdline.ExitUnknown, "the answer was lost")
+	_, code = ctl(t, &fakeControl{silent: true, delay: time.Second}, "config", "apply", "--base", "4", good)
+	assert.Equal(t, code, cmdline.ExitUnknown, "the answer came too late")
+}
+
 func TestInvalidFileIsNotSent(t *testing.T) {
 	f := &fakeControl{}
 	_, code := ctl(t, f, "config", "apply", writeFile(t, validConfig+"more: 1\n"))
--- a/daemon/api/client.go
+++ b/daemon/api/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -63,13 +64,20 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	var unknown error // of an attempt that may have been executed
 	for {
 		err := c.tryAll(ctx, method, path, body, out)
 		if err == nil || !retryable(err) {
 			return err
 		}
+		if isUnknown(err) {
+			unknown = err
+		}
 		select {
 		case <-ctx.Done():
+			if unknown != nil {
+				return unknown
+			}
 			return err
 		case <-time.After(retryInterval):
 		}
@@ -77,7 +85,8 @@
 }
 
 // tryAll sends a request to one address after the other until one returns a result or
-// an error that is not retryable. Otherwise it returns the last error.
+// an error that is not retryable. Otherwise it returns the last error, or that of an
+// attempt that may have been executed.
 func (c *Client) tryAll(ctx context.Context, method, path string, body []byte, out any) error {
 	var lastErr error = trace.ConnectionProblem(nil, "no control host address is configured")
 	for _, addr := range c.Addresses {
@@ -85,11 +94,19 @@
 		if err == nil || !retryable(err) {
 			return err
 		}
-		lastErr = err
+		if !isUnknown(lastErr) {
+			lastErr = err
+		}
 	}
 	return lastErr
 }
 
+// isUnknown reports whether the request may have been executed.
+func isUnknown(err error) bool {
+	var apiErr *Error
+	return errors.As(err, &apiErr) && apiErr.Kind == ErrUnknown
+}
+
 // LeaderStatus returns the status of the leader or, if no control host is the leader, of
 // the one with the highest applied index.
 func (c *Client) LeaderStatus(ctx context.Context) (Status, error) {
@@ -135,16 +152,27 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return trace.ConnectionProblem(err, "control host at %s did not answer", addr)
+		return noAnswer(method, err, "control host at "+addr+" did not answer")
 	}
 	defer res.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
 	if err != nil {
-		return trace.ConnectionProblem(err, "the answer of %s broke off", addr)
+		return noAnswer(method, err, "the answer of "+addr+" broke off")
 	}
 	return decodeResponse(res.StatusCode, data, out)
 }
 
+// noAnswer returns the error of a request without an answer. A change that may have
+// reached the control host has an unknown outcome.
+func noAnswer(method string, err error, message string) error {
+	var opErr *net.OpError
+	connected := !errors.As(err, &opErr) || opErr.Op != "dial"
+	if method != http.MethodGet && connected {
+		return &Error{Kind: ErrUnknown, Message: message + ": " + err.Error()}
+	}
+	return trace.ConnectionProblem(err, "%s", message)
+}
+
 func (c *Client) url(addr, path string) string {
 	if c.TLS != nil {
 		return "https://" + addr + path
