--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -162,6 +161,7 @@
 	if l.announcer != nil {
 		l.announcer.close()
 	}
+	l.ports.release()
 }
 
 // Dir returns the directory of the lab.
@@ -189,33 +189,8 @@
 	return string(out), trace.Wrap(err, "paddlectl %s: %s", strings.Join(args, " "), out)
 }
 
-// ports allocates free ports of the loopback interface. It keeps them bound until
-// release, so that it never returns a port twice.
-type ports struct {
-	listeners []net.Listener
-}
-
-// next returns the address of a free port.
-func (p *ports) next() (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", trace.Wrap(err, "allocating a free port")
-	}
-	p.listeners = append(p.listeners, lis)
-	return lis.Addr().String(), nil
-}
-
-// release closes the listeners, so that processes can bind the ports.
-func (p *ports) release() {
-	for _, lis := range p.listeners {
-		_ = lis.Close() // only the port number is needed
-	}
-	p.listeners = nil
-}
-
 // assignAddresses creates the entries of all processes and assigns their addresses.
 func (l *Lab) assignAddresses() error {
-	defer l.ports.release()
 	for i := range l.config.Controls {
 		c := &Control{DataFolder: filepath.Join(l.config.Dir, fmt.Sprintf("control-%d.data", i+1))}
 		if err := l.assignPorts(&c.PeerAddress, &c.HTTPAddress); err != nil {
