Proxies report managed targets with news only; an answer from before a term is none

Change: a healthy managed target is reported for 1 s after a change and every 3 s, one that is not healthy always. An answer from before the view of the term is not reported while the target has not failed.

--- a/core/lease/fence.go
+++ b/core/lease/fence.go
@@ -36,15 +36,14 @@
 	return out
 }
 
-// LiveRequests returns the last request of each proxy that may hold a lease.
-func (t *Table) LiveRequests(now types.Instant) []proto.LeaseRequest {
-	var out []proto.LeaseRequest
-	for _, reg := range t.state.Proxies() {
-		if p := t.proxies[reg.Host]; p != nil && p.lastContact != 0 && now < p.until {
-			out = append(out, p.request)
-		}
+// LastRequest returns the last request of a registered proxy.
+func (t *Table) LastRequest(host types.HostID) (proto.LeaseRequest, bool) {
+	p := t.proxies[host]
+	_, registered := t.state.Proxy(host)
+	if p == nil || !registered {
+		return proto.LeaseRequest{}, false
 	}
-	return out
+	return p.request, true
 }
 
 // ProxyLease is what the leader knows of one proxy's lease and last request.
--- a/core/operator/operator.go
+++ b/core/operator/operator.go
@@ -23,6 +23,7 @@
 	leases  *lease.Table
 	role    role.Role
 	waiting map[uint64]waiter
+	reports map[types.TargetRef]receivedReport // while this host leads
 }
 
 // waiter returns the reply to a pending call if the committed command c
@@ -31,7 +32,7 @@
 
 // New returns a handler with no pending calls.
 func New(self types.HostID, state *cluster.State, leases *lease.Table) *Handler {
-	return &Handler{self: self, state: state, leases: leases, waiting: make(map[uint64]waiter)}
+	return &Handler{self: self, state: state, leases: leases, waiting: make(map[uint64]waiter), reports: make(map[types.TargetRef]receivedReport)}
 }
 
 // Step handles one event.
@@ -39,6 +40,10 @@
 	switch e := in.Event.(type) {
 	case event.RoleChanged:
 		return h.handleRoleChange(e)
+	case event.LeaseRequested:
+		if h.role.Leading {
+			h.recordReports(in.Now, e.Request.Reports)
+		}
 	case event.OperatorCalled:
 		return h.handleCall(in.Now, e.Call, e.Request)
 	case event.Committed:
@@ -51,7 +56,11 @@
 // host stops leading: their commands may still be committed, or never.
 func (h *Handler) handleRoleChange(e event.RoleChanged) []effect.Effect {
 	wasLeading := h.role.Leading
-	if !h.role.Update(e) || !wasLeading {
+	if !h.role.Update(e) {
+		return nil
+	}
+	clear(h.reports)
+	if !wasLeading {
 		return nil
 	}
 	var out []effect.Effect
@@ -137,22 +146,7 @@
 		Commit: h.state.Applied(), Applied: h.state.Applied(), ConfigSince: h.state.ConfigSince(),
 		Voters: h.state.Voters(), State: h.state.Snapshot(), Proxies: h.leases.Status(),
 	}
-	latest := make(map[types.TargetRef]proto.TargetReport)
-	for _, r := range h.leases.LiveRequests(now) {
-		for _, report := range r.Reports {
-			old, ok := latest[report.Ref]
-			if !ok || report.SinceLastContact < old.SinceLastContact {
-				latest[report.Ref] = report
-			}
-		}
-	}
-	for _, s := range st.State.Groups {
-		for _, t := range s.Members {
-			if report, ok := latest[types.TargetRef{Service: s.Service, Name: t.Name}]; ok {
-				st.Targets = append(st.Targets, report)
-			}
-		}
-	}
+	st.Targets = h.targetReports(now, st.State.Groups)
 	return st
 }
 
--- a/core/probe/managed.go
+++ b/core/probe/managed.go
@@ -16,7 +16,7 @@
 // service that becomes suspect.
 func (p *Prober) SetSuspects(suspects map[types.ServiceName]bool, now types.Instant) []effect.Effect {
 	var out []effect.Effect
-	for _, ref := range p.sortedRefs() {
+	for _, ref := range p.refs {
 		if t := p.targets[ref]; suspects[ref.Service] && !p.suspect[ref.Service] && t.interval != probeInterval {
 			t.suspectedAt = now
 			out = append(out, p.probe(ref, t, now)...)
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -62,6 +62,7 @@
 type Prober struct {
 	view        *types.ClusterView
 	targets     map[types.TargetRef]*target
+	refs        []types.TargetRef // of targets, in order
 	samples     map[types.ServiceName]*freshness.Samples
 	waiting     map[types.ServiceName]bool
 	suspect     map[types.ServiceName]bool          // services whose primary failed a request of a shard
@@ -81,6 +82,10 @@
 	inFlight       bool
 	suspectedAt    types.Instant // when the service last became suspect, see SetSuspects
 	interval       time.Duration // time between two probes while it answers; zero if it isn't probed regularly
+	term           types.Term    // of the group, in the view
+	changedAt      types.Instant // when its alarm, term or role changed last
+	termSince      types.Instant // when the view of the group's term was applied
+	reportedAt     types.Instant // when it was last reported to control, or zero
 }
 
 // alarm is the stage of a target's failure.
@@ -132,10 +137,14 @@
 			ref := types.TargetRef{Service: name, Name: m.Name}
 			seen[ref] = true
 			out = append(out, p.addMember(ref, m, memberInterval(view, g, m.Name), now)...)
+			if t := p.targets[ref]; t.term != g.Term {
+				t.term, t.termSince = g.Term, now
+			}
 		}
 	}
 	maps.DeleteFunc(p.samples, func(name types.ServiceName, _ *freshness.Samples) bool { return view.Groups[name] == nil })
 	maps.DeleteFunc(p.targets, func(ref types.TargetRef, _ *target) bool { return !seen[ref] })
+	p.refs = sortedRefs(p.targets)
 	return out
 }
 
@@ -160,7 +169,7 @@
 		t.interval = interval
 		return nil
 	}
-	t = &target{address: m.Address, addedAt: now, interval: interval}
+	t = &target{address: m.Address, addedAt: now, changedAt: now, interval: interval}
 	p.targets[ref] = t
 	if interval != probeInterval {
 		return nil
@@ -178,8 +187,8 @@
 	return p.probeWaiting(now)
 }
 
-func (p *Prober) sortedRefs() []types.TargetRef {
-	return slices.SortedFunc(maps.Keys(p.targets), func(a, b types.TargetRef) int {
+func sortedRefs(targets map[types.TargetRef]*target) []types.TargetRef {
+	return slices.SortedFunc(maps.Keys(targets), func(a, b types.TargetRef) int {
 		return strings.Compare(a.String(), b.String())
 	})
 }
@@ -194,7 +203,7 @@
 
 func (p *Prober) probeAll(now types.Instant) []effect.Effect {
 	out := []effect.Effect{arm(timerAll, now.Add(probeInterval))}
-	for _, ref := range p.sortedRefs() {
+	for _, ref := range p.refs {
 		t := p.targets[ref]
 		if t.interval == 0 {
 			out = append(out, p.probeCandidate(ref, t, now)...)
@@ -214,7 +223,7 @@
 func (p *Prober) probeWaiting(now types.Instant) []effect.Effect {
 	var out []effect.Effect
 	var next types.Instant
-	for _, ref := range p.sortedRefs() {
+	for _, ref := range p.refs {
 		t := p.targets[ref]
 		if !p.waiting[ref.Service] || t.inFlight || t.health.Failing {
 			continue
@@ -279,7 +288,7 @@
 		t.health.FreshAt = 0
 	}
 	if t.health.Term != e.Status.Term || t.health.Primary != e.Status.Primary {
-		p.reportDue = true
+		p.reportDue, t.changedAt = true, now
 	}
 	t.health.Term, t.health.Primary, t.health.Pos = e.Status.Term, e.Status.Primary, e.Status.Pos
 	p.updateFreshness(e.Ref, t)
--- a/core/probe/report.go
+++ b/core/probe/report.go
@@ -7,6 +7,15 @@
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
+// What control hears of healthy targets of managed services.
+const (
+	// newsDuration is how long a change is repeated, since a request may be lost.
+	newsDuration = time.Second
+	// reportRefresh is the time after which a target is reported although nothing has
+	// changed, for a new control leader and for operators.
+	reportRefresh = 3 * time.Second
+)
+
 // TakeReportDue reports whether a change since the last call has to be reported to control
 // at once: a target began to fail, reached FailingThreshold or SilentThreshold, recovered or
 // changed its term or role, or the set of silent primaries changed.
@@ -19,7 +28,7 @@
 // updateAlarm makes a report due if the alarm of a target has changed.
 func (p *Prober) updateAlarm(t *target, now types.Instant) {
 	if current := t.alarm(now); current != t.reportedAlarm {
-		t.reportedAlarm, p.reportDue = current, true
+		t.reportedAlarm, t.changedAt, p.reportDue = current, now, true
 	}
 }
 
@@ -62,15 +71,16 @@
 }
 
 // Reports returns the reports to control, in order of target. Targets without a
-// current status are left out.
+// current status are left out, and targets of managed services without news.
 func (p *Prober) Reports(now types.Instant) []proto.TargetReport {
 	out := make([]proto.TargetReport, 0, len(p.targets))
-	for _, ref := range p.sortedRefs() {
+	for _, ref := range p.refs {
 		t := p.targets[ref]
 		silentSince, silent := p.silentSince(ref)
-		if !silent && t.lacksCurrentStatus(now) {
+		if !silent && (t.lacksCurrentStatus(now) || p.answeredBeforeTerm(ref, t, now) || !p.hasNews(ref, t, now)) {
 			continue
 		}
+		t.reportedAt = now
 		r := proto.TargetReport{
 			Ref:              ref,
 			Status:           p.status(ref, t),
@@ -88,6 +98,21 @@
 	return out
 }
 
+// hasNews reports whether control has to hear of a target: it is not healthy, or was
+// so until recently, or its last report is old. Targets that are probed at the regular
+// interval always have news, since their positions count.
+func (p *Prober) hasNews(ref types.TargetRef, t *target, now types.Instant) bool {
+	switch {
+	case t.interval == probeInterval, t.health.Failing, t.sinceLastContact(now) >= SilentThreshold:
+		return true
+	case now.Sub(t.changedAt) < newsDuration, now.Sub(t.reportedAt) >= reportRefresh:
+		return true
+	}
+	g := p.view.Groups[ref.Service]
+	s := p.status(ref, t)
+	return s.Term != g.TargetTerm() || s.Primary != (ref.Name == g.Primary)
+}
+
 // status returns the status that a target last reported. A primary that has answered
 // no probe yet but has answered requests counts as primary of the group's term.
 func (p *Prober) status(ref types.TargetRef, t *target) types.TargetStatus {
@@ -97,6 +122,16 @@
 	return types.TargetStatus{Term: t.health.Term, Primary: t.health.Primary, Pos: t.health.Pos}
 }
 
+// answeredBeforeTerm reports whether a target that has not failed was last probed before
+// this proxy applied the view of the group's term. Such an answer shows an earlier term,
+// which says nothing about the target now.
+func (p *Prober) answeredBeforeTerm(ref types.TargetRef, t *target, now types.Instant) bool {
+	if t.health.Failing || t.sinceLastContact(now) >= SilentThreshold {
+		return false
+	}
+	return t.health.ProbedAt != 0 && t.health.ProbedAt < t.termSince && p.status(ref, t).Term != p.view.Groups[ref.Service].TargetTerm()
+}
+
 // lacksCurrentStatus reports whether there is nothing current to report of a target:
 // it isn't probed regularly and hasn't answered recently, or it hasn't answered yet and
 // was added less than SilentThreshold ago.
