Changes without configuration, repeated announcements, settings that were left out

Cause: a committed change with a number and no configuration ended every control host that applied it. An announcement that differs in its number only caused an early lease request. Daemon.YAML left out voters and unready_delay. Result: TestChangeWithoutConfigurationIsNotApplied, TestRepeatedAnnouncementWaitsForTheInterval and the settings round trip with these keys.

--- a/core/configuration/ledger.go
+++ b/core/configuration/ledger.go
@@ -89,6 +89,9 @@
 	if known, ok := l.Answer(c); ok {
 		return known, false
 	}
+	if c.Number != 0 && c.Config == nil {
+		return proto.ChangeResult{Version: l.config.Version, Reason: "the change holds no configuration"}, false
+	}
 	if c.Number != 0 {
 		l.activate(c, c.Number)
 		return numberedResult(c.Number), true
--- a/core/configuration/ledger_test.go
+++ b/core/configuration/ledger_test.go
@@ -95,3 +95,15 @@
 		})
 	})
 }
+
+// TestChangeWithoutConfigurationIsNotApplied guards against a committed change that ends
+// every control host that applies it.
+func TestChangeWithoutConfigurationIsNotApplied(t *testing.T) {
+	l := configuration.New()
+	l.Apply(change(1, 0, "one"))
+	for _, c := range []proto.ChangeConfig{{Number: 7}, {ID: "2", Base: 1}} {
+		result, changed := l.Apply(c)
+		assert.Equal(t, result.Accepted || changed, false)
+	}
+	assert.Equal(t, l.Source(), "one")
+}
--- a/core/node/announcements.go
+++ b/core/node/announcements.go
@@ -10,7 +10,7 @@
 // announcements holds the latest announcement of each target to this proxy, and
 // those that the control hosts haven't confirmed yet.
 type announcements struct {
-	latest  map[types.TargetRef]proto.Announcement // latest of each target, with Age zero
+	latest  map[types.TargetRef]proto.Announcement // latest of each target, with Age and Seq zero
 	pending map[types.TargetRef]pendingAnnouncement
 }
 
@@ -28,12 +28,12 @@
 	}
 }
 
-// add records an announcement and reports whether it differs, apart from its age,
-// from the previous one of its target.
+// add records an announcement and reports whether it differs, apart from its age and
+// number, from the previous one of its target.
 func (a *announcements) add(now types.Instant, n proto.Announcement) bool {
 	ref := types.TargetRef{Service: n.Service, Name: n.Name}
 	a.pending[ref] = pendingAnnouncement{announcement: n, receivedAt: now.Add(-n.Age)}
-	n.Age = 0
+	n.Age, n.Seq = 0, 0
 	last, ok := a.latest[ref]
 	a.latest[ref] = n
 	return !ok || last != n
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -112,6 +112,18 @@
 	assert.Equal(t, held.Demand, 7)
 }
 
+// TestRepeatedAnnouncementWaitsForTheInterval covers a target that announces the same
+// state again under a higher number.
+func TestRepeatedAnnouncementWaitsForTheInterval(t *testing.T) {
+	p := newProxy(t)
+	for seq := uint64(1); seq < 4; seq++ {
+		p.now += 100 * ms
+		before := len(p.requests)
+		p.announce(proto.Announcement{Service: service, Name: "t1", Seq: seq})
+		assert.Equal(t, len(p.requests) > before, seq == 1, "announcement %d", seq)
+	}
+}
+
 func TestAnnouncementsRepeatUntilGranted(t *testing.T) {
 	p := newProxy(t)
 	p.now += 100 * ms
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/consensus"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"gotest.tools/v3/assert"
 )
@@ -173,6 +174,12 @@
 					d, err := ParseDaemon(name, readExample(t, tt.folder, name), role)
 					assert.NilError(t, err)
 					assert.Equal(t, d.AvailabilityZone, types.AvailabilityZone(az))
+					d.UnreadyDelay, d.Voters = 0, consensus.Policy{}
+					if role == RoleProxy {
+						d.UnreadyDelay = 3 * time.Second
+					} else {
+						d.Voters = consensus.Policy{Voters: 5, VoterSilence: 20 * time.Second}
+					}
 					text, err := d.YAML()
 					assert.NilError(t, err)
 					reparsed, err := ParseDaemon(name, text, role)
--- a/settings/write.go
+++ b/settings/write.go
@@ -8,8 +8,7 @@
 	"gopkg.in/yaml.v3"
 )
 
-// daemonFile is the YAML representation of a Daemon, without voters and
-// unready_delay.
+// daemonFile is the YAML representation of a Daemon.
 type daemonFile struct {
 	Host             types.HostID           `yaml:"host"`
 	AvailabilityZone types.AvailabilityZone `yaml:"availability_zone"`
@@ -24,6 +23,8 @@
 	Target           targetFile             `yaml:"target"`
 	Shards           int                    `yaml:"shards,omitempty"`
 	DrainLimit       string                 `yaml:"drain_limit"`
+	UnreadyDelay     string                 `yaml:"unready_delay,omitempty"`
+	Voters           *votersFile            `yaml:"voters,omitempty"`
 	Trace            traceFile              `yaml:"trace"`
 }
 
@@ -53,6 +54,11 @@
 	StartupTime string `yaml:"startup_time"`
 }
 
+type votersFile struct {
+	Count         int    `yaml:"count"`
+	ReplacedAfter string `yaml:"replaced_after"`
+}
+
 type targetFile struct {
 	User         string `yaml:"user"`
 	Database     string `yaml:"database,omitempty"`
@@ -64,8 +70,7 @@
 	Sample   float64 `yaml:"sample"`
 }
 
-// YAML returns a settings file for ParseDaemon. It holds all settings of d but Voters
-// and UnreadyDelay, which are parsed as their defaults.
+// YAML returns a settings file for ParseDaemon that holds all settings of d.
 func (d *Daemon) YAML() ([]byte, error) {
 	f := daemonFile{
 		Host: d.Host, AvailabilityZone: d.AvailabilityZone, Region: d.Region,
@@ -82,11 +87,17 @@
 		f.CallersTLS = &c
 	}
 	if d.Role == RoleProxy {
+		if d.UnreadyDelay > 0 {
+			f.UnreadyDelay = d.UnreadyDelay.String()
+		}
 		f.Limits = &limitsFile{
 			MessageSize: formatSize(d.Limits.MessageBytes), AnswerSize: formatSize(d.Limits.AnswerBytes),
 			Sessions: d.Limits.Sessions, StartupTime: d.Limits.StartupTime.String(),
 		}
 	}
+	if d.Role == RoleControl && d.Voters.Voters > 0 {
+		f.Voters = &votersFile{Count: d.Voters.Voters, ReplacedAfter: d.Voters.VoterSilence.String()}
+	}
 	out, err := yaml.Marshal(f)
 	return out, trace.Wrap(err)
 }
