A panic at the edge ends one connection or call only

Cause: a panic while one caller, frame or exchange was handled ended the whole process. Change: internal/contain turns it into an error, with a line panic_contained and the metric camphorpaddle_panics_contained_total. Reducers are left out on purpose: their state may be half changed. A close reason is cut at a whole character.

--- a/front/accept/accept.go
+++ b/front/accept/accept.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/internal/contain"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 )
@@ -149,7 +150,10 @@
 	defer conn.Close()
 	stop := context.AfterFunc(s.ctx, func() { _ = conn.Close() })
 	defer stop()
-	s.handler(s.ctx, conn, open)
+	_ = contain.Call("the connection of a caller", func() error { // a panic is logged
+		s.handler(s.ctx, conn, open)
+		return nil
+	})
 }
 
 func (s *Server) release() {
--- a/front/accept/accept_test.go
+++ b/front/accept/accept_test.go
@@ -29,6 +29,35 @@
 
 func (l *failingListener) Close() error { return nil }
 
+// TestPanicEndsOneConnection guards against a caller whose connection ends the process.
+func TestPanicEndsOneConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := New(func(_ context.Context, conn net.Conn, _ int) {
+		b := make([]byte, 1)
+		_, _ = conn.Read(b)
+		if b[0] == 'x' {
+			panic("a malformed message")
+		}
+		_, _ = conn.Write(b)
+	})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(t.Context(), l) }()
+	for _, c := range []struct{ sent, answer string }{{"x", ""}, {"y", "y"}} {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, c.sent)
+		assert.NilError(t, err)
+		got, _ := io.ReadAll(conn)
+		assert.Equal(t, string(got), c.answer)
+		assert.NilError(t, conn.Close())
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.NilError(t, s.Shutdown(ctx))
+	assert.NilError(t, <-served)
+}
+
 // TestServeRetriesTemporaryErrors guards against an accept loop that ends when
 // the process or its host runs out of file descriptors, or when a caller closes
 // its connection before it is accepted.
--- a/runtime/targetlink.go
+++ b/runtime/targetlink.go
@@ -57,7 +57,7 @@
 func (l *targetLink) dial(ctx context.Context, e effect.DialTarget) (TargetConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
-	return l.shard.proxy.Targets.Dial(ctx, e.Ref, e.Address)
+	return dialTarget(ctx, l.shard.proxy.Targets, e.Ref, e.Address)
 }
 
 func (l *targetLink) exchange(ctx context.Context, conn TargetConn, job effect.SendTarget) {
@@ -68,7 +68,7 @@
 		return
 	}
 	startedAt := time.Now()
-	results, sent, err := conn.Exchange(ctx, job.Operations)
+	results, sent, err := exchangeWith(ctx, conn, job.Operations)
 	l.post(ctx, event.TargetAnswered{
 		Conn: job.Conn, Seq: job.Seq, Sent: sent, Err: err,
 		Results: results, Latency: time.Since(startedAt),
--- a/runtime/targets.go
+++ b/runtime/targets.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/internal/contain"
 	"github.com/gravitational/trace"
 )
 
@@ -103,12 +104,12 @@
 	defer cancel()
 	if conn == nil {
 		var err error
-		if conn, err = c.dialer.Dial(ctx, key.ref, key.addr); err != nil {
+		if conn, err = dialTarget(ctx, c.dialer, key.ref, key.addr); err != nil {
 			job.done(types.Result{}, trace.Wrap(err, "dialing target %s at %s", key.ref, key.addr))
 			return nil
 		}
 	}
-	results, _, err := conn.Exchange(ctx, []types.Operation{job.operation})
+	results, _, err := exchangeWith(ctx, conn, []types.Operation{job.operation})
 	if err == nil && len(results) != 1 {
 		err = trace.BadParameter("target %s returned %d results for one operation", key.ref, len(results))
 	}
@@ -121,6 +122,26 @@
 	return conn
 }
 
+// dialTarget opens a connection to a target. A panic of the dialer is an error.
+func dialTarget(ctx context.Context, d TargetDialer, ref types.TargetRef, addr types.Address) (conn TargetConn, err error) {
+	err = contain.Call("dialing target "+ref.String(), func() (err error) {
+		conn, err = d.Dial(ctx, ref, addr)
+		return err
+	})
+	return conn, err
+}
+
+// exchangeWith executes operations on a connection and reports whether anything may
+// have been sent. After a panic it may have been.
+func exchangeWith(ctx context.Context, conn TargetConn, ops []types.Operation) (results []types.Result, sent bool, err error) {
+	sent = true
+	err = contain.Call("an exchange with a target", func() (err error) {
+		results, sent, err = conn.Exchange(ctx, ops)
+		return err
+	})
+	return results, sent, err
+}
+
 func closeConn(conn TargetConn) {
 	if conn != nil {
 		conn.Close()
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/internal/contain"
 	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -41,6 +42,9 @@
 	registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		prom.NewCounterFunc(prom.CounterOpts{
+			Name: metricPrefix + "_panics_contained_total", Help: "Panics that ended one connection or call only.",
+		}, func() float64 { return float64(contain.Panics()) }),
 	)
 	reporter := prometheus.NewReporter(prometheus.Options{
 		Registerer: registry,
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/internal/contain"
 	"github.com/coder/websocket"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
@@ -69,13 +70,16 @@
 
 func (c *conn) read(ctx context.Context, handle func(Frame)) error {
 	for {
-		f, err := readFrame(ctx, c.ws, c.readLimit, readTimeout)
+		err := contain.Call("a frame of "+string(c.peer.Host), func() error {
+			f, err := readFrame(ctx, c.ws, c.readLimit, readTimeout)
+			if err == nil && f.KeepAlive == nil {
+				handle(f)
+			}
+			return err
+		})
 		if err != nil {
 			return err
 		}
-		if f.KeepAlive == nil {
-			handle(f)
-		}
 	}
 }
 
--- a/wire/server.go
+++ b/wire/server.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
+	"strings"
 
 	"github.com/coder/websocket"
 	"github.com/gravitational/trace"
@@ -91,5 +92,5 @@
 func closeReason(err error) string {
 	const maxReasonBytes = 120 // a close frame can hold 123 bytes
 	text := oneLine(err)
-	return text[:min(maxReasonBytes, len(text))]
+	return strings.ToValidUTF8(text[:min(maxReasonBytes, len(text))], "")
 }
