Connections of managed targets follow the demand

Cause: each proxy had a share of every target, one connection each where there are many proxies: of 48 connections before 34 proxies 34 were held by proxies that mostly needed none and 12 by nobody. A lease request cost the leader proxies x targets. Change: a managed target refuses what is too much itself, so every proxy may open what it needs. It keeps an equal part of half of the connections open while idle, the rest for 2 s. Proxies report only what they hold beyond that. While nearly all connections are in use the leader has idle ones closed after 100 ms, and divides by max-min fairness if the demand alone needs them. A grant names contended targets only; the rest of a share follows from the number of proxies.

--- /dev/null
+++ b/core/capacity/capacity.go
@@ -0,0 +1,82 @@
+// Package capacity computes what each proxy may use of a target: its part of the slots
+// and, for targets of managed services, of the connections. Proxies and the control
+// leader compute the same from the number of proxies, so that shares need no messages
+// while a target has free connections.
+package capacity
+
+import "github.com/camphorpaddle/camphorpaddle/core/types"
+
+// Connections to each target that are reserved rather than divided.
+const (
+	// ControlConnections is the number of connections that the control hosts use.
+	ControlConnections = 1
+	// JoinConnections is reserved for the probes of a proxy that joins.
+	JoinConnections = 1
+)
+
+// maxProxiesPerSlot bounds the proxies for each slot of a target up to which every
+// proxy gets at least one slot. From this ratio on one exchange of each of half of
+// the proxies is enough to fill the slots.
+const maxProxiesPerSlot = 2
+
+// keptDivisor is the part of a managed target's connections that proxies may keep while
+// idle, in equal parts. The rest is left for bursts.
+const keptDivisor = 2
+
+// EvenPart returns part number at when total is split into n parts that differ by at
+// most one.
+func EvenPart(total, n, at int) int {
+	part := total / n
+	if at < total%n {
+		part++
+	}
+	return part
+}
+
+// Slots returns the part number at of a target's slots among n proxies. Below
+// maxProxiesPerSlot each proxy gets at least one slot, even if the sum exceeds the
+// slots, because callers do not spread evenly over proxies.
+func Slots(slots, n, at int) int {
+	part := EvenPart(slots, n, at)
+	if part == 0 && n < maxProxiesPerSlot*slots {
+		return 1
+	}
+	return part
+}
+
+// SlotsOf returns the slots of a target: those that it announced, or those of its
+// service's configuration.
+func SlotsOf(svc types.Service, t types.Target) int {
+	if t.Slots > 0 {
+		return t.Slots
+	}
+	return svc.Slots
+}
+
+// Managed returns how many connections of a target of a managed service all proxies
+// together may use. Their probes need none besides, since the target itself refuses
+// connections beyond its limit, which shows that it works.
+func Managed(svc types.Service) int {
+	return max(0, svc.Connections-ControlConnections-JoinConnections)
+}
+
+// Kept returns how many idle connections to a managed target each of n proxies keeps
+// open. The others are open only while they are used.
+func Kept(svc types.Service, n int) int {
+	if n <= 0 {
+		return 1
+	}
+	return Managed(svc) / keptDivisor / n
+}
+
+// ManagedShare returns the share that each proxy has of a managed target with free
+// connections: all of them, most of them shared with the other proxies. fleet may be
+// zero if the number of proxies is not known.
+func ManagedShare(svc types.Service, t types.Target, fleet types.Fleet) types.Share {
+	connections := max(1, Managed(svc))
+	share := types.Share{Connections: connections, Shared: connections - Kept(svc, fleet.Proxies), Slots: 1}
+	if fleet.Proxies > 0 {
+		share.Slots = Slots(SlotsOf(svc, t), fleet.Proxies, fleet.Index)
+	}
+	return share
+}
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/capacity"
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/retry"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -33,12 +36,18 @@
 	leader      types.HostID             // where requests go; empty means any control host
 	sentTo      types.HostID             // where the last request went; empty as for leader
 	latestTerm  proto.ControlTerm        // control term of the last grant applied
+	waitsSince  types.Instant            // time of the first request without an answer, or zero
+	timeouts    int                      // consecutive times that no answer came in time
+	overdue     bool                     // the next request waits for the answer to the last one
 
-	until        types.Instant
-	views        cluster.ViewAssembly
-	shares       map[types.TargetRef]types.Share
-	sharesSeq    uint64 // Seq of the last grant whose shares were applied
-	controlHosts []types.Address
+	until         types.Instant
+	views         cluster.ViewAssembly
+	fleet         types.Fleet                     // as of the last grant
+	granted       map[types.TargetRef]types.Share // shares of the last grant whose shares were applied
+	shares        map[types.TargetRef]types.Share // granted, and those of the other managed targets; never modified
+	sharesVersion uint64                          // increases when shares changes
+	sharesSeq     uint64                          // Seq of the last grant whose shares were applied
+	controlHosts  []types.Address
 }
 
 // NewHolder returns a holder without a lease. fill adds the proxy's reports to a
@@ -56,6 +65,9 @@
 // Shares returns this proxy's share of each target.
 func (h *Holder) Shares() map[types.TargetRef]types.Share { return h.shares }
 
+// SharesVersion returns a number that increases whenever a share changes.
+func (h *Holder) SharesVersion() uint64 { return h.sharesVersion }
+
 // RequestSoon sends a request before the regular interval ends, but not within
 // minRequestInterval of the last one.
 func (h *Holder) RequestSoon(now types.Instant) []effect.Effect {
@@ -85,10 +97,15 @@
 func (h *Holder) handleTimer(now types.Instant, key uint64) []effect.Effect {
 	switch key {
 	case timerRequest:
+		if h.waitsSince != 0 && h.timeouts > 0 && h.leader != "" {
+			h.overdue = true // the answer, or its timeout, leads to the next request
+			return nil
+		}
 		return h.sendRequest(now)
 	case timerAnswerTimeout:
 		out := h.abandonLeader()
-		h.leader = ""
+		h.leader, h.waitsSince = "", 0
+		h.timeouts++
 		return append(out, h.sendRequest(now)...)
 	case timerExpiry:
 		if now >= h.until {
@@ -104,7 +121,7 @@
 		return nil
 	}
 	return []effect.Effect{effect.Decide{
-		Kind: effect.DecideControlLost, Host: h.leader, Reason: "no answer within " + answerTimeout.String(),
+		Kind: effect.DecideControlLost, Host: h.leader, Reason: "no answer within " + h.answerTimeout().String(),
 	}}
 }
 
@@ -112,29 +129,23 @@
 // services: their targets fence themselves, so that the proxy may continue to
 // serve, and they refuse connections beyond their limit.
 func (h *Holder) expireLease() []effect.Effect {
-	managedShares := make(map[types.TargetRef]types.Share)
-	for ref, share := range h.shares {
-		if h.views.View().Config.Managed(ref.Service) {
-			managedShares[ref] = share
-		}
-	}
-	h.shares = managedShares
+	h.granted = nil
+	h.updateShares()
 	return []effect.Effect{effect.Decide{
 		Kind: effect.DecideLeaseLost, Host: h.self, Reason: "no control leader renewed the lease in time",
 	}}
 }
 
-// sendRequest requests a lease or its renewal. When the request goes to another
-// control host, grants for earlier requests are no longer accepted: the host that
-// grants has to know every share that the proxy may still use.
+// sendRequest requests a lease or its renewal.
 func (h *Holder) sendRequest(now types.Instant) []effect.Effect {
 	h.seq++
-	h.sentAt = now
-	if h.leader != h.sentTo || h.leader == "" {
-		clear(h.outstanding)
-	}
+	h.sentAt, h.overdue = now, false
+	h.dropOutstanding(now)
 	h.sentTo = h.leader
 	h.outstanding[h.seq] = now
+	if h.waitsSince == 0 {
+		h.waitsSince = now
+	}
 	r := proto.LeaseRequest{
 		Proxy: h.self, AvailabilityZone: h.zone, Seq: h.seq, SentAt: now, SharesSeq: h.sharesSeq,
 		ViewVersion: h.views.Version(), Cursor: h.views.Cursor(),
@@ -143,10 +154,30 @@
 	return []effect.Effect{
 		effect.RequestLease{To: h.leader, Request: r},
 		h.arm(timerRequest, now.Add(requestInterval)),
-		h.arm(timerAnswerTimeout, now.Add(answerTimeout)),
+		h.arm(timerAnswerTimeout, h.waitsSince.Add(h.answerTimeout())),
 	}
 }
 
+// dropOutstanding forgets requests whose grants would bring no time any more. When the
+// next request goes to another control host, grants for earlier ones are no longer
+// accepted either, unless all services are managed: the host that grants has to know
+// every share that the proxy may still use, but no shares of managed targets. Without
+// these grants a slow leader could not renew the leases that it has to renew.
+func (h *Holder) dropOutstanding(now types.Instant) {
+	strict := h.Cluster() == nil || !h.Cluster().Config.AllManaged()
+	if strict && (h.leader != h.sentTo || h.leader == "") {
+		clear(h.outstanding)
+		return
+	}
+	maps.DeleteFunc(h.outstanding, func(_ uint64, sentAt types.Instant) bool { return now.Sub(sentAt) >= Duration-driftMargin })
+}
+
+// answerTimeout returns how long to wait for an answer. It doubles with each time that
+// none came, so that requests don't keep a slow leader busy.
+func (h *Holder) answerTimeout() time.Duration {
+	return retry.ExponentialDelay(minAnswerTimeout, maxAnswerTimeout, h.timeouts)
+}
+
 // handleGrant processes the answer of a control host. The view and the addresses
 // of the control hosts are applied whenever they arrive, even from a host that
 // isn't the leader, since a view never replaces a newer one. The lease and the
@@ -167,7 +198,11 @@
 	if !pending || g.NotLeader || g.Term < h.latestTerm || now >= sentAt.Add(Duration-driftMargin) {
 		return append(out, h.requestNextPart(now, progress)...)
 	}
-	return append(out, h.applyGrant(now, sentAt, e, progress)...)
+	out = append(out, h.applyGrant(now, sentAt, e, progress)...)
+	if h.overdue {
+		out = append(out, h.RequestSoon(now)...)
+	}
+	return out
 }
 
 // applyGrant applies the lease and the shares of a grant. If the control host's view is
@@ -175,11 +210,8 @@
 func (h *Holder) applyGrant(now, sentAt types.Instant, e event.LeaseGranted, progress bool) []effect.Effect {
 	g := e.Grant
 	h.dropRequestsBefore(g.Seq)
-	h.leader, h.latestTerm = e.From, g.Term
-	var out []effect.Effect
-	if g.Seq == h.seq {
-		out = append(out, effect.StopTimer{ID: timerID(timerAnswerTimeout)})
-	}
+	h.leader, h.latestTerm, h.timeouts = e.From, g.Term, 0
+	out := []effect.Effect{h.awaitAnswer(g.Seq)}
 	if g.View != nil && h.views.Version() < g.View.Version {
 		return append(out, h.requestNewerView(now, progress)...)
 	}
@@ -187,15 +219,30 @@
 	return append(out, h.extendLease(now, sentAt, g)...)
 }
 
+// awaitAnswer sets the time by which the first request after the answered one has to be
+// answered, if there is one.
+func (h *Holder) awaitAnswer(answered uint64) effect.Effect {
+	h.waitsSince = 0
+	for seq, sentAt := range h.outstanding {
+		if seq > answered && (h.waitsSince == 0 || sentAt < h.waitsSince) {
+			h.waitsSince = sentAt
+		}
+	}
+	if h.waitsSince == 0 {
+		return effect.StopTimer{ID: timerID(timerAnswerTimeout)}
+	}
+	return h.arm(timerAnswerTimeout, h.waitsSince.Add(h.answerTimeout()))
+}
+
 // applyView applies the view update in a grant and reports whether the view or the
 // parts received of the next one changed.
 func (h *Holder) applyView(e event.LeaseGranted) (bool, []effect.Effect) {
-	u, first := e.Grant.View, h.Cluster() == nil
+	u, before := e.Grant.View, h.Cluster()
 	if u == nil || !h.views.Apply(u) {
 		return false, nil
 	}
-	if first && e.Grant.NotLeader && h.Cluster() != nil {
-		h.shares = provisionalShares(h.Cluster())
+	if h.Cluster() != before {
+		h.updateShares()
 	}
 	if !u.More || u.After != (proto.ViewCursor{}) {
 		return true, nil
@@ -241,21 +288,35 @@
 	maps.DeleteFunc(h.outstanding, func(other uint64, _ types.Instant) bool { return other < seq })
 }
 
-// provisionalShares returns the shares of managed targets that a proxy uses until
-// the control leader assigns them. Managed targets refuse connections beyond their limit.
-func provisionalShares(v *types.ClusterView) map[types.TargetRef]types.Share {
-	shares := make(map[types.TargetRef]types.Share)
-	for name, g := range v.Groups {
-		if !v.Config.Managed(name) {
-			continue
+// updateShares combines the granted shares with those of the managed targets without
+// a granted one. It replaces the map only if a share has changed.
+func (h *Holder) updateShares() {
+	shares := maps.Clone(h.granted)
+	if shares == nil {
+		shares = make(map[types.TargetRef]types.Share)
+	}
+	if v := h.Cluster(); v != nil && v.Config != nil {
+		for name, g := range v.Groups {
+			h.addManagedShares(shares, v.Config.Services[name], g)
 		}
-		for _, m := range g.Members {
-			shares[types.TargetRef{Service: name, Name: m.Name}] = types.Share{
-				Connections: max(1, v.Config.Services[name].Connections/provisionalDivisor), Slots: 1,
-			}
+	}
+	if !maps.Equal(shares, h.shares) {
+		h.shares = shares
+		h.sharesVersion++
+	}
+}
+
+// addManagedShares adds the shares of a group's managed targets that have none.
+func (h *Holder) addManagedShares(shares map[types.TargetRef]types.Share, svc types.Service, g *types.Group) {
+	if !svc.Managed {
+		return
+	}
+	for _, m := range g.Members {
+		ref := types.TargetRef{Service: g.Service, Name: m.Name}
+		if _, ok := shares[ref]; !ok {
+			shares[ref] = capacity.ManagedShare(svc, m, h.fleet)
 		}
 	}
-	return shares
 }
 
 // followRedirect sends the next request to the leader that a follower named. If the
@@ -265,8 +326,10 @@
 	if g.Seq != h.seq {
 		return nil
 	}
+	h.waitsSince = 0
 	if g.Leader == "" || g.Leader == h.leader {
-		return []effect.Effect{h.arm(timerAnswerTimeout, now.Add(redirectDelay))}
+		h.leader = ""
+		return []effect.Effect{effect.StopTimer{ID: timerID(timerAnswerTimeout)}, h.arm(timerRequest, now.Add(redirectDelay))}
 	}
 	h.leader = g.Leader
 	return h.RequestSoon(now)
@@ -277,12 +340,12 @@
 	if g.Duration == 0 {
 		return
 	}
-	h.sharesSeq = g.Seq
-	shares := make(map[types.TargetRef]types.Share, len(g.Shares))
+	h.sharesSeq, h.fleet = g.Seq, g.Fleet
+	h.granted = make(map[types.TargetRef]types.Share, len(g.Shares))
 	for _, s := range g.Shares {
-		shares[s.Ref] = s.Share
+		h.granted[s.Ref] = s.Share
 	}
-	h.shares = shares
+	h.updateShares()
 }
 
 // extendLease sets the end of the lease, counted from the time of the request on
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -6,10 +6,6 @@
 
 import "time"
 
-// provisionalDivisor is the number of proxies that a managed target's connections
-// are divided by until the control leader assigns shares. Deployments have 4 to 7 proxies.
-const provisionalDivisor = 8
-
 // Durations and intervals of leases.
 const (
 	// Duration is the length of a lease, counted from the request that it answers.
@@ -20,9 +16,11 @@
 	driftMargin = Duration / 10
 	// requestInterval is the regular time between two requests of a proxy.
 	requestInterval = 300 * time.Millisecond
-	// answerTimeout is how long a proxy waits for an answer before it sends the
-	// next request to another control host.
-	answerTimeout = 200 * time.Millisecond
+	// minAnswerTimeout is how long a proxy waits for an answer before it sends the
+	// next request to another control host. After requests without an answer it waits
+	// longer, up to maxAnswerTimeout, which leaves a second try within a lease.
+	minAnswerTimeout = 200 * time.Millisecond
+	maxAnswerTimeout = 600 * time.Millisecond
 	// redirectDelay is how long a proxy waits before it tries another control
 	// host, after one that isn't the leader named no other leader.
 	redirectDelay = 50 * time.Millisecond
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -17,6 +17,8 @@
 // ShareSource decides the shares that a proxy is granted of each target.
 type ShareSource interface {
 	Shares(proxy types.HostID) []proto.ShareGrant
+	// Fleet returns the place of the proxy among those with a lease.
+	Fleet(proxy types.HostID) types.Fleet
 }
 
 // Table holds the leases that this control host granted as leader.
@@ -196,6 +198,7 @@
 	}
 	if t.shares != nil {
 		g.Shares = t.shares.Shares(p.request.Proxy)
+		g.Fleet = t.shares.Fleet(p.request.Proxy)
 	}
 	return []effect.Effect{effect.GrantLease{Grant: g}}
 }
--- a/core/limits/allocate.go
+++ b/core/limits/allocate.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/camphorpaddle/camphorpaddle/core/capacity"
 )
 
 // allocate splits total among proxies by max-min fairness of their demands. A
@@ -32,7 +34,7 @@
 		if step*len(active) > total {
 			slices.Sort(active)
 			for n, i := range active {
-				parts[i] = level + evenPart(total, len(active), n)
+				parts[i] = level + capacity.EvenPart(total, len(active), n)
 			}
 			return 0
 		}
@@ -63,32 +65,6 @@
 	lowest := rising[:n]
 	slices.Sort(lowest)
 	for at, i := range lowest {
-		parts[i] = level + evenPart(total, n, at)
-	}
-}
-
-// evenPart returns part number at when total is split into n parts that differ
-// by at most one.
-func evenPart(total, n, at int) int {
-	part := total / n
-	if at < total%n {
-		part++
-	}
-	return part
-}
-
-// maxProxiesPerSlot bounds the proxies for each slot of a target up to which every
-// proxy gets at least one slot. From this ratio on one exchange of each of half of
-// the proxies is enough to fill the slots.
-const maxProxiesPerSlot = 2
-
-// slotShare returns the part number at of a target's slots among n proxies. Below
-// maxProxiesPerSlot each proxy gets at least one slot, even if the sum exceeds the
-// slots, because callers do not spread evenly over proxies.
-func slotShare(slots, n, at int) int {
-	part := evenPart(slots, n, at)
-	if part == 0 && n < maxProxiesPerSlot*slots {
-		return 1
+		parts[i] = level + capacity.EvenPart(total, n, at)
 	}
-	return part
 }
--- a/core/limits/allocator.go
+++ b/core/limits/allocator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/camphorpaddle/camphorpaddle/core/capacity"
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
@@ -16,21 +17,17 @@
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
-// Connections to each target that are reserved rather than divided.
-const (
-	// controlConnections is the number of connections that the control hosts use.
-	controlConnections = 1
-	// joinConnections is reserved for the probes of a proxy that joins, until
-	// the other proxies have reduced their shares.
-	joinConnections = 1
-)
-
 // Allocator holds the shares that this host granted as leader.
 type Allocator struct {
 	state  *cluster.State
 	leases *lease.Table
 	role   role.Role
-	usages map[types.TargetRef]map[types.HostID]*usage
+	usages map[types.TargetRef]map[types.HostID]*usage // of targets of services that are not managed
+	fleet  fleet
+
+	pools    map[types.TargetRef]*managedPool
+	reported map[types.HostID][]types.TargetRef // managed targets in each proxy's last request
+
 	// decisions are the changes of shares since the last step.
 	decisions []effect.Effect
 }
@@ -39,7 +36,9 @@
 func New(state *cluster.State, leases *lease.Table) *Allocator {
 	return &Allocator{
 		state: state, leases: leases,
-		usages: make(map[types.TargetRef]map[types.HostID]*usage),
+		usages:   make(map[types.TargetRef]map[types.HostID]*usage),
+		pools:    make(map[types.TargetRef]*managedPool),
+		reported: make(map[types.HostID][]types.TargetRef),
 	}
 }
 
@@ -49,6 +48,9 @@
 	case event.RoleChanged:
 		if a.role.Update(e) {
 			clear(a.usages)
+			clear(a.pools)
+			clear(a.reported)
+			a.fleet = fleet{}
 		}
 	case event.Committed:
 		if p := e.Entry.Command.Proxy; p != nil && p.Remove {
@@ -60,9 +62,25 @@
 	return decisions
 }
 
-// Shares returns the proxy's share of each target. The lease table calls it
-// when it answers the proxy's last request.
+// Shares returns the proxy's share of each target that has no free connections, and of
+// each target of a service that is not managed. The lease table calls it when it
+// answers the proxy's last request.
 func (a *Allocator) Shares(proxy types.HostID) []proto.ShareGrant {
+	request, ok := a.leases.LastRequest(proxy)
+	if !ok {
+		return nil
+	}
+	a.updateUses(proxy, request.Held)
+	out := a.managedShares(proxy)
+	if a.state.Config().AllManaged() {
+		return out
+	}
+	return append(out, a.strictShares(proxy)...)
+}
+
+// strictShares returns the proxy's share of each target of the services that are not
+// managed. The sum of these shares never exceeds what a target accepts.
+func (a *Allocator) strictShares(proxy types.HostID) []proto.ShareGrant {
 	holds := a.leases.ProxyLeases()
 	at := slices.IndexFunc(holds, func(h lease.ProxyLease) bool { return h.Host == proxy })
 	if at < 0 {
@@ -76,61 +94,29 @@
 	config := a.state.Config()
 	for _, name := range a.state.Services() {
 		svc := config.Services[name]
+		if svc.Managed {
+			continue
+		}
 		for _, t := range a.state.Group(name).Members {
 			ref := types.TargetRef{Service: name, Name: t.Name}
 			a.usage(ref, proxy).update(held[ref], holds[at].Request.SharesSeq, a.leases.Now())
-			out = append(out, proto.ShareGrant{Ref: ref, Share: a.share(withAnnouncedSlots(svc, t), ref, holds, at)})
+			svc.Slots = capacity.SlotsOf(config.Services[name], t)
+			out = append(out, proto.ShareGrant{Ref: ref, Share: a.share(svc, ref, holds, at)})
 		}
 	}
 	return out
 }
 
-// liveHolds returns the proxies that may hold a lease, holds[at] included, and
-// the index of holds[at] in the result.
-func liveHolds(holds []lease.ProxyLease, at int) ([]lease.ProxyLease, int) {
-	var out []lease.ProxyLease
-	index := 0
-	for i, h := range holds {
-		if i == at {
-			index = len(out)
-		}
-		if i == at || h.Live {
-			out = append(out, h)
-		}
-	}
-	return out, index
-}
-
-// withAnnouncedSlots returns the service with the target's announced number of
-// slots, if it announced one.
-func withAnnouncedSlots(svc types.Service, t types.Target) types.Service {
-	if t.Slots > 0 {
-		svc.Slots = t.Slots
-	}
-	return svc
-}
-
 // share computes and records the share of the proxy holds[at].
 func (a *Allocator) share(svc types.Service, ref types.TargetRef, holds []lease.ProxyLease, at int) types.Share {
 	now := a.leases.Now()
 	usages := a.usages[ref]
-	if svc.Managed {
-		holds, at = liveHolds(holds, at)
-	}
 	total := divisibleConnections(svc, len(holds))
 	free := total
 	demands := make([]int, len(holds))
 	for i, h := range holds {
 		u := usages[h.Host]
-		switch {
-		case svc.Managed && !h.Known:
-			// This proxy may hold connections too. It does not reduce free, because the
-			// target itself refuses connections above its limit, and a proxy should not
-			// wait for the lease of a process that is gone to expire. Its demand is
-			// taken to equal that of the requesting proxy.
-			demands[i] = max(1, usages[holds[at].Host].demand)
-			continue
-		case h.Live && u != nil:
+		if h.Live && u != nil {
 			demands[i] = max(1, u.demand)
 		}
 		if i != at {
@@ -139,20 +125,14 @@
 	}
 	n := min(allocate(total, demands)[at], max(0, free))
 	a.record(ref, holds[at], n)
-	return types.Share{Connections: n, Slots: slotShare(svc.Slots, len(holds), at)}
+	return types.Share{Connections: n, Slots: capacity.Slots(svc.Slots, len(holds), at)}
 }
 
 // divisibleConnections returns how many connections of a target are divided among
 // the given number of proxies. Each proxy has one more, outside its share, for its
-// probes. Proxies of a managed service probe only occasionally, and each has to reach
-// the target, so that their shares may use the connections for probes too.
+// probes.
 func divisibleConnections(svc types.Service, proxies int) int {
-	all := svc.Connections - controlConnections - joinConnections
-	total := all - proxies
-	if svc.Managed {
-		total = max(total, min(proxies, all))
-	}
-	return max(0, total)
+	return max(0, svc.Connections-capacity.ControlConnections-capacity.JoinConnections-proxies)
 }
 
 // record remembers a granted share of n connections until its grant can no longer
@@ -190,4 +170,5 @@
 	for _, usages := range a.usages {
 		delete(usages, proxy)
 	}
+	a.dropUses(proxy)
 }
--- a/core/limits/usage.go
+++ b/core/limits/usage.go
@@ -24,7 +24,7 @@
 // update applies the proxy's last request. Grants up to sharesSeq, the last one whose
 // shares the proxy applied, no longer count.
 func (u *usage) update(h proto.ShareHeld, sharesSeq uint64, now types.Instant) {
-	u.held, u.demand = h.Share.Connections, h.Demand
+	u.held, u.demand = clampCount(h.Share.Connections), clampCount(h.Demand)
 	grants := u.grants[:0]
 	for _, g := range u.grants {
 		if g.seq > sharesSeq && now < g.until {
@@ -34,6 +34,11 @@
 	u.grants = grants
 }
 
+// maxCount bounds the connections that a proxy can report, far above what targets accept.
+const maxCount = 1 << 20
+
+func clampCount(n int) int { return min(max(n, 0), maxCount) }
+
 // maxHeld returns the upper bound of the connections that the proxy holds or can
 // still be entitled to.
 func (u *usage) maxHeld(now types.Instant) int {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -28,6 +28,7 @@
 	shards        map[int]event.ShardReport
 	announcements announcements
 	shares        shareHistory
+	sharesVersion uint64 // of the holder's shares in the history
 	demand        demandHistory
 	draining      bool
 
@@ -116,8 +117,9 @@
 	if until := n.holder.Until(); until != n.leaseUntil {
 		n.leaseUntil, n.changed = until, true
 	}
-	if n.shares.set(n.holder.Shares(), n.now) {
-		n.changed = true
+	if version := n.holder.SharesVersion(); version != n.sharesVersion {
+		n.sharesVersion, n.changed = version, true
+		n.shares.set(n.holder.Shares(), n.now)
 	}
 	var out []effect.Effect
 	if view := n.holder.Cluster(); view != n.clusterView {
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -114,29 +114,39 @@
 }
 
 // heldShares returns the most that the shards may use of each target: the larger of what
-// recent views allowed and the connections that they hold.
+// recent views allowed and the connections that they hold. Of managed targets it returns
+// those of which the shards hold or could use more connections than they keep.
 func (n *Node) heldShares() []proto.ShareHeld {
+	if n.clusterView == nil {
+		return nil
+	}
 	most := n.shares.largest(n.now)
-	open := make(map[types.TargetRef]int)
 	demand := n.demand.peaks(n.now)
+	open := make(map[types.TargetRef]int)
 	for _, r := range n.shards {
 		for ref, count := range r.Connections {
 			open[ref] += count
 		}
 	}
+	config := n.clusterView.Config
 	refs := make(map[types.TargetRef]bool)
-	for ref := range most {
-		refs[ref] = true
-	}
-	for ref := range open {
-		refs[ref] = true
+	for _, known := range []map[types.TargetRef]int{open, demand} {
+		for ref := range known {
+			refs[ref] = true
+		}
 	}
-	for ref := range demand {
+	for ref := range most {
 		refs[ref] = true
 	}
 	out := make([]proto.ShareHeld, 0, len(refs))
 	for _, ref := range sortedRefs(refs) {
 		share := most[ref]
+		if config.Managed(ref.Service) {
+			if used := max(open[ref], n.demand.current[ref]); used > share.Connections-share.Shared {
+				out = append(out, proto.ShareHeld{Ref: ref, Share: types.Share{Connections: open[ref]}, Demand: n.demand.current[ref]})
+			}
+			continue
+		}
 		share.Connections = max(share.Connections, open[ref])
 		out = append(out, proto.ShareHeld{Ref: ref, Share: share, Demand: demand[ref]})
 	}
--- a/core/node/shares.go
+++ b/core/node/shares.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"maps"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
@@ -23,14 +22,10 @@
 	replacedAt types.Instant
 }
 
-// set sets the current shares and reports whether they changed.
-func (l *shareHistory) set(shares map[types.TargetRef]types.Share, now types.Instant) bool {
-	if maps.Equal(l.current, shares) {
-		return false
-	}
+// set replaces the current shares.
+func (l *shareHistory) set(shares map[types.TargetRef]types.Share, now types.Instant) {
 	l.replaced = append(l.replaced, replacedShares{shares: l.current, replacedAt: now})
 	l.current = shares
-	return true
 }
 
 // largest returns the largest share of each target that a shard may use.
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -23,9 +23,10 @@
 	Owner   types.SessionID // session that uses it, while in use
 	setup   setup           // settings and prepared statements that exist on it
 
-	state    State
-	seq      uint64 // number of the last exchange
-	inFlight bool   // the last exchange has no answer yet
+	state     State
+	idleSince types.Instant // while idle
+	seq       uint64        // number of the last exchange
+	inFlight  bool          // the last exchange has no answer yet
 }
 
 // BeginExchange starts an exchange, which is a sequence of operations and its answer, and returns
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -13,6 +13,11 @@
 	exchangesPerSlot = 2
 	// minConnections is the number of connections kept open without load.
 	minConnections = 1
+	// idleTimeout is how long a connection that other proxies may use too stays open
+	// without use, and contendedIdleTimeout while the target has no free connections.
+	// A new connection takes 12 ms of a slot of the target.
+	idleTimeout          = 2 * time.Second
+	contendedIdleTimeout = 100 * time.Millisecond
 	// minDialBackoff and maxDialBackoff bound the backoff after failed dials.
 	minDialBackoff = 20 * time.Millisecond
 	maxDialBackoff = 2 * time.Second
@@ -59,6 +64,43 @@
 	return c.Address != t.address || len(t.conns) > t.share.Connections
 }
 
+// CloseIdle drops and returns the connections that other proxies may use too and that
+// have been idle for idleTimeout.
+func (t *Target) CloseIdle(now types.Instant) []*Conn {
+	var closed []*Conn
+	for i := len(t.conns) - 1; i >= 0 && len(t.conns) > t.kept(); i-- {
+		if c := t.conns[i]; c.state == Idle && now.Sub(c.idleSince) >= t.idleTimeout() {
+			t.Drop(c)
+			closed = append(closed, c)
+		}
+	}
+	return closed
+}
+
+// NextIdleClose returns when CloseIdle may drop a connection next, or zero.
+func (t *Target) NextIdleClose() types.Instant {
+	if len(t.conns) <= t.kept() {
+		return 0
+	}
+	var next types.Instant
+	for _, c := range t.conns {
+		if at := c.idleSince.Add(t.idleTimeout()); c.state == Idle && (next == 0 || at < next) {
+			next = at
+		}
+	}
+	return next
+}
+
+func (t *Target) idleTimeout() time.Duration {
+	if t.share.Contended {
+		return contendedIdleTimeout
+	}
+	return idleTimeout
+}
+
+// kept returns how many connections stay open without use.
+func (t *Target) kept() int { return t.share.Connections - t.share.Shared }
+
 // Share returns the share that Update last set.
 func (t *Target) Share() types.Share { return t.share }
 
@@ -146,8 +188,8 @@
 
 // Release makes a connection idle that has no exchange or transaction in progress. It
 // reports false if the connection was dropped instead and must be closed.
-func (t *Target) Release(c *Conn) bool {
-	c.state, c.Owner = Idle, 0
+func (t *Target) Release(c *Conn, now types.Instant) bool {
+	c.state, c.Owner, c.idleSince = Idle, 0, now
 	if t.exceedsShare(c) {
 		t.Drop(c)
 		return false
@@ -173,7 +215,7 @@
 		return 0
 	}
 	available := t.countState(Idle) + t.countState(Dialing)
-	wanted := max(minConnections, min(waiting, t.Limit()-t.InFlight()))
+	wanted := max(min(minConnections, t.kept()), min(waiting, t.Limit()-t.InFlight()))
 	n := min(wanted-available, t.share.Connections-len(t.conns))
 	if t.dialFailures > 0 {
 		n = min(n, 1-t.countState(Dialing))
@@ -190,8 +232,8 @@
 
 // Connected marks a dialed connection as idle. It returns the number of dials that had
 // failed since the last success.
-func (t *Target) Connected(c *Conn) int {
-	c.state = Idle
+func (t *Target) Connected(c *Conn, now types.Instant) int {
+	c.state, c.idleSince = Idle, now
 	failed := t.dialFailures
 	t.dialFailures = 0
 	return failed
--- a/core/proto/lease.go
+++ b/core/proto/lease.go
@@ -34,7 +34,8 @@
 }
 
 // ShareHeld is the largest share of a target that a proxy may still use, and its
-// demand.
+// demand. Of a managed target it is what the proxy holds, and is left out while that
+// is no more than the proxy keeps open anyway.
 type ShareHeld struct {
 	Ref    types.TargetRef
 	Share  types.Share
@@ -49,10 +50,11 @@
 	Duration  time.Duration // counted from SentAt on the proxy's clock
 	Term      ControlTerm
 	NotLeader bool
-	Leader    types.HostID // the leader to ask instead, if known
-	View      *ViewUpdate  // set if the proxy's view is outdated
-	Shares    []ShareGrant
+	Leader    types.HostID    // the leader to ask instead, if known
+	View      *ViewUpdate     // set if the proxy's view is outdated
+	Shares    []ShareGrant    // of managed targets, only of those without free connections
 	Hosts     []types.Address // addresses of the control hosts
+	Fleet     types.Fleet     // place of the proxy among those with a lease
 }
 
 // ViewUpdate updates a proxy's view to Version, or is a part of such an update.
--- a/core/session/connection.go
+++ b/core/session/connection.go
@@ -13,12 +13,12 @@
 // dialTimeout limits how long opening a connection may take.
 const dialTimeout = 2 * time.Second
 
-// dial opens connections for the queued requests, and those that the pool keeps
-// open in advance.
+// dial opens connections for the queued requests and those that the pool keeps open
+// in advance, and closes those that have been idle for too long.
 func (s *Shard) dial(svc *service) {
 	waiting := s.queuedPerTarget(svc)
 	busy := svc.queued() > 0
-	var retryAt types.Instant
+	var next types.Instant
 	for _, name := range sortedKeys(svc.targets) {
 		t := svc.targets[name].pool
 		for range t.DialsNeeded(waiting[name], busy, s.now) {
@@ -27,12 +27,15 @@
 			s.conns[c.ID] = c
 			s.emit(effect.DialTarget{Conn: c.ID, Ref: c.Ref, Address: c.Address, Timeout: dialTimeout})
 		}
-		if at := t.NextDialAt(busy); at > s.now && (retryAt == 0 || at < retryAt) {
-			retryAt = at
+		s.closeConns(t.CloseIdle(s.now))
+		for _, at := range []types.Instant{t.NextDialAt(busy), t.NextIdleClose()} {
+			if at > s.now && (next == 0 || at < next) {
+				next = at
+			}
 		}
 	}
-	if retryAt != 0 {
-		s.emit(effect.ArmTimer{ID: event.TimerID{Domain: event.DomainPool, Key: svc.timerKey}, At: retryAt})
+	if next != 0 {
+		s.emit(effect.ArmTimer{ID: event.TimerID{Domain: event.DomainPool, Key: svc.timerKey}, At: next})
 	}
 }
 
@@ -51,7 +54,7 @@
 }
 
 // poolTimerFired retries to open connections once the backoff of a failed dial
-// has passed.
+// has passed, and closes idle ones.
 func (s *Shard) poolTimerFired(key uint64) {
 	for _, name := range sortedKeys(s.services) {
 		if s.services[name].timerKey == key {
@@ -78,7 +81,7 @@
 		s.requeueAll(svc)
 		return
 	}
-	if failed := t.Connected(c); failed > 0 {
+	if failed := t.Connected(c, s.now); failed > 0 {
 		s.recordTargetDecision(effect.DecideTargetFound, c.Ref, fmt.Sprintf("a connection was opened after %d failed attempts", failed))
 	}
 }
@@ -92,7 +95,7 @@
 func (s *Shard) release(c *pool.Conn) {
 	svc := s.services[c.Ref.Service]
 	s.dirty[svc.name] = true
-	if !svc.target(c.Ref.Name).pool.Release(c) {
+	if !svc.target(c.Ref.Name).pool.Release(c, s.now) {
 		delete(s.conns, c.ID)
 		s.emit(effect.CloseConn{Conn: c.ID})
 	}
--- a/core/types/view.go
+++ b/core/types/view.go
@@ -2,8 +2,16 @@
 
 // Share is the part of one target's capacity that one proxy may use.
 type Share struct {
-	Connections int // connections that the proxy may hold
-	Slots       int // statements that the proxy may run concurrently
+	Connections int  // connections that the proxy may hold
+	Slots       int  // statements that the proxy may run concurrently
+	Shared      int  // how many of Connections other proxies may use too; they are closed when idle
+	Contended   bool // the target has no free connections: what is idle is closed soon
+}
+
+// Fleet is the place of a proxy among those that share the targets.
+type Fleet struct {
+	Proxies int // number of proxies; zero if it isn't known
+	Index   int // place of this proxy in their order, from zero
 }
 
 // ClusterView is the state that control publishes to the proxies: the
