Leases survive a slow leader

Cause: a leader that was held up for 2 s handled every request that had come meanwhile, also those whose proxies had given up, and answers to a request were dropped once the proxy had asked another host. At 78 proxies no lease came back. Change: a control host queues the latest lease request of each proxy only.

--- a/core/consensus/failure_test.go
+++ b/core/consensus/failure_test.go
@@ -386,3 +386,37 @@
 		})
 	}
 }
+
+// TestDisksFullInTurn fills the disk of one host after the other, of the leader and of
+// followers, while changes are proposed. All changes are committed meanwhile, and long
+// after the last disk has room again every host holds all of them and votes.
+func TestDisksFullInTurn(t *testing.T) {
+	for seed := range uint64(5) {
+		c := newHarness(t, seed+1, "a", "b", "c", "d", "e")
+		c.cluster.Network.DelayMin, c.cluster.Network.DelayMax = 5*time.Millisecond, 10*time.Millisecond
+		for _, h := range c.cluster.Hosts {
+			h.SyncTime = time.Millisecond
+		}
+		c.awaitLeader(failoverTimeout)
+		for round, name := range []types.HostID{"a", "b", "leader", "c", "d", "leader", "e", "leader"} {
+			if name == "leader" {
+				name = c.awaitLeader(failoverTimeout).ID()
+			}
+			c.cluster.FillDisk(name, 2500*time.Millisecond)
+			for i := range 25 {
+				c.awaitCommit(failoverTimeout, fmt.Sprintf("round %d, change %d", round, i))
+				c.cluster.Run(100 * time.Millisecond)
+			}
+			c.cluster.Run(500 * time.Millisecond)
+		}
+		for i := range 200 {
+			c.awaitCommit(time.Second, fmt.Sprint("after all, change ", i))
+			c.cluster.Run(100 * time.Millisecond)
+		}
+		l := c.leader()
+		for id, n := range c.nodes {
+			assert.Equal(t, n.state, l.state, "seed %d, host %s", seed, id)
+			assert.Assert(t, n.DeferredMessages() < 10, "%d messages wait for the disk of %s", n.DeferredMessages(), id)
+		}
+	}
+}
--- a/core/coretest/cluster.go
+++ b/core/coretest/cluster.go
@@ -50,7 +50,8 @@
 	timers  map[event.TimerID]timer
 	epoch   time.Duration // cluster time at which the clock was started
 
-	syncedAt time.Duration // when all writes so far are synced
+	syncedAt  time.Duration // when all writes so far are synced
+	fullUntil time.Duration // no write succeeds before
 }
 
 // Cluster steps hosts in virtual time. It is deterministic for a seed.
@@ -115,6 +116,9 @@
 	}
 }
 
+// FillDisk makes all writes of a host wait for d, as while its disk is full.
+func (c *Cluster) FillDisk(id types.HostID, d time.Duration) { c.Hosts[id].fullUntil = c.now + d }
+
 // Cut drops all messages in one direction.
 func (c *Cluster) Cut(from, to types.HostID) { c.Network.cut[link{from, to}] = true }
 
@@ -220,7 +224,7 @@
 	case effect.StopTimer:
 		delete(h.timers, e.ID)
 	case effect.Persist:
-		h.syncedAt = max(h.syncedAt, c.now) + h.SyncTime
+		h.syncedAt = max(h.syncedAt, c.now, h.fullUntil) + h.SyncTime
 		c.after(h.syncedAt-c.now, h, synced{Event: event.Persisted{}, write: e})
 	case effect.SendPeer:
 		c.sendPeer(h, e.Message)
--- a/runtime/control.go
+++ b/runtime/control.go
@@ -35,10 +35,11 @@
 // ControlHost runs the reducer of a control host and executes its effects.
 type ControlHost struct {
 	ControlOptions
-	loop    *loop
-	writes  *diskQueue
-	targets *targetCalls
-	ctx     context.Context // ends with Run; target calls use it
+	loop     *loop
+	writes   *diskQueue
+	requests *leaseQueue
+	targets  *targetCalls
+	ctx      context.Context // ends with Run; target calls use it
 
 	lastCall     atomic.Uint64
 	pendingCalls sync.Map // call number to chan proto.OperatorReply
@@ -49,11 +50,12 @@
 	h := &ControlHost{
 		ControlOptions: o,
 		writes:         newDiskQueue(),
+		requests:       newLeaseQueue(),
 		targets:        newTargetCalls(o.Targets),
 	}
 	h.loop = newLoop(loopOptions{
 		reducer: o.Reducer, executor: h, clock: o.Clock, seed: o.Seed,
-		maxEvents: maxControlEvents, lockThread: true,
+		maxEvents: maxControlEvents, lockThread: true, source: h.requests,
 	})
 	return h
 }
@@ -123,10 +125,9 @@
 // HandlePeerMessage posts a message from another control host to the reducer.
 func (h *ControlHost) HandlePeerMessage(m proto.Message) { h.loop.post(event.PeerMessage{Message: m}) }
 
-// HandleLeaseRequest posts a proxy's lease request to the reducer.
-func (h *ControlHost) HandleLeaseRequest(r proto.LeaseRequest) {
-	h.loop.post(event.LeaseRequested{Request: r})
-}
+// HandleLeaseRequest queues a proxy's lease request for the reducer. It replaces an
+// earlier one of the proxy that still waits.
+func (h *ControlHost) HandleLeaseRequest(r proto.LeaseRequest) { h.requests.add(r) }
 
 // Call posts an operator's request to the reducer and waits for the reply.
 func (h *ControlHost) Call(ctx context.Context, r proto.OperatorRequest) (proto.OperatorReply, error) {
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -16,6 +16,14 @@
 	execute(eff effect.Effect)
 }
 
+// eventSource holds events that are queued apart from the others of a loop.
+type eventSource interface {
+	// ready returns a channel that holds a value while events wait.
+	ready() <-chan struct{}
+	// next removes and returns the next event, if there is one.
+	next() (event.Event, bool)
+}
+
 // loopOptions configures a loop.
 type loopOptions struct {
 	reducer    *core.Reducer
@@ -25,6 +33,7 @@
 	view       func() *types.NodeView // nil on control loops
 	maxEvents  int                    // capacity of the event queue
 	lockThread bool                   // lock the goroutine to an OS thread
+	source     eventSource            // may be nil
 }
 
 // loop owns a reducer and passes it one event at a time.
@@ -74,12 +83,20 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	l.step(event.Start{})
+	var sourceReady <-chan struct{}
+	if l.source != nil {
+		sourceReady = l.source.ready()
+	}
 	for {
 		l.fireTimers()
 		timer.Reset(l.timers.untilNext(l.clock()))
 		select {
 		case ev := <-l.events:
 			l.step(ev)
+		case <-sourceReady:
+			if ev, ok := l.source.next(); ok {
+				l.step(ev)
+			}
 		case <-l.viewSignal:
 			l.step(event.ViewChanged{})
 		case <-timer.C:
