--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -189,3 +189,26 @@
 	probed()
 	assert.Equal(t, len(p.views), before+2, "a position that a shard waits for is not published at once")
 }
+
+// TestProxyReportsWhatItUsesOfManagedTargets covers a managed target of which the proxy
+// keeps nothing while idle: what it holds, and what it could use now, is reported, and
+// nothing once it uses none.
+func TestProxyReportsWhatItUsesOfManagedTargets(t *testing.T) {
+	p := newProxy(t)
+	r := p.request()
+	p.step(event.LeaseGranted{From: "c1", Grant: proto.LeaseGrant{
+		Proxy: "p1", Seq: r.Seq, SentAt: r.SentAt, Duration: lease.Duration, Term: 1,
+		View: &proto.ViewUpdate{
+			Version: 5, Groups: []*types.Group{{Service: service, Members: []types.Target{{Name: "t1", Address: "1"}}}},
+			Config: &types.Config{Services: map[types.ServiceName]types.Service{service: {Name: service, Connections: 48, Managed: true}}},
+		},
+		Fleet: types.Fleet{Proxies: 34, Index: 3},
+	}})
+	assert.Equal(t, len(p.advance(300*ms).Held), 0)
+	p.report(event.ShardReport{Shard: 0, Connections: map[types.TargetRef]int{ref: 2}, Demand: map[types.TargetRef]int{ref: 5}})
+	p.report(event.ShardReport{Shard: 1, Connections: map[types.TargetRef]int{ref: 1}})
+	assert.DeepEqual(t, p.advance(300*ms).Held, []proto.ShareHeld{{Ref: ref, Share: types.Share{Connections: 3}, Demand: 5}})
+	p.report(event.ShardReport{Shard: 0})
+	p.report(event.ShardReport{Shard: 1})
+	assert.Equal(t, len(p.advance(300*ms).Held), 0)
+}
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -120,37 +120,55 @@
 	if n.clusterView == nil {
 		return nil
 	}
-	most := n.shares.largest(n.now)
-	demand := n.demand.peaks(n.now)
 	open := make(map[types.TargetRef]int)
 	for _, r := range n.shards {
 		for ref, count := range r.Connections {
 			open[ref] += count
 		}
 	}
+	held := make(map[types.TargetRef]proto.ShareHeld)
+	n.addStrictShares(held, open)
+	n.addManagedUses(held, open)
+	out := make([]proto.ShareHeld, 0, len(held))
+	for _, ref := range sortedRefs(held) {
+		out = append(out, held[ref])
+	}
+	return out
+}
+
+// addStrictShares adds what the shards may use of targets that are not managed.
+func (n *Node) addStrictShares(held map[types.TargetRef]proto.ShareHeld, open map[types.TargetRef]int) {
 	config := n.clusterView.Config
-	refs := make(map[types.TargetRef]bool)
+	if config.AllManaged() {
+		return
+	}
+	most := n.shares.largest(n.now)
+	demand := n.demand.peaks(n.now)
 	for _, known := range []map[types.TargetRef]int{open, demand} {
 		for ref := range known {
-			refs[ref] = true
+			if _, ok := most[ref]; !ok {
+				most[ref] = types.Share{}
+			}
 		}
 	}
-	for ref := range most {
-		refs[ref] = true
+	for ref, share := range most {
+		if !config.Managed(ref.Service) {
+			share.Connections = max(share.Connections, open[ref])
+			held[ref] = proto.ShareHeld{Ref: ref, Share: share, Demand: demand[ref]}
+		}
 	}
-	out := make([]proto.ShareHeld, 0, len(refs))
-	for _, ref := range sortedRefs(refs) {
-		share := most[ref]
-		if config.Managed(ref.Service) {
-			if used := max(open[ref], n.demand.current[ref]); used > share.Connections-share.Shared {
-				out = append(out, proto.ShareHeld{Ref: ref, Share: types.Share{Connections: open[ref]}, Demand: n.demand.current[ref]})
-			}
-			continue
+}
+
+// addManagedUses adds what the shards use of managed targets beyond what they keep.
+func (n *Node) addManagedUses(held map[types.TargetRef]proto.ShareHeld, open map[types.TargetRef]int) {
+	config := n.clusterView.Config
+	demand := n.demand.current
+	for ref, share := range n.holder.Shares() {
+		kept := share.Connections - share.Shared
+		if config.Managed(ref.Service) && max(open[ref], demand[ref]) > kept {
+			held[ref] = proto.ShareHeld{Ref: ref, Share: types.Share{Connections: open[ref]}, Demand: demand[ref]}
 		}
-		share.Connections = max(share.Connections, open[ref])
-		out = append(out, proto.ShareHeld{Ref: ref, Share: share, Demand: demand[ref]})
 	}
-	return out
 }
 
 // totalDemand returns how many connections of each target all shards together
