Probes of a managed primary are bounded by its slots; full targets are reported

Change: all proxies together send at most 4 probes a second for each slot of a primary, in turn; a grant names the services whose primary fails for some proxy, and the others probe at once. Connections for probes close after 300 ms. A proxy reports a target that rejected a connection because of its limit, which makes it contended.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -126,8 +126,9 @@
 	// AnsweredAt is when a primary last answered a request, even by rejecting it. A
 	// change of this field alone causes no report.
 	AnsweredAt   map[types.TargetRef]types.Instant
-	Demand       map[types.TargetRef]int // connections that the shard could use now
-	Connections  map[types.TargetRef]int // connections that the shard holds or opens
+	Demand       map[types.TargetRef]int  // connections that the shard could use now
+	Connections  map[types.TargetRef]int  // connections that the shard holds or opens
+	Full         map[types.TargetRef]bool // targets that recently rejected a connection because of their limit
 	Sessions     int
 	BusySessions int // sessions with a request or a transaction in progress
 }
@@ -152,6 +153,7 @@
 	TargetConnected struct {
 		Conn types.ConnID
 		Err  error
+		Full bool // the target rejected the connection because of its limit
 	}
 	// TargetAnswered answers an effect.SendTarget.
 	TargetAnswered struct {
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -45,6 +45,7 @@
 	fleet         types.Fleet                     // as of the last grant
 	granted       map[types.TargetRef]types.Share // shares of the last grant whose shares were applied
 	shares        map[types.TargetRef]types.Share // granted, and those of the other managed targets; never modified
+	suspects      []types.ServiceName             // of the last grant whose shares were applied
 	sharesVersion uint64                          // increases when shares changes
 	sharesSeq     uint64                          // Seq of the last grant whose shares were applied
 	controlHosts  []types.Address
@@ -65,6 +66,13 @@
 // Shares returns this proxy's share of each target.
 func (h *Holder) Shares() map[types.TargetRef]types.Share { return h.shares }
 
+// Fleet returns the place of this proxy among those with a lease, as of the last grant.
+func (h *Holder) Fleet() types.Fleet { return h.fleet }
+
+// Suspects returns the managed services whose primary fails for some proxy, as of the
+// last grant.
+func (h *Holder) Suspects() []types.ServiceName { return h.suspects }
+
 // SharesVersion returns a number that increases whenever a share changes.
 func (h *Holder) SharesVersion() uint64 { return h.sharesVersion }
 
@@ -340,7 +348,7 @@
 	if g.Duration == 0 {
 		return
 	}
-	h.sharesSeq, h.fleet = g.Seq, g.Fleet
+	h.sharesSeq, h.fleet, h.suspects = g.Seq, g.Fleet, g.Suspects
 	h.granted = make(map[types.TargetRef]types.Share, len(g.Shares))
 	for _, s := range g.Shares {
 		h.granted[s.Ref] = s.Share
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -21,12 +21,18 @@
 	Fleet(proxy types.HostID) types.Fleet
 }
 
+// SuspectSource names the managed services whose primary fails for some proxy.
+type SuspectSource interface {
+	Suspects(now types.Instant) []types.ServiceName
+}
+
 // Table holds the leases that this control host granted as leader.
 type Table struct {
 	self       types.HostID
 	state      *cluster.State
 	leadership Leadership
 	shares     ShareSource
+	suspects   SuspectSource
 
 	now         types.Instant // time of the event in progress
 	role        role.Role
@@ -56,6 +62,9 @@
 // SetShares sets the source of the shares in grants.
 func (t *Table) SetShares(s ShareSource) { t.shares = s }
 
+// SetSuspects sets the source of the suspects in grants.
+func (t *Table) SetSuspects(s SuspectSource) { t.suspects = s }
+
 // Step processes one event and returns the grants and proposals that follow from it.
 func (t *Table) Step(in event.Input) []effect.Effect {
 	t.now = in.Now
@@ -200,6 +209,9 @@
 		g.Shares = t.shares.Shares(p.request.Proxy)
 		g.Fleet = t.shares.Fleet(p.request.Proxy)
 	}
+	if t.suspects != nil {
+		g.Suspects = t.suspects.Suspects(t.now)
+	}
 	return []effect.Effect{effect.GrantLease{Grant: g}}
 }
 
--- a/core/limits/managed.go
+++ b/core/limits/managed.go
@@ -24,7 +24,7 @@
 	fleetInterval = 250 * time.Millisecond
 	// reservedFraction is the part of a target's connections that is not divided, so
 	// that control, probes and proxies that join still get one.
-	reservedFraction = 1.0 / 16
+	reservedFraction = 1.0 / 8
 	// dividedSlack is how many connections beyond its part a proxy may open. Which proxies
 	// need theirs changes faster than grants; the target refuses what is too much.
 	dividedSlack = 2
@@ -34,6 +34,7 @@
 type managedPool struct {
 	uses map[types.HostID]use // of the proxies that reported one
 	sum  int                  // connections in uses
+	full int                  // how many of uses say that the target is full
 
 	contended bool
 	parts     map[types.HostID]int // connections of each proxy in uses, by the last division
@@ -41,11 +42,36 @@
 	dividedAt types.Instant
 }
 
-// use is what a proxy holds of a managed target and what it could use now.
-type use struct{ held, demand int }
+// use is what a proxy holds of a managed target and what it could use now, and whether
+// the target rejected a connection of it.
+type use struct {
+	held, demand int
+	full         bool
+}
 
 func (u use) connections() int { return max(u.held, u.demand) }
 
+func (p *managedPool) add(proxy types.HostID, u use) {
+	p.remove(proxy)
+	p.uses[proxy] = u
+	p.sum += u.connections()
+	if u.full {
+		p.full++
+	}
+}
+
+func (p *managedPool) remove(proxy types.HostID) {
+	u, ok := p.uses[proxy]
+	if !ok {
+		return
+	}
+	delete(p.uses, proxy)
+	p.sum -= u.connections()
+	if u.full {
+		p.full--
+	}
+}
+
 // fleet is the order of the proxies with a lease.
 type fleet struct {
 	index     map[types.HostID]int
@@ -86,9 +112,7 @@
 			p = &managedPool{uses: make(map[types.HostID]use)}
 			a.pools[h.Ref] = p
 		}
-		u := use{held: clampCount(h.Share.Connections), demand: clampCount(h.Demand)}
-		p.uses[proxy] = u
-		p.sum += u.connections()
+		p.add(proxy, use{held: clampCount(h.Share.Connections), demand: clampCount(h.Demand), full: h.Full})
 		a.reported[proxy] = append(a.reported[proxy], h.Ref)
 	}
 }
@@ -109,10 +133,7 @@
 		if p == nil {
 			continue
 		}
-		if u, ok := p.uses[proxy]; ok {
-			p.sum -= u.connections()
-			delete(p.uses, proxy)
-		}
+		p.remove(proxy)
 		if len(p.uses) == 0 && !p.contended {
 			delete(a.pools, ref)
 		}
@@ -157,7 +178,7 @@
 		if !ok || !svc.Managed || !a.isMember(ref) {
 			return true
 		}
-		if p.contended || a.occupied(p, svc) > divisible(svc) {
+		if p.contended || a.nearlyFull(p, svc) {
 			out = append(out, ref)
 		}
 		return false
@@ -180,6 +201,12 @@
 	return p.sum + max(0, n-len(p.uses))*capacity.Kept(svc, n)
 }
 
+// nearlyFull reports whether nearly all connections of a target are in use, as far as the
+// proxies know.
+func (a *Allocator) nearlyFull(p *managedPool, svc types.Service) bool {
+	return p.full > 0 || a.occupied(p, svc) > divisible(svc)
+}
+
 // divisible returns how many connections of a managed target are in use until the
 // leader divides them.
 func divisible(svc types.Service) int {
@@ -196,7 +223,7 @@
 	}
 	p.dividedAt = now
 	a.dropDeadUses(p, now)
-	a.setContended(ref, p, a.occupied(p, svc) > divisible(svc))
+	a.setContended(ref, p, a.nearlyFull(p, svc))
 	if !p.contended {
 		return
 	}
@@ -228,13 +255,11 @@
 
 // dropDeadUses forgets the uses of proxies without a lease.
 func (a *Allocator) dropDeadUses(p *managedPool, now types.Instant) {
-	maps.DeleteFunc(p.uses, func(host types.HostID, u use) bool {
-		if a.leases.LeaseLive(host, now) {
-			return false
+	for host := range p.uses {
+		if !a.leases.LeaseLive(host, now) {
+			p.remove(host)
 		}
-		p.sum -= u.connections()
-		return true
-	})
+	}
 }
 
 // setContended sets whether a target is contended, and records a change.
--- a/core/limits/ways_test.go
+++ b/core/limits/ways_test.go
@@ -185,7 +185,7 @@
 	s.after(connectTime, func() {
 		if s.open >= s.connections {
 			s.rejected++
-			p.target.DialFailed(c, s.now)
+			p.target.DialFailed(c, true, s.now)
 			return
 		}
 		s.open++
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -64,10 +64,11 @@
 	out := n.handleOwn(in)
 	out = append(out, n.holder.Step(in)...)
 	out = append(out, n.prober.Step(in)...)
-	if g, ok := in.Event.(event.LeaseGranted); ok {
+	g, granted := in.Event.(event.LeaseGranted)
+	if granted {
 		n.announcements.confirm(g.Grant)
 	}
-	out = append(out, n.updateFromHolder()...)
+	out = append(out, n.updateFromHolder(granted)...)
 	return append(out, n.publish()...)
 }
 
@@ -112,8 +113,9 @@
 	return append(out, n.prober.SetWaiting(n.waiting(), n.now)...)
 }
 
-// updateFromHolder applies the lease, the shares and the cluster view of the holder.
-func (n *Node) updateFromHolder() []effect.Effect {
+// updateFromHolder applies the lease, the shares and the cluster view of the holder, and
+// after a grant what it says of the other proxies.
+func (n *Node) updateFromHolder(granted bool) []effect.Effect {
 	if until := n.holder.Until(); until != n.leaseUntil {
 		n.leaseUntil, n.changed = until, true
 	}
@@ -127,6 +129,9 @@
 		n.clusterView, n.changed = view, true
 		out = append(out, n.prober.SetView(view, n.now)...)
 	}
+	if granted {
+		out = append(out, n.prober.SetFleet(n.holder.Fleet(), n.holder.Suspects(), n.now)...)
+	}
 	if n.prober.TakeReportDue() {
 		out = append(out, n.holder.RequestSoon(n.now)...)
 	}
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -165,12 +165,23 @@
 	demand := n.demand.current
 	for ref, share := range n.holder.Shares() {
 		kept := share.Connections - share.Shared
-		if config.Managed(ref.Service) && max(open[ref], demand[ref]) > kept {
-			held[ref] = proto.ShareHeld{Ref: ref, Share: types.Share{Connections: open[ref]}, Demand: demand[ref]}
+		full := n.isFull(ref)
+		if config.Managed(ref.Service) && (full || max(open[ref], demand[ref]) > kept) {
+			held[ref] = proto.ShareHeld{Ref: ref, Share: types.Share{Connections: open[ref]}, Demand: demand[ref], Full: full}
 		}
 	}
 }
 
+// isFull reports whether a target recently rejected a connection of a shard.
+func (n *Node) isFull(ref types.TargetRef) bool {
+	for _, r := range n.shards {
+		if r.Full[ref] {
+			return true
+		}
+	}
+	return false
+}
+
 // totalDemand returns how many connections of each target all shards together
 // could use.
 func (n *Node) totalDemand() map[types.TargetRef]int {
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -18,6 +18,8 @@
 	// A new connection takes 12 ms of a slot of the target.
 	idleTimeout          = 2 * time.Second
 	contendedIdleTimeout = 100 * time.Millisecond
+	// fullDuration is how long a target counts as full after it rejected a connection.
+	fullDuration = 500 * time.Millisecond
 	// minDialBackoff and maxDialBackoff bound the backoff after failed dials.
 	minDialBackoff = 20 * time.Millisecond
 	maxDialBackoff = 2 * time.Second
@@ -35,6 +37,7 @@
 	conns          []*Conn       // in order of ID
 	dialFailures   int           // dials that failed since the last success
 	dialFailedAt   types.Instant // when the last of them failed
+	rejectedAt     types.Instant // when the target last rejected a connection because of its limit, or zero
 	extraExchanges int           // exchanges allowed beyond those of the share's slots
 }
 
@@ -239,15 +242,24 @@
 	return failed
 }
 
-// DialFailed drops a connection whose dial failed and starts or extends the backoff. It
-// reports whether this is the first failure since the last success.
-func (t *Target) DialFailed(c *Conn, now types.Instant) bool {
+// DialFailed drops a connection whose dial failed and starts or extends the backoff. full
+// tells whether the target rejected it because of its limit. It reports whether this is
+// the first failure since the last success.
+func (t *Target) DialFailed(c *Conn, full bool, now types.Instant) bool {
 	t.Drop(c)
+	if full {
+		t.rejectedAt = now
+	}
 	t.dialFailures++
 	t.dialFailedAt = now
 	return t.dialFailures == 1
 }
 
+// Full reports whether the target rejected a connection because of its limit recently.
+func (t *Target) Full(now types.Instant) bool {
+	return t.rejectedAt != 0 && now.Sub(t.rejectedAt) < fullDuration
+}
+
 // NextDialAt returns when the next dial is allowed after failed ones, or zero if the last
 // dial succeeded.
 func (t *Target) NextDialAt(serviceWaiting bool) types.Instant {
--- a/core/pool/target_test.go
+++ b/core/pool/target_test.go
@@ -13,7 +13,7 @@
 	t := NewTarget(types.TargetRef{Service: "s", Name: "t"})
 	t.Update("address", types.Share{Connections: 4, Slots: 2})
 	for i := range failures {
-		t.DialFailed(t.Dial(types.ConnID(i+1)), now)
+		t.DialFailed(t.Dial(types.ConnID(i+1)), false, now)
 	}
 	return t
 }
--- a/core/probe/managed.go
+++ b/core/probe/managed.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
@@ -26,6 +27,44 @@
 	return out
 }
 
+// hintedContactAge is how long ago a primary must have answered to be probed because it
+// fails for other proxies.
+const hintedContactAge = 200 * time.Millisecond
+
+// SetFleet sets the place of this proxy among those that probe the same targets, and the
+// services whose primary fails for some of them. It probes those that have not answered
+// lately.
+func (p *Prober) SetFleet(fleet types.Fleet, suspects []types.ServiceName, now types.Instant) []effect.Effect {
+	if p.view == nil {
+		return nil
+	}
+	if fleet.Proxies > 0 && fleet != p.fleet {
+		p.fleet = fleet
+		p.updateIntervals()
+	}
+	var out []effect.Effect
+	for _, name := range suspects {
+		ref := types.TargetRef{Service: name}
+		if g := p.view.Groups[name]; g != nil {
+			ref.Name = g.Primary
+		}
+		if t := p.targets[ref]; t != nil && now.Sub(max(t.probedAt, t.lastAnsweredAt, t.health.LastContact)) >= hintedContactAge {
+			out = append(out, p.probe(ref, t, now)...)
+		}
+	}
+	return out
+}
+
+// updateIntervals sets the intervals of the primaries of managed services again.
+func (p *Prober) updateIntervals() {
+	for _, g := range p.view.Groups {
+		m, ok := g.Target(g.Primary)
+		if t := p.targets[types.TargetRef{Service: g.Service, Name: g.Primary}]; ok && t != nil {
+			t.interval = p.memberInterval(g, m)
+		}
+	}
+}
+
 // SetAnsweredAt sets when primaries last answered a request of a shard.
 func (p *Prober) SetAnsweredAt(answeredAt map[types.TargetRef]types.Instant) {
 	for ref, at := range answeredAt {
@@ -77,7 +116,19 @@
 	if !p.primaryHealthy(ref.Service) {
 		return t.probedAt.Add(searchInterval)
 	}
-	return max(t.probedAt, t.lastAnsweredAt, t.addedAt).Add(t.interval)
+	if t.probedAt == 0 && t.lastAnsweredAt == 0 {
+		return t.addedAt.Add(t.interval - p.stagger(t.interval))
+	}
+	return max(t.probedAt, t.lastAnsweredAt).Add(t.interval)
+}
+
+// stagger returns by how much earlier this proxy begins to probe than after a whole
+// interval, so that proxies that started together take turns.
+func (p *Prober) stagger(interval time.Duration) time.Duration {
+	if interval <= managedProbeInterval || p.fleet.Proxies == 0 {
+		return 0
+	}
+	return interval * time.Duration(p.fleet.Index) / time.Duration(p.fleet.Proxies)
 }
 
 // failedSince returns the start of the failure of a target whose probe failed at now.
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/capacity"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/freshness"
@@ -18,10 +19,14 @@
 const (
 	// probeInterval is the time between two probes of a target.
 	probeInterval = 100 * time.Millisecond
-	// managedProbeInterval is the time after the last answer of a managed service's
-	// primary to a request or probe at which it is probed. Replicas of managed
+	// managedProbeInterval is the minimum time after the last answer of a managed
+	// service's primary to a request or probe at which it is probed. Replicas of managed
 	// services are not probed regularly.
 	managedProbeInterval = time.Second
+	// maxProbesPerSlot bounds the probes that all proxies together send to a managed
+	// primary in a second, for each of its slots. Each may take a new connection, which
+	// takes 12 ms of a slot.
+	maxProbesPerSlot = 4
 	// searchInterval is the time between two probes of a member of a managed
 	// service while the primary is missing, fails or doesn't report itself as
 	// primary. All proxies probe the members at the same time, so the rate is half
@@ -67,6 +72,7 @@
 	waiting     map[types.ServiceName]bool
 	suspect     map[types.ServiceName]bool          // services whose primary failed a request of a shard
 	silent      map[types.ServiceName]types.Instant // since when primaries answer no requests
+	fleet       types.Fleet                         // place among the proxies that probe the same targets
 	demandArmed bool                                // the timer of demandInterval is armed
 	reportDue   bool                                // a change has to be reported to control at once
 }
@@ -136,7 +142,7 @@
 		for _, m := range g.Members {
 			ref := types.TargetRef{Service: name, Name: m.Name}
 			seen[ref] = true
-			out = append(out, p.addMember(ref, m, memberInterval(view, g, m.Name), now)...)
+			out = append(out, p.addMember(ref, m, p.memberInterval(g, m), now)...)
 			if t := p.targets[ref]; t.term != g.Term {
 				t.term, t.termSince = g.Term, now
 			}
@@ -150,12 +156,13 @@
 
 // memberInterval returns the time between two probes of a member, or zero if it
 // isn't probed regularly.
-func memberInterval(view *types.ClusterView, g *types.Group, name types.TargetName) time.Duration {
+func (p *Prober) memberInterval(g *types.Group, m types.Target) time.Duration {
 	switch {
-	case !view.Config.Managed(g.Service):
+	case !p.view.Config.Managed(g.Service):
 		return probeInterval
-	case name == g.Primary:
-		return managedProbeInterval
+	case m.Name == g.Primary:
+		slots := max(1, capacity.SlotsOf(p.view.Config.Services[g.Service], m))
+		return max(managedProbeInterval, time.Duration(p.fleet.Proxies)*time.Second/time.Duration(maxProbesPerSlot*slots))
 	}
 	return 0
 }
--- a/core/probe/prober_test.go
+++ b/core/probe/prober_test.go
@@ -304,3 +304,42 @@
 	}
 	assert.Assert(t, found, "a primary that stays silent is not reported")
 }
+
+// probesPerSecond returns the probes that a proxy among others sends to an idle managed
+// primary that always answers.
+func probesPerSecond(proxies int) float64 {
+	p, _ := newManagedProber()
+	p.SetFleet(types.Fleet{Proxies: proxies}, nil, 1000*ms)
+	const seconds = 2000
+	count := 0
+	for now := 1100 * ms; now < (1000+seconds*1000)*ms; now += 100 * ms {
+		for _, ref := range probedTargets(p.Step(event.Input{Now: now, Event: tick})) {
+			count++
+			answerProbe(p, ref, now, now+ms, 1)
+		}
+	}
+	return float64(count) / seconds
+}
+
+// TestProbesOfAllProxiesAreBoundedByTheSlots covers a primary of one slot before more and
+// more proxies, none of which has requests for it.
+func TestProbesOfAllProxiesAreBoundedByTheSlots(t *testing.T) {
+	for _, proxies := range []int{1, 4, 34, 78, 300, 1300} {
+		all := probesPerSecond(proxies) * float64(proxies)
+		assert.Assert(t, all <= 4.5, "%d proxies send %.1f probes a second", proxies, all)
+		assert.Assert(t, all >= 0.9, "%d proxies send %.1f probes a second", proxies, all)
+	}
+}
+
+// TestHintIsProbedAtOnce covers a primary that fails for another proxy, with and without
+// a recent answer to this one.
+func TestHintIsProbedAtOnce(t *testing.T) {
+	p, _ := newManagedProber()
+	fleet := types.Fleet{Proxies: 300}
+	p.SetFleet(fleet, nil, 1000*ms)
+	p.SetAnsweredAt(map[types.TargetRef]types.Instant{primary: 1900 * ms})
+	suspects := []types.ServiceName{service, "unknown"}
+	assert.Equal(t, len(probedTargets(p.SetFleet(fleet, suspects, 2000*ms))), 0)
+	assert.DeepEqual(t, probedTargets(p.SetFleet(fleet, suspects, 2200*ms)), []types.TargetRef{primary})
+	assert.Equal(t, len(probedTargets(p.SetFleet(fleet, suspects, 2300*ms))), 0, "a probe is in flight")
+}
--- a/core/probe/report.go
+++ b/core/probe/report.go
@@ -55,7 +55,7 @@
 // since all proxies connect to it at once when everything restarts.
 func (t *target) failingFor(now types.Instant) time.Duration {
 	since := max(t.health.FailingSince, t.lastAnsweredAt)
-	if t.interval == managedProbeInterval {
+	if t.interval >= managedProbeInterval {
 		since = max(since, t.addedAt.Add(startupGrace))
 	}
 	return max(0, now.Sub(since))
--- a/core/promotion/harness_test.go
+++ b/core/promotion/harness_test.go
@@ -123,8 +123,10 @@
 	leases := lease.NewTable(id, p.state, p)
 	shares := limits.New(p.state, leases)
 	leases.SetShares(shares)
+	promotions := promotion.New(p.state, leases)
+	leases.SetSuspects(promotions)
 	p.reducer = core.New(fakeLog{p}, p.state, leases, shares,
-		membership.New(p.state), promotion.New(p.state, leases), operator.New(id, p.state, leases))
+		membership.New(p.state), promotions, operator.New(id, p.state, leases))
 	h.hosts[id] = p
 	p.host = h.Start(id)
 }
--- a/core/promotion/managed_test.go
+++ b/core/promotion/managed_test.go
@@ -94,10 +94,16 @@
 
 // startManagedWith calls prepare before anything is configured.
 func startManagedWith(t *testing.T, prepare func(h *harness)) *harness {
+	t.Helper()
+	return startManagedFleet(t, 4, prepare)
+}
+
+// startManagedFleet starts the given number of proxies.
+func startManagedFleet(t *testing.T, proxies int, prepare func(h *harness)) *harness {
 	t.Helper()
 	h := emptyHarness(t)
 	h.promotionService = &promotionService{harness: h, executionDelay: 4 * time.Second}
-	h.addProcesses(3, 4, 3)
+	h.addProcesses(3, proxies, 3)
 	prepare(h)
 	for name, target := range h.targets {
 		target.term, target.primary = firstLogTerm, name == "t2"
@@ -336,3 +342,17 @@
 	t.Logf("accepted again after %v", elapsed)
 	assert.Assert(t, h.primary() == old)
 }
+
+// TestPrimaryOfManyIdleProxiesIsReplaced covers 60 proxies without requests for a primary
+// of one slot, so that each probes it every 15 s: what the first one finds is enough for
+// the others to look.
+func TestPrimaryOfManyIdleProxiesIsReplaced(t *testing.T) {
+	h := startManagedFleet(t, 60, func(*harness) {})
+	h.Run(20 * time.Second)
+	old, before := h.primary(), h.group().Term
+	old.down = true
+	elapsed, ok := h.runUntil(managedFailoverBound, func() bool { return h.serving(before + 1) })
+	assert.Assert(t, ok, "no second primary: %+v", h.group())
+	t.Logf("replaced after %v", elapsed)
+	assert.Assert(t, h.primary() != old)
+}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -72,8 +72,9 @@
 	groups          map[types.ServiceName]*group
 	timers          map[uint64]types.ServiceName
 	calls           map[uint64]call
-	awaitingProxies map[types.ServiceName]bool // groups whose next step depends on reports of proxies
-	lastCall        uint64                     // ID of the last call to a target
+	awaitingProxies map[types.ServiceName]bool          // groups whose next step depends on reports of proxies
+	lastCall        uint64                              // ID of the last call to a target
+	failing         map[types.ServiceName]types.Instant // when a proxy last reported that the primary fails
 }
 
 // group is the leader's state for one group besides the replicated state.
@@ -116,6 +117,7 @@
 		calls:  make(map[uint64]call),
 
 		awaitingProxies: make(map[types.ServiceName]bool),
+		failing:         make(map[types.ServiceName]types.Instant),
 	}
 }
 
@@ -146,6 +148,7 @@
 	clear(m.timers)
 	clear(m.calls)
 	clear(m.awaitingProxies)
+	clear(m.failing)
 	return m.advanceAll(now)
 }
 
--- a/core/promotion/suspect.go
+++ b/core/promotion/suspect.go
@@ -47,6 +47,9 @@
 // reports whether there was one before or is one now.
 func (m *Manager) updateSuspicion(now types.Instant, g *types.Group, r proto.LeaseRequest, report proto.TargetReport) bool {
 	gr := m.group(g.Service)
+	if report.Failing {
+		m.failing[g.Service] = now
+	}
 	_, hadSuspicion := gr.suspicions[r.Proxy]
 	if !report.Failing && !superseded(report.Status, g) {
 		gr.provenTerm = g.Term
@@ -62,6 +65,23 @@
 	return true
 }
 
+// Suspects returns the managed services whose primary fails for some proxy, in order. The
+// other proxies probe it, so that a majority of them need not notice by themselves.
+func (m *Manager) Suspects(now types.Instant) []types.ServiceName {
+	var out []types.ServiceName
+	for name, at := range m.failing {
+		g := m.state.Group(name)
+		switch {
+		case g == nil || now.Sub(at) > reportMaxAge:
+			delete(m.failing, name)
+		case m.managed(g) && g.Phase == types.GroupServing:
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // noteOutOfTerm checks whether a proxy saw a member out of term, and reports
 // whether the member has to be told to follow.
 func (m *Manager) noteOutOfTerm(now types.Instant, g *types.Group, r proto.LeaseRequest, report proto.TargetReport) bool {
--- a/core/proto/lease.go
+++ b/core/proto/lease.go
@@ -39,7 +39,8 @@
 type ShareHeld struct {
 	Ref    types.TargetRef
 	Share  types.Share
-	Demand int // connections that the proxy could use now
+	Demand int  // connections that the proxy could use now
+	Full   bool // the target recently rejected a connection because of its limit
 }
 
 // LeaseGrant answers a LeaseRequest.
@@ -50,11 +51,12 @@
 	Duration  time.Duration // counted from SentAt on the proxy's clock
 	Term      ControlTerm
 	NotLeader bool
-	Leader    types.HostID    // the leader to ask instead, if known
-	View      *ViewUpdate     // set if the proxy's view is outdated
-	Shares    []ShareGrant    // of managed targets, only of those without free connections
-	Hosts     []types.Address // addresses of the control hosts
-	Fleet     types.Fleet     // place of the proxy among those with a lease
+	Leader    types.HostID        // the leader to ask instead, if known
+	View      *ViewUpdate         // set if the proxy's view is outdated
+	Shares    []ShareGrant        // of managed targets, only of those without free connections
+	Hosts     []types.Address     // addresses of the control hosts
+	Fleet     types.Fleet         // place of the proxy among those with a lease
+	Suspects  []types.ServiceName // managed services whose primary fails for some proxy
 }
 
 // ViewUpdate updates a proxy's view to Version, or is a part of such an update.
--- a/core/roles.go
+++ b/core/roles.go
@@ -21,13 +21,15 @@
 	leases := lease.NewTable(self.Host, state, raft)
 	shares := limits.New(state, leases)
 	leases.SetShares(shares)
+	promotions := promotion.New(state, leases)
+	leases.SetSuspects(promotions)
 	return New(
 		raft,
 		state,
 		leases,
 		shares,
 		membership.New(state),
-		promotion.New(state, leases),
+		promotions,
 		operator.New(self.Host, state, leases),
 	)
 }
--- a/core/session/connection.go
+++ b/core/session/connection.go
@@ -73,7 +73,7 @@
 	s.dirty[svc.name] = true
 	t := svc.target(c.Ref.Name).pool
 	if e.Err != nil {
-		if t.DialFailed(c, s.now) {
+		if t.DialFailed(c, e.Full, s.now) {
 			s.recordTargetDecision(effect.DecideTargetLost, c.Ref, fmt.Sprintf("no connection could be opened: %v", e.Err))
 		}
 		delete(s.conns, c.ID)
--- a/core/session/report.go
+++ b/core/session/report.go
@@ -119,6 +119,7 @@
 		Shard: s.options.Index, Sessions: len(s.sessions), BusySessions: s.reports.busy,
 		AppliedVersion: s.viewVersion(),
 		Demand:         make(map[types.TargetRef]int), Connections: make(map[types.TargetRef]int),
+		Full:        make(map[types.TargetRef]bool),
 		SilentSince: make(map[types.ServiceName]types.Instant), AnsweredAt: make(map[types.TargetRef]types.Instant),
 	}
 	for _, name := range sortedKeys(s.services) {
@@ -151,6 +152,9 @@
 		if open := t.pool.Open(); open > 0 {
 			r.Connections[t.pool.Ref] = open
 		}
+		if t.pool.Full(s.now) {
+			r.Full[t.pool.Ref] = true
+		}
 		if demand := t.pool.InUse() + waiting[name]; demand > 0 {
 			r.Demand[t.pool.Ref] = demand
 		}
@@ -162,5 +166,5 @@
 func sameReport(a, b event.ShardReport) bool {
 	return a.AppliedVersion == b.AppliedVersion && a.Sessions == b.Sessions && a.BusySessions == b.BusySessions &&
 		slices.Equal(a.WaitingServices, b.WaitingServices) && slices.Equal(a.SuspectServices, b.SuspectServices) && slices.Equal(a.WritingServices, b.WritingServices) &&
-		maps.Equal(a.SilentSince, b.SilentSince) && maps.Equal(a.Demand, b.Demand) && maps.Equal(a.Connections, b.Connections)
+		maps.Equal(a.SilentSince, b.SilentSince) && maps.Equal(a.Demand, b.Demand) && maps.Equal(a.Connections, b.Connections) && maps.Equal(a.Full, b.Full)
 }
--- a/runtime/targetlink.go
+++ b/runtime/targetlink.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -39,7 +40,7 @@
 
 func (l *targetLink) run(ctx context.Context, e effect.DialTarget) {
 	conn, err := l.dial(ctx, e)
-	l.post(ctx, event.TargetConnected{Conn: e.Conn, Err: err})
+	l.post(ctx, event.TargetConnected{Conn: e.Conn, Err: err, Full: errors.Is(err, ErrTargetFull)})
 	if err != nil {
 		return
 	}
--- a/runtime/targets.go
+++ b/runtime/targets.go
@@ -36,9 +36,10 @@
 // maxQueuedJobs is how many operations may wait for one target.
 const maxQueuedJobs = 4
 
-// targetIdleTimeout is how long a connection without operations is kept open. A
-// target that is probed gets a probe within each second.
-const targetIdleTimeout = 3 * time.Second
+// targetIdleTimeout is how long a connection without operations is kept open. It counts
+// toward the target's limit, and is opened again within 12 ms. Targets that are probed
+// all the time get the next probe within 100 ms.
+const targetIdleTimeout = 300 * time.Millisecond
 
 func newTargetCalls(d TargetDialer) *targetCalls {
 	return &targetCalls{dialer: d, workers: make(map[targetKey]chan targetJob)}
