--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -30,11 +30,11 @@
 
 // metrics updates the process's metrics from records.
 type metrics struct {
-	scope    tally.Scope
-	closer   io.Closer
-	handler  http.Handler
-	dropped  tally.Counter
-	lastOpen map[int]map[types.TargetRef]int // connections in the last report of each shard
+	scope       tally.Scope
+	closer      io.Closer
+	handler     http.Handler
+	dropped     tally.Counter
+	lastReports map[int]event.ShardReport // of each shard
 }
 
 func newMetrics(o Options) *metrics {
@@ -65,9 +65,9 @@
 	}, reportInterval)
 	return &metrics{
 		scope: scope, closer: closer,
-		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-		dropped:  scope.Counter("records_dropped_total"),
-		lastOpen: make(map[int]map[types.TargetRef]int),
+		handler:     promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		dropped:     scope.Counter("records_dropped_total"),
+		lastReports: make(map[int]event.ShardReport),
 	}
 }
 
@@ -109,28 +109,38 @@
 	m.scope.Gauge("draining").Update(boolToFloat(s.Draining))
 }
 
-// setShard sets the gauges of one shard. The shard has no connection left to a target
-// that its report omits.
+// setShard sets the gauges of one shard. The shard does not use a target that its report
+// omits.
 func (m *metrics) setShard(r *event.ShardReport) {
 	scope := m.scope.Tagged(map[string]string{"shard": strconv.Itoa(r.Shard)})
 	scope.Gauge("sessions").Update(float64(r.Sessions))
 	scope.Gauge("sessions_busy").Update(float64(r.BusySessions))
-	for ref := range m.lastOpen[r.Shard] {
-		if _, listed := r.Connections[ref]; !listed {
-			connectionGauge(scope, ref).Update(0)
-		}
+	last := m.lastReports[r.Shard]
+	refs := make(map[types.TargetRef]bool)
+	for _, report := range []*event.ShardReport{&last, r} {
+		addKeys(refs, report.Connections)
+		addKeys(refs, report.Demand)
+		addKeys(refs, report.Full)
 	}
-	for ref, n := range r.Connections {
-		connectionGauge(scope, ref).Update(float64(n))
+	for ref := range refs {
+		setTarget(scope, ref, r)
 	}
-	m.lastOpen[r.Shard] = r.Connections
+	m.lastReports[r.Shard] = *r
 }
 
-// connectionGauge returns the gauge of a shard's connections to a target.
-func connectionGauge(scope tally.Scope, ref types.TargetRef) tally.Gauge {
-	return scope.Tagged(map[string]string{
-		"service": string(ref.Service), "target": string(ref.Name),
-	}).Gauge("target_connections")
+// addKeys adds the keys of m to a set.
+func addKeys[V any](set map[types.TargetRef]bool, m map[types.TargetRef]V) {
+	for ref := range m {
+		set[ref] = true
+	}
+}
+
+// setTarget sets the gauges of a shard's use of a target.
+func setTarget(scope tally.Scope, ref types.TargetRef, r *event.ShardReport) {
+	scope = scope.Tagged(map[string]string{"service": string(ref.Service), "target": string(ref.Name)})
+	scope.Gauge("target_connections").Update(float64(r.Connections[ref]))
+	scope.Gauge("target_demand").Update(float64(r.Demand[ref]))
+	scope.Gauge("target_full").Update(boolToFloat(r.Full[ref]))
 }
 
 // boolToFloat returns 1 for true and 0 for false.
