Shares: early closing only where connections are missed; few connections at the start

After a power loss of all, targets still count the connections of the earlier processes for 3 s, and what the first proxy opens then is missing for the others. Change: where every proxy keeps some connections, a target is contended only if one of them needs more. A proxy that does not know the fleet may open an eighth. Idle connections close after 1 s instead of 2.

--- a/core/capacity/capacity.go
+++ b/core/capacity/capacity.go
@@ -61,22 +61,29 @@
 }
 
 // Kept returns how many idle connections to a managed target each of n proxies keeps
-// open. The others are open only while they are used.
+// open. It closes the others after a while.
 func Kept(svc types.Service, n int) int {
 	if n <= 0 {
-		return 1
+		return 0
 	}
 	return Managed(svc) / keptDivisor / n
 }
 
+// provisionalDivisor divides a managed target's connections for a proxy that does not
+// know the number of proxies. It has just started, perhaps with all others, while the
+// target still counts the connections of their earlier processes.
+const provisionalDivisor = 8
+
 // ManagedShare returns the share that each proxy has of a managed target with free
-// connections: all of them, most of them shared with the other proxies. fleet may be
-// zero if the number of proxies is not known.
+// connections: all of them, most of them shared with the other proxies. fleet is zero if
+// the number of proxies is not known.
 func ManagedShare(svc types.Service, t types.Target, fleet types.Fleet) types.Share {
+	if fleet.Proxies == 0 {
+		return types.Share{Connections: max(1, Managed(svc)/provisionalDivisor), Slots: 1}
+	}
 	connections := max(1, Managed(svc))
-	share := types.Share{Connections: connections, Shared: connections - Kept(svc, fleet.Proxies), Slots: 1}
-	if fleet.Proxies > 0 {
-		share.Slots = Slots(SlotsOf(svc, t), fleet.Proxies, fleet.Index)
+	return types.Share{
+		Connections: connections, Shared: connections - Kept(svc, fleet.Proxies),
+		Slots: Slots(SlotsOf(svc, t), fleet.Proxies, fleet.Index),
 	}
-	return share
 }
--- a/core/limits/managed.go
+++ b/core/limits/managed.go
@@ -32,9 +32,10 @@
 
 // managedPool is the use of one managed target by all proxies.
 type managedPool struct {
-	uses map[types.HostID]use // of the proxies that reported one
-	sum  int                  // connections in uses
-	full int                  // how many of uses say that the target is full
+	uses  map[types.HostID]use // of the proxies that reported one
+	sum   int                  // connections in uses
+	full  int                  // how many of uses say that the target is full
+	unmet int                  // how many of uses demand more than they hold
 
 	contended bool
 	parts     map[types.HostID]int // connections of each proxy in uses, by the last division
@@ -58,6 +59,9 @@
 	if u.full {
 		p.full++
 	}
+	if u.demand > u.held {
+		p.unmet++
+	}
 }
 
 func (p *managedPool) remove(proxy types.HostID) {
@@ -70,6 +74,9 @@
 	if u.full {
 		p.full--
 	}
+	if u.demand > u.held {
+		p.unmet--
+	}
 }
 
 // fleet is the order of the proxies with a lease.
@@ -202,9 +209,10 @@
 }
 
 // nearlyFull reports whether nearly all connections of a target are in use, as far as the
-// proxies know.
+// proxies know. Where every proxy keeps some, that is usual, and one has to need more.
 func (a *Allocator) nearlyFull(p *managedPool, svc types.Service) bool {
-	return p.full > 0 || a.occupied(p, svc) > divisible(svc)
+	keepsNone := capacity.Kept(svc, len(a.fleet.index)) == 0
+	return p.full > 0 || (keepsNone || p.unmet > 0) && a.occupied(p, svc) > divisible(svc)
 }
 
 // divisible returns how many connections of a managed target are in use until the
--- a/core/limits/managed_test.go
+++ b/core/limits/managed_test.go
@@ -197,3 +197,17 @@
 	f.step(event.RoleChanged{Leading: true, Leader: "c1", Term: 3})
 	assert.Equal(t, f.request(1, 1, 2).Connections, capacity.Managed(f.svc))
 }
+
+// TestEvenlyHeldConnectionsAreNotContended covers a small fleet that holds all connections
+// of a target and needs no more.
+func TestEvenlyHeldConnectionsAreNotContended(t *testing.T) {
+	f := newManagedFleet(t, 16, 4)
+	for range 3 {
+		f.advance(300 * time.Millisecond)
+		for i, held := range []int{4, 4, 3, 3} {
+			assert.Assert(t, !f.request(i, held, 2).Contended, "proxy %d", i)
+		}
+	}
+	f.advance(300 * time.Millisecond)
+	assert.Assert(t, f.request(2, 3, 6).Contended)
+}
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -16,7 +16,7 @@
 	// idleTimeout is how long a connection that other proxies may use too stays open
 	// without use, and contendedIdleTimeout while the target has no free connections.
 	// A new connection takes 12 ms of a slot of the target.
-	idleTimeout          = 2 * time.Second
+	idleTimeout          = time.Second
 	contendedIdleTimeout = 100 * time.Millisecond
 	// fullDuration is how long a target counts as full after it rejected a connection.
 	fullDuration = 500 * time.Millisecond
