--- a/core/systemtest/share_test.go
+++ b/core/systemtest/share_test.go
@@ -8,7 +8,8 @@
 )
 
 // TestIdleProxiesHoldShares checks that a proxy has a share of every target before its
-// first request, so that it can serve even while there is no control leader.
+// first request, so that it can serve even while there is no control leader: all control
+// hosts crash, and each proxy accepts a write within the time that its lease has left.
 func TestIdleProxiesHoldShares(t *testing.T) {
 	s := newSimulation(t, 7, 3, 4, 3)
 	s.awaitServing()
@@ -21,4 +22,19 @@
 			}
 		}
 	}
+	for _, id := range s.controls() {
+		s.cluster.Crash(id)
+	}
+	callers := make(map[types.HostID]*caller)
+	for _, id := range s.proxyIDs() {
+		callers[id] = s.oracle.newCaller()
+		s.oracle.openSession(callers[id], s.proxies[id])
+		s.oracle.write(callers[id], "")
+	}
+	s.cluster.Run(500 * time.Millisecond)
+	for id, c := range callers {
+		if len(c.acked) != 1 {
+			t.Errorf("%s accepted %d writes without a control leader, refusals: %v", id, len(c.acked), s.oracle.refusals)
+		}
+	}
 }
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -216,11 +216,15 @@
 	assert.Equal(t, errorCode(err), codeReadOnly)
 }
 
+// TestReplicaLags compares a replica that lags to one that does not, which shows that
+// the write has had time to arrive.
 func TestReplicaLags(t *testing.T) {
-	_, conns := startGroup(t, 2)
+	_, conns := startGroup(t, 3)
 	waitCount(t, conns[1], 0)
+	waitCount(t, conns[2], 0)
 	exec(t, conns[1], "PADDLE LAG '1h'")
 	exec(t, conns[0], "INSERT INTO stock (id) VALUES (1)")
+	waitCount(t, conns[2], 1)
 	assert.Equal(t, position(t, conns[1]), "1 replica 1:2")
 }
 
