Leases fence the primaries of targets that do not fence themselves

Cause: a managed target was taken to refuse writes and beginnings of transactions once it was replaced. Then requests to a primary are sent, and their answers used, under a lease only, positions of a primary count only if they were asked for under one, and a view with another primary ends what is in flight on the old one.

--- a/core/cluster/assembly.go
+++ b/core/cluster/assembly.go
@@ -88,7 +88,7 @@
 		base = &types.Config{}
 	}
 	next := &types.Config{
-		Version: u.Config.Version, TransactionIdle: u.Config.TransactionIdle,
+		Version: u.Config.Version, TransactionIdle: u.Config.TransactionIdle, Unfenced: u.Config.Unfenced,
 		Services: mergeMaps(base.Services, u.Config.Services),
 		Profiles: mergeMaps(base.Profiles, u.Config.Profiles),
 		Routes:   mergeMaps(base.Routes, u.Config.Routes),
--- a/core/cluster/update.go
+++ b/core/cluster/update.go
@@ -57,7 +57,7 @@
 	config := s.ledger.Config()
 	if s.configVersion > from.Base {
 		u.Config = &types.Config{
-			Version: config.Version, TransactionIdle: config.TransactionIdle,
+			Version: config.Version, TransactionIdle: config.TransactionIdle, Unfenced: config.Unfenced,
 			Services: emptyCopy(config.Services), Profiles: emptyCopy(config.Profiles), Routes: emptyCopy(config.Routes),
 		}
 	}
--- a/core/session/acknowledge.go
+++ b/core/session/acknowledge.go
@@ -36,10 +36,7 @@
 // that the profile requires.
 func (s *Shard) checkAnswer(r *request) answerCheck {
 	if r.service.managed(s.view) {
-		// The target refuses writes once it is replaced and checks floors
-		// itself. For reads on the primary, a fence or the lease ruled out when
-		// the request was sent that it had been replaced.
-		return answerCheck{ok: true}
+		return s.checkManagedAnswer(r)
 	}
 	if !s.leaseLive() {
 		return answerCheck{
@@ -69,6 +66,20 @@
 	return answerCheck{ok: true}
 }
 
+// checkManagedAnswer accepts the answer of a managed target, which checks floors itself.
+// If it refuses writes once it is replaced, that and, for reads on the primary, a fence
+// or the lease ruled out when the request was sent that it had been replaced. Otherwise
+// only the lease does, at the time of sending and now.
+func (s *Shard) checkManagedAnswer(r *request) answerCheck {
+	switch {
+	case !s.needsLease(r), r.sentUnderLease && s.underLease(r) && r.service.primary.term == r.sentTerm:
+		return answerCheck{ok: true}
+	case !s.leaseLive():
+		return answerCheck{code: types.RefuseNoLease, reason: "the proxy's lease expired before the answer could be confirmed"}
+	}
+	return targetReplaced(r)
+}
+
 // checkReplicaAnswer accepts an answer if the replica is still in the term that
 // it was selected in, and still holds the position that it was selected for.
 func (s *Shard) checkReplicaAnswer(r *request) answerCheck {
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -69,7 +69,7 @@
 // send starts an exchange. A request of several exchanges fails between two of
 // them if the lease has expired.
 func (s *Shard) send(r *request, st step) {
-	if !s.leaseLive() && !r.service.managed(s.view) {
+	if s.needsLease(r) && !s.underLease(r) {
 		s.attemptFailed(r, true, types.RefuseNoLease, "the proxy's lease expired before the request was complete")
 		return
 	}
--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -38,6 +38,27 @@
 	return v.Cluster.Config.Managed(svc.name)
 }
 
+// selfFenced reports whether the service's targets refuse what only the primary may do
+// once they are replaced.
+func (svc *service) selfFenced(v *types.NodeView) bool {
+	return v.Cluster.Config.SelfFenced(svc.name)
+}
+
+// needsLease reports whether the request may only be sent, and its answer be used, under
+// a lease that rules out another primary.
+func (s *Shard) needsLease(r *request) bool {
+	if r.service.managed(s.view) {
+		return !r.replica && !r.service.selfFenced(s.view)
+	}
+	return true
+}
+
+// underLease reports whether a lease rules out that the request's target was replaced.
+func (s *Shard) underLease(r *request) bool {
+	p := r.service.primary
+	return s.leaseLive() && (!r.service.managed(s.view) || p.leased && p.name == r.target)
+}
+
 // needsFence reports whether a replaced primary that is unaware of it might
 // answer the request and no lease rules that out. A transaction on the primary
 // always begins with a statement that a replaced primary refuses.
@@ -79,7 +100,10 @@
 // sendDeadline returns the instant from which the request must not be sent any
 // more, or zero: the end of the lease that rules out another primary.
 func (s *Shard) sendDeadline(r *request) types.Instant {
-	if r.replica || r.inTx || r.Fenced || r.step != stepCaller || !r.service.managed(s.view) {
+	switch {
+	case !r.service.managed(s.view) || r.replica:
+		return 0
+	case r.service.selfFenced(s.view) && (r.inTx || r.Fenced || r.step != stepCaller):
 		return 0
 	}
 	return s.view.LeaseUntil
@@ -151,6 +175,7 @@
 			t.behind = behind{}
 		}
 	case current.name != r.target || current.term != r.sentTerm:
+	case !r.sentUnderLease && !r.service.selfFenced(s.view):
 	case executed(res), res.Err == types.TargetErrBusy && r.sentUnderLease:
 		r.service.samples.Add(r.sentAt, r.status.Pos)
 	}
--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -412,3 +412,50 @@
 		assert.Equal(t, svc.statementLatency("strict"), time.Duration(0), "error %d", kind)
 	}
 }
+
+// unfencedTargets makes the targets go on as primaries after they were replaced.
+func (h *harness) unfencedTargets() {
+	config := *h.config
+	config.Unfenced = true
+	h.config = &config
+	h.setView(func(*types.NodeView, *types.Group) {})
+}
+
+// TestUnfencedPrimaryGetsNothingWithoutLease covers targets that go on as primaries after
+// they were replaced: without a lease neither writes nor reads are sent to the primary.
+func TestUnfencedPrimaryGetsNothingWithoutLease(t *testing.T) {
+	h := newManagedHarness(t)
+	h.unfencedTargets()
+	h.openDatabase(1, "orders")
+	h.expireLease()
+	sent := len(h.sends)
+	write := h.sendManagedWrite(1)
+	h.advance(2 * time.Second)
+	assert.Equal(t, len(h.sends), sent, "a write was sent without a lease")
+	assert.Assert(t, !h.answered(write))
+}
+
+// TestUnfencedPrimaryIsBelievedUnderItsLeaseOnly lets the lease end, or another primary
+// be chosen, between a write and its answer: the outcome is unknown then.
+func TestUnfencedPrimaryIsBelievedUnderItsLeaseOnly(t *testing.T) {
+	for name, lose := range map[string]func(h *harness){
+		"lease ended": func(h *harness) { h.expireLease() },
+		"replaced": func(h *harness) {
+			h.setView(func(_ *types.NodeView, g *types.Group) { g.Term, g.Phase, g.Primary = g.Term+1, types.GroupFencing, "" })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newManagedHarness(t)
+			h.unfencedTargets()
+			h.openDatabase(1, "orders")
+			kept := h.sendManagedWrite(1)
+			h.answerManaged(3)
+			assert.Assert(t, h.answered(kept), "a write under the lease")
+			lost := h.sendManagedWrite(1)
+			lose(h)
+			h.answerManaged(4)
+			assert.Assert(t, !h.answered(lost))
+			assert.Equal(t, h.refusal(lost).Outcome, types.Unknown)
+		})
+	}
+}
--- a/core/session/primary.go
+++ b/core/session/primary.go
@@ -73,6 +73,9 @@
 	if g == nil || g.Phase == types.GroupQuiescing || svc.primary.name == "" || svc.departures.Leaving(svc.primary.name) {
 		return nil
 	}
+	if !svc.selfFenced(s.view) && !(s.leaseLive() && svc.primary.leased) {
+		return nil
+	}
 	return []types.TargetName{svc.primary.name}
 }
 
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -98,7 +98,7 @@
 // dropReplacedPrimary ends the requests and transactions on a replaced primary:
 // none of them can be acknowledged any more.
 func (s *Shard) dropReplacedPrimary(svc *service) {
-	if svc.managed(s.view) {
+	if svc.selfFenced(s.view) {
 		return // a replaced target itself refuses what only the primary may execute
 	}
 	old, g := svc.group, s.view.Group(svc.name)
--- a/core/types/config.go
+++ b/core/types/config.go
@@ -96,12 +96,21 @@
 	// TransactionIdle is how long a transaction may be idle between statements of
 	// its caller; zero means no limit.
 	TransactionIdle time.Duration
+
+	// Unfenced says that managed targets may go on as primaries after they were
+	// replaced. Then only the lease rules out another primary, as for services
+	// that are not managed.
+	Unfenced bool
 }
 
 // Managed reports whether an external promotion service promotes the targets of
 // a service.
 func (c *Config) Managed(service ServiceName) bool { return c != nil && c.Services[service].Managed }
 
+// SelfFenced reports whether the targets of a service refuse what only the primary may
+// do once they are replaced.
+func (c *Config) SelfFenced(service ServiceName) bool { return c.Managed(service) && !c.Unfenced }
+
 // AllManaged reports whether there are services and every one is managed.
 func (c *Config) AllManaged() bool {
 	if c == nil || len(c.Services) == 0 {
