--- a/core/capacity/capacity.go
+++ b/core/capacity/capacity.go
@@ -54,8 +54,8 @@
 }
 
 // Managed returns how many connections of a target of a managed service all proxies
-// together may use. Their probes need none besides, since the target itself refuses
-// connections beyond its limit, which shows that it works.
+// together may use. Their probes have none of their own: a target that rejects a probe
+// because of its limit works.
 func Managed(svc types.Service) int {
 	return max(0, svc.Connections-ControlConnections-JoinConnections)
 }
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -134,8 +134,8 @@
 }
 
 // expireLease drops the shares when the lease ends, except those of managed
-// services: their targets fence themselves, so that the proxy may continue to
-// serve, and they refuse connections beyond their limit.
+// services: the shards decide what they may still serve without a lease, and the
+// targets refuse connections beyond their limit.
 func (h *Holder) expireLease() []effect.Effect {
 	h.granted = nil
 	h.updateShares()
--- a/core/types/config.go
+++ b/core/types/config.go
@@ -69,8 +69,8 @@
 	Profiles       []ProfileName // profiles that its sessions may select
 
 	// Managed says that an external promotion service promotes the targets. They
-	// refuse writes once they are replaced, and check themselves whether they
-	// hold the position that a read requires. Members, Slots and Profiles may be
+	// refuse writes once they are replaced, unless Config.Unfenced is set, and check
+	// themselves whether they hold the position that a read requires. Members, Slots and Profiles may be
 	// omitted then.
 	Managed bool
 }
