--- a/review/platform/cases.go
+++ b/review/platform/cases.go
@@ -263,7 +263,8 @@
 	}
 }
 
-// stopInTransactions stops a proxy while transactions with pauses are going on.
+// stopInTransactions stops two proxies in turn, each while transactions with pauses are
+// going on.
 func stopInTransactions(r *rig) error {
 	g, err := newGroup(r, "booths")
 	if err != nil {
@@ -275,23 +276,38 @@
 	if err := r.startAll(config(1, []string{"booths"}, route("board", "bounded_staleness", "booths", 3000, 1500))); err != nil {
 		return err
 	}
-	c := &stopCase{rig: r, stop: make(chan struct{})}
+	lost := 0
+	for _, proxy := range []string{"front-1", "front-2"} {
+		n, err := r.stopProxy(r.host(proxy))
+		if err != nil {
+			return err
+		}
+		lost += n
+	}
+	if lost > 0 {
+		return fmt.Errorf("%w: %d statements were cut off", errBroken, lost)
+	}
+	return nil
+}
+
+// stopProxy stops a proxy with SIGTERM and returns how many statements it has cut off.
+func (r *rig) stopProxy(h *host) (int, error) {
+	c := &stopCase{rig: r, proxy: h.name, stop: make(chan struct{})}
 	var running sync.WaitGroup
 	for i := range 74 {
-		running.Go(func() { c.client(fmt.Sprint("client-", i)) })
+		running.Go(func() { c.client(fmt.Sprintf("client-%s-%d", h.name, i)) })
 	}
 	time.Sleep(5 * time.Second)
-	h := r.host("front-1")
 	if r.trouble {
 		c.mu.Lock()
 		c.termAt = time.Now()
 		c.mu.Unlock()
-		r.record("platform: SIGTERM to front-1")
+		r.record("platform: SIGTERM to %s", h.name)
 		if err := h.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-			return err
+			return 0, err
 		}
 		<-h.exited
-		r.record("front-1 has exited")
+		r.record("%s has exited", h.name)
 	} else {
 		time.Sleep(7 * time.Second)
 	}
@@ -301,10 +317,7 @@
 		r.record("LOST: %q %s was sent %.3f s after SIGTERM, in a transaction begun after SIGTERM; a member got it, and the client's connection ended without an answer after %.3f s",
 			a.text, a.id, a.sentAt.Sub(c.termAt).Seconds(), a.doneAt.Sub(a.sentAt).Seconds())
 	}
-	if len(c.cut) > 0 {
-		return fmt.Errorf("%w: %d statements were cut off", errBroken, len(c.cut))
-	}
-	return nil
+	return len(c.cut), nil
 }
 
 // lateRequest is how long after SIGTERM a request may be sent so that the rule excuses it
@@ -313,8 +326,9 @@
 
 // stopCase is the state of the clients of stopInTransactions.
 type stopCase struct {
-	rig  *rig
-	stop chan struct{}
+	rig   *rig
+	proxy string
+	stop  chan struct{}
 
 	mu     sync.Mutex
 	termAt time.Time
@@ -323,7 +337,7 @@
 
 // client runs transactions on one session until it ends.
 func (c *stopCase) client(name string) {
-	s, err := c.rig.open("front-1", "board", name)
+	s, err := c.rig.open(c.proxy, "board", name)
 	if err != nil {
 		return
 	}
