--- a/review/platform/cases.go
+++ b/review/platform/cases.go
@@ -87,13 +87,13 @@
 		r.traffic(other, "db-floors", 4, 600*time.Millisecond, 0.35, stop),
 	}
 	time.Sleep(3 * time.Second)
-	for range 3 {
+	for range 5 {
 		if r.trouble {
 			if err := r.crashPrimaries(4 * time.Second); err != nil {
 				return err
 			}
 		}
-		time.Sleep(17 * time.Second)
+		time.Sleep(11500 * time.Millisecond)
 	}
 	close(stop)
 	for _, w := range running {
