--- a/review/platform/cases.go
+++ b/review/1/platform/cases.go
@@ -66,10 +66,10 @@
 	return &running
 }
 
-// latePromotion lets the members of one zone crash, among them all primaries, while the
-// platform executes the promotions of one service late and without an answer.
+// latePromotion lets the primaries of all services crash while the platform executes the
+// promotions of one service late and without an answer.
 func latePromotion(r *rig) error {
-	services := []string{"booths", "cures", "floors"}
+	services := []string{"booths", "cures", "floors", "shops"}
 	var routes []string
 	for _, name := range services {
 		if _, err := newGroup(r, name); err != nil {
@@ -85,6 +85,7 @@
 		r.traffic(h, "db-booths", 36, 600*time.Millisecond, 0.35, stop),
 		r.traffic(other, "db-cures", 4, 600*time.Millisecond, 0.35, stop),
 		r.traffic(other, "db-floors", 4, 600*time.Millisecond, 0.35, stop),
+		r.traffic(other, "db-shops", 4, 600*time.Millisecond, 0.35, stop),
 	}
 	time.Sleep(3 * time.Second)
 	for range 5 {
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # scripts start it, and it starts the programs of the deploy file from target/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-rig ./review/platform
+go build -o target/review-rig ./review/1/platform
