A primary that an open promotion request may replace serves unconfirmed

Cause: the control leader accepted a returned primary without an answer to its request to confirm it. Requests of earlier attempts stayed open, and the external promotion service checks their tokens only when it executes them. One of them replaced the primary later, while proxies read on it by their leases.

Change: such a primary serves unconfirmed (Group.Unconfirmed). A lease does not rule out another primary then, so proxies fence single reads by a transaction; writes are fenced by the target as before. The same holds for a promoted member while a request for another one is open, and for requests that an earlier leader may have left, also before the first term.

Evidence: the stand-in of the promotion service checked tokens on arrival, which hid the fault; it checks them at execution now.

--- a/core/cluster/apply.go
+++ b/core/cluster/apply.go
@@ -28,6 +28,8 @@
 		return s.applyBeginTerm(index, *c.BeginTerm)
 	case c.ServeTerm != nil:
 		return s.applyServeTerm(index, *c.ServeTerm)
+	case c.Confirm != nil:
+		return s.applyConfirmPrimary(index, *c.Confirm)
 	case c.Proxy != nil:
 		s.applyProxy(*c.Proxy)
 	case c.Voters != nil:
@@ -158,7 +160,7 @@
 		return nil
 	}
 	next := *g
-	next.Term, next.Phase, next.Primary = c.Term, types.GroupFencing, ""
+	next.Term, next.Phase, next.Primary, next.Unconfirmed = c.Term, types.GroupFencing, "", false
 	s.setGroup(index, &next)
 	return recordDecision(effect.Decide{
 		Kind: effect.DecideTermBegun, Service: c.Service, Target: g.Primary, Term: c.Term, Reason: c.Reason,
@@ -175,15 +177,32 @@
 	}
 	next := *g
 	next.Phase, next.Primary = types.GroupServing, c.Primary
-	next.LogTerm = c.LogTerm
+	next.LogTerm, next.Unconfirmed = c.LogTerm, c.Unconfirmed
 	next.History = appendTermStart(g.History, c)
 	if extra := len(next.History) - maxTermStarts; extra > 0 {
 		next.History = next.History[extra:]
 	}
 	s.setGroup(index, &next)
+	reason := "it held the furthest position of a quorum"
+	if c.Unconfirmed {
+		reason = "it is primary, but an earlier promotion request may still replace it"
+	}
+	return recordDecision(effect.Decide{
+		Kind: effect.DecideTermServing, Service: c.Service, Target: c.Primary, Term: c.Term, Reason: reason,
+	})
+}
+
+func (s *State) applyConfirmPrimary(index uint64, c proto.ConfirmPrimary) []effect.Effect {
+	g := s.groups[c.Service]
+	if g == nil || c.Term != g.Term || !g.Unconfirmed {
+		return nil
+	}
+	next := *g
+	next.Unconfirmed = false
+	s.setGroup(index, &next)
 	return recordDecision(effect.Decide{
-		Kind: effect.DecideTermServing, Service: c.Service, Target: c.Primary, Term: c.Term,
-		Reason: "it held the furthest position of a quorum",
+		Kind: effect.DecidePrimaryConfirmed, Service: c.Service, Target: g.Primary, Term: c.Term,
+		Reason: "no earlier promotion request can replace it any more",
 	})
 }
 
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -68,30 +68,31 @@
 // The decisions. A leader is the leader of the control hosts, except in the text
 // leader_found, which is about the primary of a service.
 const (
-	DecideLeader         Decision = "leader_elected"
-	DecideStepDown       Decision = "leader_stepped_down"
-	DecideVoters         Decision = "voters_changed" // a change of the set of control hosts was proposed
-	DecideConfig         Decision = "config_accepted"
-	DecideConflict       Decision = "config_conflict"
-	DecideMember         Decision = "member_changed"
-	DecideTermBegun      Decision = "term_begun"
-	DecideTermServing    Decision = "term_serving"
-	DecidePromotionWaits Decision = "promotion_waits"
-	DecideLeaseLost      Decision = "lease_lost"
-	DecideLeaseGained    Decision = "lease_gained"
-	DecideShare          Decision = "share_changed"
-	DecideRefuse         Decision = "request_refused"
-	DecideRetry          Decision = "request_retried"
-	DecideRequeue        Decision = "request_put_back"
-	DecidePrimaryFound   Decision = "leader_found"        // a shard learned of another primary, or that there is none
-	DecideSuspect        Decision = "primary_suspected"   // a request to the primary failed, so the members are probed
-	DecideTargetLost     Decision = "target_lost"         // a shard could open no connection
-	DecideTargetFound    Decision = "target_found"        // a shard could connect again
-	DecideView           Decision = "view_applied"        // the view has a new configuration
-	DecideDrain          Decision = "drain"               // of a proxy that stops, or of a target that gets no new work
-	DecideJoin           Decision = "join_requested"      // by a new control host
-	DecideControlLost    Decision = "control_host_silent" // it did not answer a lease request in time
-	DecideViewStarted    Decision = "view_begun"          // the first of several parts of a view arrived
+	DecideLeader           Decision = "leader_elected"
+	DecideStepDown         Decision = "leader_stepped_down"
+	DecideVoters           Decision = "voters_changed" // a change of the set of control hosts was proposed
+	DecideConfig           Decision = "config_accepted"
+	DecideConflict         Decision = "config_conflict"
+	DecideMember           Decision = "member_changed"
+	DecideTermBegun        Decision = "term_begun"
+	DecideTermServing      Decision = "term_serving"
+	DecidePrimaryConfirmed Decision = "primary_confirmed" // no earlier promotion request can replace the primary any more
+	DecidePromotionWaits   Decision = "promotion_waits"
+	DecideLeaseLost        Decision = "lease_lost"
+	DecideLeaseGained      Decision = "lease_gained"
+	DecideShare            Decision = "share_changed"
+	DecideRefuse           Decision = "request_refused"
+	DecideRetry            Decision = "request_retried"
+	DecideRequeue          Decision = "request_put_back"
+	DecidePrimaryFound     Decision = "leader_found"        // a shard learned of another primary, or that there is none
+	DecideSuspect          Decision = "primary_suspected"   // a request to the primary failed, so the members are probed
+	DecideTargetLost       Decision = "target_lost"         // a shard could open no connection
+	DecideTargetFound      Decision = "target_found"        // a shard could connect again
+	DecideView             Decision = "view_applied"        // the view has a new configuration
+	DecideDrain            Decision = "drain"               // of a proxy that stops, or of a target that gets no new work
+	DecideJoin             Decision = "join_requested"      // by a new control host
+	DecideControlLost      Decision = "control_host_silent" // it did not answer a lease request in time
+	DecideViewStarted      Decision = "view_begun"          // the first of several parts of a view arrived
 )
 
 // Effects of control hosts.
--- a/core/promotion/attempt.go
+++ b/core/promotion/attempt.go
@@ -42,6 +42,7 @@
 	startPos        types.LogPos  // position at which the chosen member was promoted
 	logTerm         types.Term    // term that the targets report, if an external promotion service promotes them
 	refused         bool          // the external promotion service refused the promotion
+	answeredAt      types.Instant // when the external promotion service carried out the request, or zero
 }
 
 // startAttempt starts the promotion in a term that was just committed.
@@ -166,6 +167,9 @@
 
 // handlePosition handles the position of a member during an attempt.
 func (m *Manager) handlePosition(now types.Instant, g *types.Group, gr *group, name types.TargetName, e event.TargetReplied) []effect.Effect {
+	if g.Phase == types.GroupServing {
+		return m.handlePrimaryChecked(now, g, gr, e)
+	}
 	a := gr.attempt
 	if a == nil || a.term != g.Term || a.stage != stageRead && a.stage != stagePromote {
 		return nil
@@ -253,7 +257,7 @@
 func (m *Manager) proposeServing(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	out := m.propose(now, gr, g.Term, proto.Command{ServeTerm: &proto.ServeTerm{
 		Service: g.Service, Term: g.Term, Primary: gr.attempt.chosen, Start: gr.attempt.startPos.Offset, Last: gr.attempt.startPos.Term,
-		LogTerm: gr.attempt.logTerm,
+		LogTerm: gr.attempt.logTerm, Unconfirmed: m.servesUnconfirmed(g, gr, gr.attempt.chosen),
 	}})
 	return append(out, armTimer(g.Service, now.Add(reproposeAfter)))
 }
--- a/core/promotion/detect.go
+++ b/core/promotion/detect.go
@@ -27,7 +27,11 @@
 		gr.lastLeaveAttempt = now
 		return m.propose(now, gr, g.Term, proto.Command{Quiesce: &proto.Quiesce{Service: g.Service, Term: g.Term}})
 	}
-	return m.advanceFollowers(now, g, gr)
+	out := m.advanceFollowers(now, g, gr)
+	if g.Unconfirmed {
+		out = append(out, m.confirmPrimary(now, g, gr)...)
+	}
+	return out
 }
 
 // replacePrimary begins the next term after the primary failed. If primaries
--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -125,16 +125,17 @@
 func (m *Manager) adopt(now types.Instant, g *types.Group, gr *group, t types.Target) []effect.Effect {
 	a, s := gr.attempt, gr.attempt.statuses[t.Name]
 	a.chosen, a.startPos, a.logTerm = t.Name, s.Pos, s.Term
-	if !gr.openRequest {
+	if !gr.replaceable(t.Name) {
 		a.stage = stageServe
 		return m.proposeServing(now, g, gr)
 	}
+	gr.openFor(t.Name)
 	a.stage, a.replyDeadline = stageConfirm, now.Add(managedPromoteTimeout)
 	return []effect.Effect{m.promotionRequest(g, t), armTimer(g.Service, a.replyDeadline)}
 }
 
 // awaitConfirmation proceeds without an answer after replyDeadline, since
-// nothing can be written without a primary.
+// nothing can be written without a primary. Such a primary serves unconfirmed.
 func (m *Manager) awaitConfirmation(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	if now < gr.attempt.replyDeadline {
 		return []effect.Effect{armTimer(g.Service, gr.attempt.replyDeadline)}
@@ -149,7 +150,7 @@
 	a := gr.attempt
 	a.stage, a.chosen = stagePromote, chosen.Name
 	a.replyDeadline = now.Add(managedPromoteTimeout)
-	gr.openRequest = true
+	gr.openFor(chosen.Name)
 	gr.unansweredRequests++
 	return []effect.Effect{m.promotionRequest(g, chosen), armTimer(g.Service, now.Add(managedPollInterval))}
 }
@@ -181,6 +182,9 @@
 // Only a refusal ends the attempt: if the answer is missing, the promotion may
 // still be in progress.
 func (m *Manager) handlePromotionReply(now types.Instant, g *types.Group, gr *group, name types.TargetName, e event.TargetReplied) []effect.Effect {
+	if g.Phase == types.GroupServing {
+		return m.handleConfirmationReply(now, g, gr, e)
+	}
 	a := gr.attempt
 	if a == nil || a.term != g.Term || a.chosen != name || a.stage != stagePromote && a.stage != stageConfirm || e.Err != nil {
 		return nil
@@ -191,9 +195,12 @@
 		a.refused = true
 		return m.abandon(now, g, gr)
 	case types.TargetErrNone:
-		gr.openRequest, gr.unansweredRequests = false, 0 // earlier requests have lower tokens
+		a.answeredAt, gr.unansweredRequests = now, 0
+		if !m.servesUnconfirmed(g, gr, name) {
+			gr.closeRequests() // earlier requests have lower tokens
+		}
 	}
-	if a.stage == stageConfirm && !gr.openRequest {
+	if a.stage == stageConfirm && a.answeredAt != 0 {
 		a.stage = stageServe
 		return m.proposeServing(now, g, gr)
 	}
--- a/core/promotion/managed_test.go
+++ b/core/promotion/managed_test.go
@@ -26,14 +26,16 @@
 // a managed service.
 type promotionService struct {
 	harness         *harness
-	tokens          []types.Term  // tokens of the calls, in the order received
+	tokens          []types.Term // tokens of the calls, in the order received
+	executedToken   types.Term   // highest token of an executed call
+	lastTarget      types.TargetName
 	executionDelay  time.Duration // delay of a call that gets no answer
 	unansweredCalls int           // number of next calls to execute late and leave unanswered
 }
 
-// promote executes a call, unless a higher token was received before.
+// promote executes a call, unless one with a higher token was executed before.
 func (o *promotionService) promote(p *process, e effect.CallTarget) {
-	o.tokens = append(o.tokens, e.Operation.Term)
+	o.tokens, o.lastTarget = append(o.tokens, e.Operation.Term), e.Target.Name
 	token := e.Operation.Term
 	if o.unansweredCalls > 0 {
 		o.unansweredCalls--
@@ -54,11 +56,10 @@
 
 func (o *promotionService) execute(token types.Term, name types.TargetName) bool {
 	chosen := o.harness.targets[name]
-	for _, seen := range o.tokens {
-		if token < seen {
-			return false
-		}
+	if token < o.executedToken {
+		return false
 	}
+	o.executedToken = token
 	if chosen.down || chosen.primary {
 		return chosen.primary
 	}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -96,8 +96,10 @@
 	followers         map[types.TargetName]*follower
 
 	// Only for managed services.
-	openRequest        bool // an unanswered promotion request may still be executed
-	unansweredRequests int  // consecutive promotion requests without an answer
+	openRequest        bool             // an unanswered promotion request may still be executed
+	openTarget         types.TargetName // the member that all open requests name; empty if they differ or are unknown
+	unansweredRequests int              // consecutive promotion requests without an answer
+	confirmation       confirmation     // of a primary that serves unconfirmed
 }
 
 // call is a pending call to a target.
@@ -168,6 +170,8 @@
 		return m.startAttempt(now, *c.BeginTerm)
 	case c.ServeTerm != nil:
 		return m.handleTermServing(now, *c.ServeTerm)
+	case c.Confirm != nil:
+		return m.handlePrimaryConfirmed(now, *c.Confirm)
 	}
 	return nil
 }
@@ -176,6 +180,10 @@
 // has just become serving.
 func (m *Manager) handleTermServing(now types.Instant, c proto.ServeTerm) []effect.Effect {
 	gr := m.clearProposal(c.Service)
+	gr.confirmation = confirmation{}
+	if a := gr.attempt; a != nil && a.term == c.Term {
+		gr.confirmation = confirmation{term: a.term, answeredAt: a.answeredAt}
+	}
 	gr.attempt = nil
 	g := m.state.Group(c.Service)
 	if g == nil || g.Term != c.Term {
@@ -214,7 +222,7 @@
 	gr := m.groups[service]
 	if gr == nil {
 		g := m.state.Group(service)
-		gr = &group{openRequest: g != nil && len(g.History) > 0} // an earlier leader may have left one
+		gr = &group{openRequest: g != nil && g.Term > 0} // an earlier leader may have left one
 		m.groups[service] = gr
 		m.timers[xxhash.Sum64String(string(service))] = service
 	}
--- a/core/proto/command.go
+++ b/core/proto/command.go
@@ -12,6 +12,7 @@
 	ServeTerm *ServeTerm
 	Proxy     *SetProxy
 	Voters    *SetVoters
+	Confirm   *ConfirmPrimary
 }
 
 // ChangeConfig asks for a new version of the configuration.
@@ -82,6 +83,16 @@
 	Start   uint64     // last offset before the term
 	Last    types.Term // term of the entry at Start
 	LogTerm types.Term // term that the targets themselves use; zero means Term
+	// Unconfirmed says that an unanswered promotion request may still replace the
+	// primary. ConfirmPrimary follows once none can.
+	Unconfirmed bool
+}
+
+// ConfirmPrimary says that no earlier promotion request can replace the primary of
+// a term any more.
+type ConfirmPrimary struct {
+	Service types.ServiceName
+	Term    types.Term
 }
 
 // SetProxy records that a proxy may hold a lease, or with Remove that it no
--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -160,6 +160,30 @@
 	assert.Assert(t, h.answered(read))
 }
 
+// TestReadOnUnconfirmedPrimaryIsFenced guards against stale reads: an unanswered
+// promotion request may replace an unconfirmed primary although the proxy holds a
+// lease.
+func TestReadOnUnconfirmedPrimaryIsFenced(t *testing.T) {
+	h := newManagedHarness(t)
+	h.openDatabase(1, "orders")
+	h.setView(func(_ *types.NodeView, g *types.Group) { g.Unconfirmed = true })
+	h.sendManagedRead(1)
+	e, name := h.lastSent()
+	assert.Equal(t, name, types.TargetName("a"))
+	assert.DeepEqual(t, operationKinds(e), []types.OperationKind{types.OpBegin})
+	h.answerWith(e, types.TxOpen, types.TargetStatus{})
+	h.answerManaged(3)
+
+	write := h.sendManagedWrite(1)
+	h.answerManaged(4)
+	assert.Assert(t, h.answered(write), "a write needs no confirmed primary, because the target fences it")
+
+	h.setView(func(_ *types.NodeView, g *types.Group) { g.Unconfirmed = false })
+	h.sendManagedRead(1)
+	e, _ = h.lastSent()
+	assert.DeepEqual(t, operationKinds(e), []types.OperationKind{types.OpCaller, types.OpPosition})
+}
+
 func TestReadWithoutLeaseOnReplacedPrimary(t *testing.T) {
 	h := newManagedHarness(t)
 	h.openDatabase(1, "orders")
--- a/core/session/primary.go
+++ b/core/session/primary.go
@@ -13,7 +13,7 @@
 type knownPrimary struct {
 	name   types.TargetName
 	term   types.Term
-	leased bool // the view names it as primary, so a live lease rules out another one
+	leased bool // the view names it as confirmed primary, so a live lease rules out another one
 }
 
 // updatePrimary applies the primary of a new view.
@@ -25,7 +25,7 @@
 	}
 	known := knownPrimary{term: g.TargetTerm()}
 	if hasPrimary(g) {
-		known = knownPrimary{name: g.Primary, term: g.TargetTerm(), leased: true}
+		known = knownPrimary{name: g.Primary, term: g.TargetTerm(), leased: !g.Unconfirmed}
 	}
 	for _, m := range g.Members {
 		if h := s.lastProbe(svc, m.Name); h.Primary && !h.Failing && h.Term > known.term {
@@ -35,7 +35,7 @@
 	if known != svc.primary {
 		s.emit(effect.Decide{
 			Kind: effect.DecidePrimaryFound, Service: svc.name, Target: known.name, Host: s.options.Host, Term: known.term,
-			Version: s.viewVersion(), Reason: known.source(),
+			Version: s.viewVersion(), Reason: known.source(g),
 		})
 	}
 	if known.name != svc.primary.name {
@@ -48,12 +48,14 @@
 }
 
 // source says how the proxy learned of the primary.
-func (p knownPrimary) source() string {
+func (p knownPrimary) source(g *types.Group) string {
 	switch {
 	case p.name == "":
 		return "the view names no primary"
 	case p.leased:
 		return "the view names it as primary"
+	case p.name == g.Primary && p.term == g.TargetTerm():
+		return "the view names it as primary, which an earlier promotion request may still replace"
 	}
 	return "it reports itself as primary, in a later term than the view's"
 }
--- a/core/types/group.go
+++ b/core/types/group.go
@@ -53,6 +53,11 @@
 	// primary. Zero means Term: the control leader promotes the targets
 	// then.
 	LogTerm Term
+
+	// Unconfirmed says that an unanswered promotion request may still replace the
+	// primary, so that a lease does not rule out another one. Only for managed
+	// services.
+	Unconfirmed bool
 }
 
 // TargetTerm returns the term that the group's targets use: LogTerm, or Term if
