A BEGIN that the target failed is not answered as success

Cause: a target that fails a part of its statements answered BEGIN with an error. The reducer passed it on as an answer like any other, and the platform's edge, which writes the answer to BEGIN anew, took each for a success. The statements that followed ran one by one.

Change: the reducer answers a request that begins a transaction only once one is open. Otherwise it tries again within the retry budget, as nothing has run, on the same connection where that is clean, and then refuses it as not run. The same check stands before a fenced read and before a statement whose id was claimed.

The targets of the fleet tests did not open transactions at BEGIN, so that their statements were not bound to a connection; they do now.

Evidence: with the three checks off TestFailedBeginIsNotReportedAsSuccess, TestBeginThatKeepsFailingIsRefused, TestClaimWithoutTransactionRunsNothing and TestWholePath fail ("COMPLETE -|READY I -").

--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -232,11 +232,34 @@
 		s.attemptFailed(r, true, types.RefuseReplaced, fmt.Sprintf("target %s is no longer the primary", r.target))
 		return
 	}
+	if r.BeginsTx && !begun(res) {
+		s.beginFailed(r, res)
+		return
+	}
 	r.answer = types.Answer{Payload: res.Payload, Tx: res.Tx}
 	s.bindOrReleaseConn(r, res.Tx)
 	s.acknowledge(r)
 }
 
+// begun reports whether the target has begun a transaction.
+func begun(res types.Result) bool { return res.Err == types.TargetErrNone && res.Tx == types.TxOpen }
+
+// beginFailed retries or refuses a request whose transaction the target did not
+// begin. Statements that follow it would run outside of a transaction.
+func (s *Shard) beginFailed(r *request, res types.Result) {
+	conn := r.conn
+	r.conn, r.stage = nil, stageBackoff
+	if res.Tx == types.TxIdle {
+		s.release(conn)
+	} else {
+		s.dropConn(conn)
+	}
+	reason := fmt.Sprintf("target %s did not begin a transaction", r.target)
+	if !s.retry(r, reason) {
+		s.refuse(r, types.RefuseTransactionLost, r.outcome(), reason)
+	}
+}
+
 // bindOrReleaseConn binds the connection to the session while a transaction is
 // open, and returns it to its pool otherwise.
 func (s *Shard) bindOrReleaseConn(r *request, tx types.TxStatus) {
--- a/core/session/fleet_test.go
+++ b/core/session/fleet_test.go
@@ -197,7 +197,7 @@
 	write := types.Request{Class: types.ClassWrite, Fenced: true, MayCommit: true, Payload: &simStatement{write: true, serviceTime: c.serviceTime}}
 	switch x := f.rand.Float64(); {
 	case x < c.transactionRatio:
-		begin := types.Request{Class: types.ClassWrite, BeginsTx: true, Fenced: true, DiscardedOnClose: true, Idempotent: true, Payload: &simStatement{serviceTime: c.serviceTime}}
+		begin := types.Request{Class: types.ClassWrite, BeginsTx: true, Fenced: true, DiscardedOnClose: true, Idempotent: true, Payload: &simStatement{begin: true, serviceTime: c.serviceTime}}
 		inTx := types.Request{Class: types.ClassWrite, Fenced: true, DiscardedOnClose: true, Payload: &simStatement{serviceTime: c.serviceTime}}
 		return []types.Request{begin, inTx, inTx, write}
 	case x < c.transactionRatio+c.writeRatio:
@@ -413,8 +413,9 @@
 	}
 	results := make([]types.Result, len(e.Operations))
 	results[0].Err = kind
-	if last := e.Operations[0]; kind == types.TargetErrNone && last.Kind == types.OpCaller && last.Payload.(*simStatement).write {
-		c.inTx = false
+	if op := e.Operations[0]; kind == types.TargetErrNone && op.Kind == types.OpCaller {
+		stmt := op.Payload.(*simStatement)
+		c.inTx = (c.inTx || stmt.begin) && !stmt.write
 	}
 	for i := range results {
 		if c.inTx {
--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -74,8 +74,8 @@
 func (s *Shard) fenceDone(r *request, res types.Result) {
 	switch {
 	case s.handleRejection(r, res):
-	case res.Err != types.TargetErrNone:
-		s.attemptFailed(r, false, types.RefuseReplaced, fmt.Sprintf("target %s did not begin a transaction", r.target))
+	case !begun(res):
+		s.beginFailed(r, res)
 	case r.BeginsTx:
 		r.answer = types.Answer{Payload: res.Payload, Tx: res.Tx}
 		s.bindOrReleaseConn(r, res.Tx)
--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -272,6 +273,67 @@
 	}
 }
 
+// TestFailedBeginIsNotReportedAsSuccess guards against transactions that were never
+// begun: their statements would be committed one by one, also if the caller rolls back.
+func TestFailedBeginIsNotReportedAsSuccess(t *testing.T) {
+	read := types.Request{Class: types.ClassRead, BeginsTx: true, DiscardedOnClose: true, Idempotent: true, Payload: "begin read"}
+	write := types.Request{BeginsTx: true, Fenced: true, DiscardedOnClose: true, Idempotent: true, Payload: "begin"}
+	cases := []struct {
+		name, database string
+		request        types.Request
+		target         string // "primary" or "replica"
+	}{
+		{"on the primary", "orders", write, "primary"},
+		{"read-only on the primary", "orders", read, "primary"},
+		{"read-only on a replica", "catalog", read, "replica"},
+	}
+	for _, c := range cases {
+		for _, tx := range []types.TxStatus{types.TxIdle, types.TxFailed} {
+			t.Run(fmt.Sprint(c.name, " in state ", tx), func(t *testing.T) {
+				h := newManagedHarness(t)
+				h.openDatabase(1, types.DatabaseName(c.database))
+				if c.target == "replica" {
+					h.sendManagedRead(1)
+					h.answerManaged(1)
+				}
+				seq := h.sendRequest(1, c.request)
+				failed, name := h.lastSent()
+				assert.Equal(t, name == "a", c.target == "primary", "sent to %s", name)
+				h.reject(types.TargetErrStatement, tx)
+				assert.Assert(t, !h.answered(seq), "a failed BEGIN was answered")
+				assert.Equal(t, h.closed[failed.Conn], tx != types.TxIdle)
+
+				h.advance(100 * time.Millisecond)
+				h.connect()
+				again, _ := h.lastSent()
+				assert.Assert(t, again.Seq != failed.Seq || again.Conn != failed.Conn, "BEGIN was not sent again")
+				h.answerWith(again, types.TxOpen, types.TargetStatus{Pos: logPos(1)})
+				assert.Assert(t, h.answered(seq))
+			})
+		}
+	}
+}
+
+// TestBeginThatKeepsFailingIsRefused guards against a failed BEGIN that is reported as
+// success once its retries are used up.
+func TestBeginThatKeepsFailingIsRefused(t *testing.T) {
+	h := newManagedHarness(t)
+	h.openDatabase(1, "orders")
+	seq := h.sendRequest(1, types.Request{BeginsTx: true, Fenced: true, DiscardedOnClose: true, Idempotent: true, Payload: "begin"})
+	for range 100 {
+		if h.completed(seq) {
+			break
+		}
+		h.reject(types.TargetErrStatement, types.TxIdle)
+		h.advance(20 * time.Millisecond)
+	}
+	assert.Assert(t, !h.answered(seq), "a failed BEGIN was answered")
+	assert.Equal(t, h.refusal(seq).Outcome, types.NotRun)
+	write := h.sendManagedWrite(1)
+	h.answerManaged(2)
+	assert.Assert(t, h.answered(write), "the session is no longer usable")
+}
+
 func TestRouteChangesWithTheNextTransaction(t *testing.T) {
 	h := newManagedHarness(t)
 	h.openDatabase(1, "orders")
--- a/core/session/once.go
+++ b/core/session/once.go
@@ -5,10 +5,12 @@
 // claimDone sends the statement once the request's id is recorded, or looks up
 // the answer of the earlier run of the same id.
 func (s *Shard) claimDone(r *request, res types.Result) {
-	switch res.Err {
-	case types.TargetErrNone:
+	switch {
+	case res.Err == types.TargetErrNone && res.Tx != types.TxOpen:
+		s.attemptFailed(r, true, types.RefuseReplaced, "target "+string(r.target)+" did not begin a transaction for the request's id")
+	case res.Err == types.TargetErrNone:
 		s.send(r, stepRun)
-	case types.TargetErrDuplicate:
+	case res.Err == types.TargetErrDuplicate:
 		s.send(r, stepLookup)
 	default:
 		s.attemptFailed(r, true, types.RefuseReplaced, "target "+string(r.target)+" could not record the request's id")
--- a/core/session/once_test.go
+++ b/core/session/once_test.go
@@ -46,6 +46,21 @@
 	h.step(answeredEvent(e, results))
 }
 
+// TestClaimWithoutTransactionRunsNothing guards against a statement that runs without
+// the record of its id because the target failed to begin their transaction.
+func TestClaimWithoutTransactionRunsNothing(t *testing.T) {
+	h := newHarness(t)
+	h.openSession(1)
+	seq := h.sendRequest(1, types.Request{ID: "order-1", Payload: "write"})
+	e, _ := h.lastSent()
+	assert.DeepEqual(t, operationKinds(e), []types.OperationKind{types.OpBegin, types.OpClaim})
+	h.step(answeredEvent(e, []types.Result{{Err: types.TargetErrStatement}, {}}))
+	assert.Assert(t, h.closed[e.Conn])
+	last, _ := h.lastSent()
+	assert.Equal(t, last.Conn, e.Conn, "the statement was sent")
+	assert.Assert(t, !h.answered(seq))
+}
+
 func TestRequestIDIsClaimedInTransactionOfWrite(t *testing.T) {
 	h := newHarness(t)
 	h.openSession(1)
--- a/core/session/sim_test.go
+++ b/core/session/sim_test.go
@@ -23,6 +23,7 @@
 
 // simStatement is a caller's statement and the log position after it ran.
 type simStatement struct {
+	begin       bool // begins a transaction
 	write       bool
 	serviceTime time.Duration // mean time; for the members of a fleet, since a simTarget has its own
 	position    uint64
