A session keeps a floor for each service that its route has led to

Cause: a session had one floor, which was cleared when its route led to another service, as positions of one log mean nothing in another. Nothing was left of it when the route led back.

Change: a session keeps the floors of all services that it has used. Answers name the service that their floor belongs to, and the session that the platform's edge opens in place of one that ended with its transaction starts with all floors. So far it started with the last one, whichever service that was of.

--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -407,6 +408,70 @@
 	assert.Equal(t, e.Operations[0].Floor, token)
 }
 
+// routeTo routes a database to a service.
+func (h *harness) routeTo(database types.DatabaseName, service types.ServiceName) {
+	next := *h.config
+	next.Routes, next.Services = maps.Clone(next.Routes), maps.Clone(next.Services)
+	route := next.Routes[database]
+	route.Service = service
+	next.Routes[database] = route
+	if _, ok := next.Services[service]; !ok {
+		svc := next.Services[svcName]
+		svc.Name = service
+		next.Services[service] = svc
+	}
+	h.config = &next
+	h.setView(func(*types.NodeView, *types.Group) {})
+}
+
+// TestFloorIsKeptWhileRouteLeadsElsewhere guards against a session that misses its own
+// commits after its route led to another service and back.
+func TestFloorIsKeptWhileRouteLeadsElsewhere(t *testing.T) {
+	for _, requests := range []int{0, 1, 2} {
+		t.Run(fmt.Sprint(requests, " requests meanwhile"), func(t *testing.T) {
+			h := newManagedHarness(t)
+			profile := h.config.Profiles["catalog"]
+			profile.MaxAge = time.Minute
+			h.config.Profiles["catalog"] = profile
+			h.openDatabase(1, "catalog")
+			h.sendManagedRead(1)
+			h.answerManaged(40)
+			h.sendManagedWrite(1)
+			h.answerManaged(55)
+			for range requests {
+				h.routeTo("catalog", "other")
+				seq := h.sendManagedRead(1)
+				h.advance(time.Second)
+				assert.Assert(t, h.completed(seq), "a service without members does not answer")
+			}
+			h.routeTo("catalog", svcName)
+			h.sendManagedRead(1)
+			e, name := h.lastSent()
+			assert.Assert(t, name != "a")
+			assert.Equal(t, e.Operations[0].Floor, logPos(55))
+		})
+	}
+}
+
+// TestFloorsSurviveSessionReplacement guards against a caller that misses its own
+// commits after its session ended with a transaction and another one replaced it.
+func TestFloorsSurviveSessionReplacement(t *testing.T) {
+	h := newManagedHarness(t)
+	h.openDatabase(1, "catalog")
+	h.sendManagedRead(1)
+	h.answerManaged(40)
+	floors := map[types.ServiceName]types.LogPos{svcName: logPos(55), "other": logPos(99)}
+	h.step(sessionOpened(2, types.SessionParams{Database: "catalog", Floors: floors}))
+	seq := h.sendManagedRead(2)
+	e, _ := h.lastSent()
+	assert.Equal(t, e.Operations[0].Floor, logPos(55))
+	h.answerManaged(55)
+	answer := h.answers[len(h.answers)-1]
+	assert.Assert(t, h.answered(seq))
+	assert.Equal(t, answer.Answer.Service, svcName)
+	assert.Equal(t, answer.Answer.Floor, logPos(55))
+}
+
 func TestIdleTransactionIsEnded(t *testing.T) {
 	h := newManagedHarness(t)
 	h.config.TransactionIdle = 100 * time.Millisecond
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -203,10 +203,9 @@
 	if !ok {
 		return false
 	}
-	if c.service != "" && route.Service != c.service {
-		c.floor = floor{} // positions of another log
+	if route.Service != c.service {
+		c.useService(route.Service)
 	}
-	c.service = route.Service
 	r.Profile = route.Profile
 	return true
 }
@@ -235,7 +234,7 @@
 // reply relays the answer to the caller.
 func (s *Shard) reply(r *request) {
 	c := r.session
-	r.answer.Floor = c.floor.seen
+	r.answer.Service, r.answer.Floor = c.service, c.floor.seen
 	s.emit(effect.AnswerCaller{Session: c.id, Seq: r.Seq, Answer: r.answer})
 	s.finish(r, 0)
 	c.lastAnswerAt = s.now
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -11,10 +11,11 @@
 type session struct {
 	id       types.SessionID
 	service  types.ServiceName
-	database types.DatabaseName // set if the configuration routes the session by database name
-	openedAt types.Instant      // a floor determined later covers every write acknowledged before this
-	floor    floor
-	request  *request // in progress, or nil
+	database types.DatabaseName          // set if the configuration routes the session by database name
+	openedAt types.Instant               // a floor determined later covers every write acknowledged before this
+	floor    floor                       // in the log of service
+	floors   map[types.ServiceName]floor // of the other services that the session has used
+	request  *request                    // in progress, or nil
 	timerAt  types.Instant
 
 	// Set while a transaction is open.
@@ -40,6 +41,13 @@
 	lost    types.LogPos // a seen position that a promotion lost, until a refusal reports it
 }
 
+// newFloor returns a floor at a position that the session has written or read.
+func newFloor(pos types.LogPos) floor {
+	var f floor
+	f.initialize(pos)
+	return f
+}
+
 // initialize sets the first floor of the session.
 func (f *floor) initialize(pos types.LogPos) {
 	f.known = true
@@ -78,9 +86,32 @@
 	if e.Params.Token != nil {
 		c.floor.initialize(*e.Params.Token)
 	}
+	for name, pos := range e.Params.Floors {
+		c.keepFloor(name, newFloor(pos))
+	}
 	s.sessions[e.Session] = c
 }
 
+// useService makes the session use the service that its route leads to now. The floors
+// of the other services are kept, as the route may lead back.
+func (c *session) useService(name types.ServiceName) {
+	if c.service != "" {
+		c.keepFloor(c.service, c.floor)
+		c.floor = floor{}
+	}
+	c.service = name
+	if f, ok := c.floors[name]; ok {
+		c.floor = f
+	}
+}
+
+func (c *session) keepFloor(name types.ServiceName, f floor) {
+	if c.floors == nil {
+		c.floors = make(map[types.ServiceName]floor)
+	}
+	c.floors[name] = f
+}
+
 // closeSession removes a session whose caller has disconnected. Closing its
 // connection ends whatever the target still runs for it.
 func (s *Shard) closeSession(id types.SessionID) {
--- a/core/types/request.go
+++ b/core/types/request.go
@@ -26,7 +26,10 @@
 	Database DatabaseName
 	Caller   string  // name that the caller gave for itself, for logs
 	Token    *LogPos // floor that the caller brings from another session
-	Trace    TraceContext
+	// Floors are the floors that a session of a routed database name brings from an
+	// earlier one, by service: the route may lead to any of them.
+	Floors map[ServiceName]LogPos
+	Trace  TraceContext
 }
 
 // Request is one statement of a caller with its attributes.
@@ -95,7 +98,8 @@
 type Answer struct {
 	Payload Payload
 	Tx      TxStatus
-	Floor   LogPos // the session's floor after the request
+	Service ServiceName // that served the request
+	Floor   LogPos      // the session's floor in that service after the request
 }
 
 // Outcome says whether a refused request may have been applied.
