Transactions end, and requests are refused, before the drain limit of a proxy

Cause: only the process around the reducer knew the drain limit. At the limit it closed all connections that were left, whatever was in flight on them.

Change: the request to stop tells the shards the instant until which they have to be done. 1 s before it, transactions that wait for their callers are ended, others once their statement is answered. At that instant each request that is left is refused with its outcome; 0.2 s later the drain limit closes what is left.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -51,8 +51,9 @@
 	Start struct{}
 	// TimerFired reports that an armed timer has expired.
 	TimerFired struct{ ID TimerID }
-	// DrainBegan reports that the process was asked to stop.
-	DrainBegan struct{}
+	// DrainBegan reports that the process was asked to stop. It ends sessions that are
+	// left at Until, unless that is zero.
+	DrainBegan struct{ Until types.Instant }
 )
 
 // Events of control hosts.
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -46,6 +46,9 @@
 // target counts as slow.
 func (s *Shard) requestDeadline(r *request) types.Instant {
 	at := r.stageDeadline(s.now)
+	if s.drainUntil != 0 {
+		at = min(at, s.drainUntil)
+	}
 	if r.stage != stageRunning {
 		return at
 	}
@@ -75,8 +78,9 @@
 }
 
 // transactionDeadline returns when the session's open transaction must end, and
-// whether it has a deadline: one applies if its target is leaving or its caller
-// is idle.
+// whether it has a deadline: one applies if its target is leaving, its caller is
+// idle or the proxy is stopping. A statement in progress is answered before a
+// transaction ends because the proxy stops.
 func (s *Shard) transactionDeadline(c *session) (types.Instant, bool) {
 	if !c.inTransaction() {
 		return 0, false
@@ -86,6 +90,9 @@
 	if idle, ok := s.idleDeadline(c); ok && (!bounded || idle < until) {
 		until, bounded = idle, true
 	}
+	if c.request == nil && s.drainUntil != 0 && (!bounded || s.transactionsUntil < until) {
+		until, bounded = s.transactionsUntil, true
+	}
 	return until, bounded
 }
 
@@ -118,6 +125,9 @@
 	if idle, ok := s.idleDeadline(c); ok && s.now >= idle {
 		return fmt.Sprintf("the transaction was idle for %s", s.now.Sub(c.lastAnswerAt))
 	}
+	if s.drainUntil != 0 && s.now >= s.transactionsUntil {
+		return "the proxy is stopping"
+	}
 	return leavingReason(c.conn.Ref.Name)
 }
 
@@ -140,6 +150,10 @@
 // handleRequestDeadline retries, rechecks or refuses a request at a deadline of
 // its stage.
 func (s *Shard) handleRequestDeadline(r *request) {
+	if s.drainUntil != 0 && s.now >= s.drainUntil {
+		s.refuseStopping(r)
+		return
+	}
 	switch r.stage {
 	case stageFloor:
 		if s.now < r.queueDeadline {
@@ -173,6 +187,16 @@
 	}
 }
 
+// refuseStopping refuses a request that is not answered at the end of the drain.
+func (s *Shard) refuseStopping(r *request) {
+	r.mayHaveRun = r.mayHaveRun || r.stage == stageRunning
+	outcome := r.outcome()
+	if r.stage == stageDurable {
+		outcome = types.Unknown
+	}
+	s.refuse(r, types.RefuseDraining, outcome, "the proxy is stopping")
+}
+
 // checkSlowTarget handles a request whose target counts as slow: a read on a
 // replica may move to another member, and a primary that has answered nothing
 // since the request was sent becomes suspect.
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -15,6 +15,10 @@
 	// none.
 	defaultRequestTimeout = 5 * time.Second
 	defaultQueueTimeout   = time.Second
+	// transactionDrainMargin is how long before the end of the drain transactions
+	// have to end, so that their last statements are answered. Long statements take
+	// up to 0.4 s.
+	transactionDrainMargin = time.Second
 )
 
 // stage is what a request waits for.
@@ -294,13 +298,20 @@
 	s.armSessionTimer(c)
 }
 
-// drain ends the idle sessions; the others end after their request or
-// transaction.
-func (s *Shard) drain() {
+// drain ends the idle sessions; the others end after their request or transaction.
+// Unless until is zero, transactions have to end before it, so that the caller of each
+// request gets an answer.
+func (s *Shard) drain(until types.Instant) {
 	s.draining = true
+	if until != 0 {
+		s.drainUntil = until
+		s.transactionsUntil = until.Add(-min(transactionDrainMargin, until.Sub(s.now)/2))
+	}
 	for _, id := range sortedKeys(s.sessions) {
 		if c := s.sessions[id]; c.request == nil {
 			s.afterRequest(c)
+		} else {
+			s.armSessionTimer(c)
 		}
 	}
 }
--- a/core/session/shard.go
+++ b/core/session/shard.go
@@ -34,6 +34,10 @@
 	draining bool
 	reports  reporter
 
+	// Set while draining with a limit.
+	drainUntil        types.Instant // requests that are not answered by then are refused
+	transactionsUntil types.Instant // transactions that wait for their caller are ended then
+
 	// Valid during one step.
 	now   types.Instant
 	seed  uint64
@@ -89,7 +93,7 @@
 	case event.TimerFired:
 		s.timerFired(e.ID)
 	case event.DrainBegan:
-		s.drain()
+		s.drain(e.Until)
 	}
 }
 
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -13,7 +13,7 @@
 		return
 	}
 	if s.view.Draining && !s.draining {
-		s.drain()
+		s.drain(0)
 	}
 	for _, name := range sortedKeys(s.services) {
 		svc := s.services[name]
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -25,6 +25,10 @@
 	"k8s.io/klog/v2"
 )
 
+// answerMargin is how long before the drain limit the requests that are left are
+// refused, so that their callers get the refusals before their connections are closed.
+const answerMargin = 200 * time.Millisecond
+
 // Proxy is a proxy process.
 type Proxy struct {
 	edge      Edge
@@ -156,10 +160,12 @@
 	p.draining.Store(true)
 	klog.InfoS("stopping", "role", "proxy", "host", p.host,
 		"drain_limit", p.settings.DrainLimit, "reason", "stop requested")
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainLimit)
+	limit := p.settings.DrainLimit
+	until := p.clock().Add(limit - min(answerMargin, limit/2))
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	p.waitForBalancer()
-	p.proxy.Drain()
+	p.proxy.Drain(until)
 	if err := p.front.Shutdown(ctx); err != nil {
 		klog.ErrorS(nil, "sessions_cut_off", "host", p.host, "drain_limit", p.settings.DrainLimit,
 			"reason", telemetry.Reason(err))
--- a/daemon/proxy_test.go
+++ b/daemon/proxy_test.go
@@ -91,7 +91,7 @@
 	for !p.draining.Load() {
 		time.Sleep(time.Millisecond)
 	}
-	p.proxy.Drain()
+	p.proxy.Drain(0)
 	assert.Equal(t, readyCode(t, p), http.StatusServiceUnavailable)
 	_, err = tx.Exec(ctx, "INSERT INTO orders (id) VALUES (1)")
 	assert.NilError(t, err)
--- a/front/inproc/inproc_test.go
+++ b/front/inproc/inproc_test.go
@@ -83,7 +83,7 @@
 	s := openSession(t, proxy)
 	_, err := s.Do(ctx, "SET a 1")
 	assert.NilError(t, err)
-	proxy.Drain()
+	proxy.Drain(0)
 	reason := <-s.Ended()
 	assert.Equal(t, reason.Code, types.RefuseDraining)
 	_, err = s.Do(ctx, "SET a 2")
--- a/front/pg/server_test.go
+++ b/front/pg/server_test.go
@@ -317,7 +317,7 @@
 	exec(t, busy, "BEGIN")
 	exec(t, busy, "INSERT INTO stock (id) VALUES (1)")
 	down := make(chan error, 1)
-	p.proxy.Drain()
+	p.proxy.Drain(0)
 	go func() { down <- p.server.Shutdown(context.Background()) }()
 	_, err := idle.Exec(t.Context(), "SELECT 1")
 	assert.Equal(t, pgError(t, err).Code, codeAdminShutdown)
--- a/runtime/proxy.go
+++ b/runtime/proxy.go
@@ -75,11 +75,12 @@
 }
 
 // Drain makes the proxy refuse new sessions, and end each of the others once it has
-// no requests in flight.
-func (p *Proxy) Drain() {
-	p.loop.post(event.DrainBegan{})
+// no requests in flight. Requests that are not answered by until are refused; zero sets
+// no limit.
+func (p *Proxy) Drain(until types.Instant) {
+	p.loop.post(event.DrainBegan{Until: until})
 	for _, s := range p.shards {
-		s.loop.post(event.DrainBegan{})
+		s.loop.post(event.DrainBegan{Until: until})
 	}
 }
 
