After a lost write a managed session keeps the floor of what is left

A session whose last commit a promotion rolled back was told so once and then had no floor, so that its reads could miss its commits that the promotion had kept (STALE on read_your_writes routes).

Cause: a new floor is asked for from the primary, but not for managed services, whose floor is what the session wrote.

Change: the floor of a managed service becomes the last position of the session's log that is still part of it, by the history of the group's terms.

Evidence: TestFloorKeepsWhatAPromotionLeft failed before ("7:30 != 7:50").

--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -453,6 +453,35 @@
 	}
 }
 
+// TestFloorKeepsWhatAPromotionLeft guards against a session that misses the commits that
+// a promotion kept after it was told that its last one is lost.
+func TestFloorKeepsWhatAPromotionLeft(t *testing.T) {
+	h := newManagedHarness(t)
+	profile := h.config.Profiles["catalog"]
+	profile.MaxAge = time.Minute
+	h.config.Profiles["catalog"] = profile
+	h.openDatabase(1, "catalog")
+	h.openDatabase(2, "catalog")
+	h.sendManagedRead(2)
+	h.answerManaged(30)
+	for _, offset := range []uint64{40, 55} {
+		h.sendManagedWrite(1)
+		h.answerManaged(offset)
+	}
+	h.setView(func(_ *types.NodeView, g *types.Group) {
+		g.Term, g.LogTerm, g.Primary = 2, logTerm+1, "b"
+		g.History = types.TermHistory{{Term: logTerm}, {Term: logTerm + 1, Offset: 50}}
+	})
+	h.sendManagedRead(2)
+	h.answerWith(h.sends[len(h.sends)-1], types.TxIdle, types.TargetStatus{Pos: logPos(30)})
+	lost := h.sendManagedRead(1)
+	assert.Equal(t, h.refusal(lost).Code, types.RefuseLostWrite)
+	h.sendManagedRead(1)
+	e, name := h.lastSent()
+	assert.Assert(t, name != "b", "no position of the primary is known")
+	assert.Equal(t, e.Operations[0].Floor, logPos(50))
+}
+
 // TestFloorsSurviveSessionReplacement guards against a caller that misses its own
 // commits after its session ended with a transaction and another one replaced it.
 func TestFloorsSurviveSessionReplacement(t *testing.T) {
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -41,10 +41,14 @@
 }
 
 // refuseLost refuses one request because a promotion lost a position that the
-// session has seen. The session then gets a new floor.
+// session has seen. The session then gets a new floor. That of a managed service is
+// what is left of the session's log, since no other floor is determined for it.
 func (s *Shard) refuseLost(r *request, pos types.LogPos) {
 	c := r.session
 	c.floor = floor{}
+	if g := s.view.Group(r.service.name); r.service.managed(s.view) {
+		c.floor = newFloor(g.History.Surviving(pos, g.TargetTerm()))
+	}
 	c.openedAt = s.now
 	s.refuse(r, types.RefuseLostWrite, r.outcome(),
 		"a promotion lost position "+pos.String()+", which the session has read or written")
--- a/core/types/logpos.go
+++ b/core/types/logpos.go
@@ -65,6 +65,24 @@
 	return own || !earlier || !later
 }
 
+// Surviving returns the last position at or before pos that is still part of the log
+// in term current.
+func (h TermHistory) Surviving(pos LogPos, current Term) LogPos {
+	out := LogPos{Offset: pos.Offset}
+	for _, s := range h {
+		switch {
+		case s.Term <= pos.Term:
+			out.Term = s.Term
+		case s.Term <= current:
+			out.Offset = min(out.Offset, s.Offset)
+			if out.Term == 0 {
+				out.Term = s.Term
+			}
+		}
+	}
+	return out
+}
+
 // Covers reports whether a member at position have holds every entry up to
 // floor.
 func (h TermHistory) Covers(have, floor LogPos) bool {
--- a/core/types/logpos_test.go
+++ b/core/types/logpos_test.go
@@ -60,3 +60,25 @@
 		}
 	}
 }
+
+func TestSurviving(t *testing.T) {
+	h := TermHistory{{Term: 3}, {Term: 5, Offset: 100}, {Term: 7, Offset: 90}}
+	cases := []struct {
+		name      string
+		pos, want LogPos
+		current   Term
+	}{
+		{"before any later term", LogPos{3, 80}, LogPos{3, 80}, 7},
+		{"beyond the start of a later term", LogPos{3, 105}, LogPos{3, 90}, 7},
+		{"beyond the start of a term after current", LogPos{3, 95}, LogPos{3, 95}, 5},
+		{"in a term that the history omits", LogPos{4, 95}, LogPos{3, 90}, 7},
+		{"before the first listed term", LogPos{2, 95}, LogPos{3, 0}, 7},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := h.Surviving(c.pos, c.current)
+			assert.Equal(t, got, c.want)
+			assert.Assert(t, h.Survives(got, c.current))
+		})
+	}
+}
