Promotion: the first request to confirm a primary waits for the attempt's own

An unconfirmed primary was confirmed by a second request at once although the one that promoted it was still in flight. The interval counts from that one now. Names of the open requests and three comments say what they mean.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -51,8 +51,8 @@
 	Start struct{}
 	// TimerFired reports that an armed timer has expired.
 	TimerFired struct{ ID TimerID }
-	// DrainBegan reports that the process was asked to stop. It ends sessions that are
-	// left at Until, unless that is zero.
+	// DrainBegan reports that the process was asked to stop. Requests that are not
+	// answered by Until are refused; zero sets no limit.
 	DrainBegan struct{ Until types.Instant }
 )
 
--- a/core/promotion/confirm.go
+++ b/core/promotion/confirm.go
@@ -29,16 +29,16 @@
 	checkedAt   types.Instant // when the primary was asked last whether it still is the primary
 }
 
-// openFor records a promotion request that may be executed.
-func (gr *group) openFor(name types.TargetName) {
+// addOpenRequest records a promotion request that may be executed.
+func (gr *group) addOpenRequest(name types.TargetName) {
 	if gr.openRequest && gr.openTarget != name {
 		name = ""
 	}
 	gr.openRequest, gr.openTarget = true, name
 }
 
-// closeRequests records that no promotion request can be executed any more.
-func (gr *group) closeRequests() { gr.openRequest, gr.openTarget = false, "" }
+// clearOpenRequests records that no promotion request can be executed any more.
+func (gr *group) clearOpenRequests() { gr.openRequest, gr.openTarget = false, "" }
 
 // replaceable reports whether an open request may promote another member in place
 // of the one named.
@@ -46,9 +46,9 @@
 	return gr.openRequest && gr.openTarget != name
 }
 
-// servesUnconfirmed reports whether a new primary serves unconfirmed. Targets that
-// don't refuse work once they are replaced can't, as they are used under a lease
-// only.
+// servesUnconfirmed reports whether a new primary serves unconfirmed. Where targets
+// go on after they were replaced, a primary can be used under a lease only, so that
+// it has to count as confirmed.
 func (m *Manager) servesUnconfirmed(g *types.Group, gr *group, primary types.TargetName) bool {
 	return m.state.Config().SelfFenced(g.Service) && gr.replaceable(primary)
 }
@@ -85,11 +85,11 @@
 	c := &gr.confirmation
 	c.requested = false
 	if e.Err == nil && e.Result.Err == types.TargetErrNone && !gr.replaceable(g.Primary) {
-		gr.closeRequests()
+		gr.clearOpenRequests()
 	}
 	switch {
 	case !g.Unconfirmed || c.term != g.Term || e.Err != nil:
-		return nil // confirmPrimary asks again
+		return nil // if unconfirmed, the group's timer sends the next request
 	case e.Result.Err == types.TargetErrStaleTerm:
 		return m.beginTerm(now, g, gr, fmt.Sprintf("the confirmation of primary %s was refused", g.Primary))
 	case e.Result.Err == types.TargetErrNone:
@@ -112,7 +112,7 @@
 func (m *Manager) handlePrimaryConfirmed(now types.Instant, c proto.ConfirmPrimary) []effect.Effect {
 	gr := m.clearProposal(c.Service)
 	if g := m.state.Group(c.Service); g != nil && g.Term == c.Term && !g.Unconfirmed {
-		gr.closeRequests()
+		gr.clearOpenRequests()
 	}
 	return m.advance(now, c.Service)
 }
--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -129,7 +129,7 @@
 		a.stage = stageServe
 		return m.proposeServing(now, g, gr)
 	}
-	gr.openFor(t.Name)
+	gr.addOpenRequest(t.Name)
 	a.stage, a.replyDeadline = stageConfirm, now.Add(managedPromoteTimeout)
 	return []effect.Effect{m.promotionRequest(g, t), armTimer(g.Service, a.replyDeadline)}
 }
@@ -150,7 +150,7 @@
 	a := gr.attempt
 	a.stage, a.chosen = stagePromote, chosen.Name
 	a.replyDeadline = now.Add(managedPromoteTimeout)
-	gr.openFor(chosen.Name)
+	gr.addOpenRequest(chosen.Name)
 	gr.unansweredRequests++
 	return []effect.Effect{m.promotionRequest(g, chosen), armTimer(g.Service, now.Add(managedPollInterval))}
 }
@@ -197,7 +197,7 @@
 	case types.TargetErrNone:
 		a.answeredAt, gr.unansweredRequests = now, 0
 		if !m.servesUnconfirmed(g, gr, name) {
-			gr.closeRequests() // earlier requests have lower tokens
+			gr.clearOpenRequests() // earlier requests have lower tokens
 		}
 	}
 	if a.stage == stageConfirm && a.answeredAt != 0 {
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -182,7 +182,9 @@
 	gr := m.clearProposal(c.Service)
 	gr.confirmation = confirmation{}
 	if a := gr.attempt; a != nil && a.term == c.Term {
-		gr.confirmation = confirmation{term: a.term, answeredAt: a.answeredAt}
+		gr.confirmation = confirmation{
+			term: a.term, requestedAt: a.replyDeadline.Add(-managedPromoteTimeout), answeredAt: a.answeredAt,
+		}
 	}
 	gr.attempt = nil
 	g := m.state.Group(c.Service)
