--- a/core/promotion/confirm_test.go
+++ b/core/promotion/confirm_test.go
@@ -118,6 +118,20 @@
 	assert.Assert(t, ok, "the new primary was not confirmed: %+v", h.group())
 }
 
+// TestAnsweredPromotionOfANewLeaderIsConfirmed guards against a primary that stays
+// unconfirmed because an earlier leader may have left a request, although the answer to
+// a request of its own ruled that out.
+func TestAnsweredPromotionOfANewLeaderIsConfirmed(t *testing.T) {
+	h := startManaged(t)
+	h.elect("c2")
+	h.Run(time.Second)
+	before := h.group().Term
+	h.primary().down = true
+	_, ok := h.runUntil(managedFailoverBound, func() bool { return h.serving(before + 1) })
+	assert.Assert(t, ok, "no second primary: %+v", h.group())
+	assert.Assert(t, h.confirmed())
+}
+
 // TestSecondMemberIsPromotedLate guards against stale reads: of two unanswered
 // requests for different members the earlier one is executed last.
 func TestSecondMemberIsPromotedLate(t *testing.T) {
