Interfaces of organisations, quotas and priority order

Cause: what serves organisations touches configuration, connections, limits and the queue at once, and these are built side by side. Change: types of organisations, keys as digests, quotas and priorities; view items; fields of lease requests, grants and shard reports; the organisation of a dial, which the platform's dialer tells the target. No part fills them yet. Protocol between processes is version 4. Result: builds; tests of core, wire, storage and telemetry pass.

--- a/core/cluster/assembly.go
+++ b/core/cluster/assembly.go
@@ -92,6 +92,9 @@
 		Services: mergeMaps(base.Services, u.Config.Services),
 		Profiles: mergeMaps(base.Profiles, u.Config.Profiles),
 		Routes:   mergeMaps(base.Routes, u.Config.Routes),
+
+		Organisations: mergeMaps(base.Organisations, u.Config.Organisations),
+		QuotaWindow:   u.Config.QuotaWindow, PriorityOrder: u.Config.PriorityOrder,
 	}
 	for _, item := range u.Removed {
 		switch item.Kind {
@@ -101,6 +104,8 @@
 			delete(next.Profiles, types.ProfileName(item.Name))
 		case proto.ItemRoute:
 			delete(next.Routes, types.DatabaseName(item.Name))
+		case proto.ItemOrganisation:
+			delete(next.Organisations, types.OrganisationName(item.Name))
 		}
 	}
 	return next
--- a/core/cluster/items.go
+++ b/core/cluster/items.go
@@ -73,9 +73,10 @@
 	v.order = nil
 }
 
-// configItems returns the services, profiles and routes of a configuration by item.
+// configItems returns the services, profiles, routes and organisations of a configuration
+// by item.
 func configItems(c *types.Config) map[proto.ViewItem]any {
-	out := make(map[proto.ViewItem]any, len(c.Services)+len(c.Profiles)+len(c.Routes))
+	out := make(map[proto.ViewItem]any, len(c.Services)+len(c.Profiles)+len(c.Routes)+len(c.Organisations))
 	for name, s := range c.Services {
 		out[proto.ViewItem{Kind: proto.ItemService, Name: string(name)}] = s
 	}
@@ -85,16 +86,25 @@
 	for name, r := range c.Routes {
 		out[proto.ViewItem{Kind: proto.ItemRoute, Name: string(name)}] = r
 	}
+	for name, o := range c.Organisations {
+		out[proto.ViewItem{Kind: proto.ItemOrganisation, Name: string(name)}] = o
+	}
 	return out
 }
 
 // itemsEqual reports whether the contents of two items of the same kind are equal.
 func itemsEqual(a, b any) bool {
-	x, ok := a.(types.Service)
-	if !ok {
-		return a == b
+	switch x := a.(type) {
+	case types.Service:
+		return servicesEqual(x, b.(types.Service))
+	case types.Organisation:
+		y := b.(types.Organisation)
+		return x.Name == y.Name && slices.Equal(x.Keys, y.Keys) && x.Priority == y.Priority && x.Rate == y.Rate && x.Burst == y.Burst
 	}
-	y := b.(types.Service)
+	return a == b
+}
+
+func servicesEqual(x, y types.Service) bool {
 	if !slices.Equal(x.Profiles, y.Profiles) {
 		return false
 	}
--- a/core/cluster/update.go
+++ b/core/cluster/update.go
@@ -59,6 +59,7 @@
 		u.Config = &types.Config{
 			Version: config.Version, TransactionIdle: config.TransactionIdle, Unfenced: config.Unfenced,
 			Services: emptyCopy(config.Services), Profiles: emptyCopy(config.Profiles), Routes: emptyCopy(config.Routes),
+			Organisations: emptyCopy(config.Organisations), QuotaWindow: config.QuotaWindow, PriorityOrder: config.PriorityOrder,
 		}
 	}
 	size := 0
@@ -97,7 +98,7 @@
 	return true
 }
 
-// addConfigItem copies a service, profile or route between configurations.
+// addConfigItem copies a service, profile, route or organisation between configurations.
 func addConfigItem(to, from *types.Config, item proto.ViewItem) {
 	switch item.Kind {
 	case proto.ItemService:
@@ -109,6 +110,9 @@
 	case proto.ItemRoute:
 		name := types.DatabaseName(item.Name)
 		to.Routes[name] = from.Routes[name]
+	case proto.ItemOrganisation:
+		name := types.OrganisationName(item.Name)
+		to.Organisations[name] = from.Organisations[name]
 	}
 }
 
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -93,6 +93,9 @@
 	DecideJoin             Decision = "join_requested"      // by a new control host
 	DecideControlLost      Decision = "control_host_silent" // it did not answer a lease request in time
 	DecideViewStarted      Decision = "view_begun"          // the first of several parts of a view arrived
+	DecideQuotaReached     Decision = "quota_reached"       // an organisation is at this proxy's part of its limit
+	DecideQuota            Decision = "quota_divided"       // the leader divided the limit of an organisation anew
+	DecideKeyRevoked       Decision = "key_revoked"         // a session's key was removed from the configuration
 )
 
 // Effects of control hosts.
@@ -169,6 +172,8 @@
 		Ref     types.TargetRef
 		Address types.Address
 		Timeout time.Duration
+		// Organisation is whose requests the connection will carry. The target is told.
+		Organisation types.OrganisationName
 	}
 	// SendTarget sends a batch of operations on a connection and causes
 	// event.TargetAnswered. The connection has no other exchange in flight.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -132,6 +132,14 @@
 	Full         map[types.TargetRef]bool // targets that recently rejected a connection because of their limit
 	Sessions     int
 	BusySessions int // sessions with a request or a transaction in progress
+
+	QuotaUse map[types.OrganisationName]QuotaUse // of the organisations near this proxy's part of their limit
+}
+
+// QuotaUse is what callers of an organisation asked of a shard.
+type QuotaUse struct {
+	Admitted float64 // operations a second that were admitted
+	Demand   float64 // operations a second that arrived
 }
 
 // Events of a traffic shard.
--- a/core/limits/ways_test.go
+++ b/core/limits/ways_test.go
@@ -145,7 +145,7 @@
 			p.waiting = p.waiting[1:]
 			continue
 		}
-		c := p.target.Acquire(1, nil)
+		c := p.target.Acquire(1, "", nil)
 		if c == nil {
 			break
 		}
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -156,12 +156,14 @@
 	return t.share.Connections > 0 && (t.dialFailures == 0 || t.countState(Dialing) < len(t.conns))
 }
 
-// Ready reports whether Acquire would return a connection.
-func (t *Target) Ready() bool { return t.InFlight() < t.Limit() && t.idleConn() != nil }
+// Ready reports whether Acquire would return a connection for the organisation.
+func (t *Target) Ready(organisation types.OrganisationName) bool {
+	return t.InFlight() < t.Limit() && t.idleConn() != nil
+}
 
 // Acquire assigns an idle connection to a session, or returns nil. It prefers the one that
 // needs the fewest operations to get the setup that the session needs.
-func (t *Target) Acquire(owner types.SessionID, want *types.Setup) *Conn {
+func (t *Target) Acquire(owner types.SessionID, organisation types.OrganisationName, want *types.Setup) *Conn {
 	if t.InFlight() >= t.Limit() {
 		return nil
 	}
--- a/core/pool/target_test.go
+++ b/core/pool/target_test.go
@@ -50,7 +50,7 @@
 	var used []*Conn
 	for id := range types.ConnID(3) {
 		target.Connected(target.Dial(id), 0)
-		used = append(used, target.Acquire(types.SessionID(id), nil))
+		used = append(used, target.Acquire(types.SessionID(id), "", nil))
 	}
 	released := types.Instant(time.Second)
 	for _, c := range used {
--- a/core/proto/lease.go
+++ b/core/proto/lease.go
@@ -22,6 +22,22 @@
 	Quiesced         []types.ServiceName // quiescing services without a write or transaction in progress on the primary
 	Draining         bool                // the proxy is shutting down; its lease may be dropped
 	Cursor           ViewCursor          // how much of the next view the proxy has received
+	QuotaUses        []QuotaUse          // of the organisations near this proxy's part of their limit
+}
+
+// QuotaUse is what a proxy may still admit of an organisation, and what its callers ask
+// for.
+type QuotaUse struct {
+	Organisation types.OrganisationName
+	Held         types.Quota // the largest that the proxy may still act on
+	Admitted     float64     // operations a second
+	Demand       float64     // operations a second
+}
+
+// QuotaGrant is the part of an organisation's limit that the proxy may admit from now on.
+type QuotaGrant struct {
+	Organisation types.OrganisationName
+	Quota        types.Quota
 }
 
 // TargetReport is the state of one target according to a proxy's probes.
@@ -57,6 +73,7 @@
 	Hosts     []types.Address     // addresses of the control hosts
 	Fleet     types.Fleet         // place of the proxy among those with a lease
 	Suspects  []types.ServiceName // managed services whose primary fails for some proxy
+	Quotas    []QuotaGrant        // of the organisations whose limit is divided by demand
 }
 
 // ViewUpdate updates a proxy's view to Version, or is a part of such an update.
@@ -84,6 +101,7 @@
 	ItemService
 	ItemProfile
 	ItemRoute
+	ItemOrganisation
 )
 
 // ViewItem identifies an item, the smallest unit in which a view changes.
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -26,7 +26,7 @@
 
 // start gives a queued request a connection of the target and sends it.
 func (s *Shard) start(r *request, name types.TargetName) {
-	c := r.service.target(name).pool.Acquire(r.session.id, r.Setup)
+	c := r.service.target(name).pool.Acquire(r.session.id, r.organisation, r.Setup)
 	r.conn, r.target, r.replica = c, name, name != s.primaryOf(r.service)
 	if !r.replica {
 		r.floor = types.LogPos{}
--- a/core/session/overload.go
+++ b/core/session/overload.go
@@ -88,7 +88,7 @@
 	if waiting, ok := svc.queues[primaryKey]; ok && waiting.len() > 0 || svc.departures.Leaving(primary.name) {
 		return nil
 	}
-	if t := svc.target(primary.name); !t.pool.Ready() || t.stats.Congested() {
+	if t := svc.target(primary.name); !t.pool.Ready(r.organisation) || t.stats.Congested() {
 		return nil
 	}
 	return []types.TargetName{primary.name}
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -195,7 +195,7 @@
 		if !ok || best != nil && !r.precedes(first) {
 			continue
 		}
-		ready := s.readyTargets(svc, q)
+		ready := s.readyTargets(svc, q, r)
 		if len(ready) == 0 {
 			ready = s.overflowTarget(svc, q, r)
 		}
@@ -215,10 +215,10 @@
 	return r.arrived < o.arrived
 }
 
-// readyTargets returns the targets of a queue that can start a request now.
-func (s *Shard) readyTargets(svc *service, q *queue) []types.TargetName {
+// readyTargets returns the targets of a queue that can start a request of it now.
+func (s *Shard) readyTargets(svc *service, q *queue, r *request) []types.TargetName {
 	return slices.DeleteFunc(slices.Clone(s.queueTargets(svc, q)), func(n types.TargetName) bool {
-		return svc.departures.Leaving(n) || !svc.target(n).pool.Ready()
+		return svc.departures.Leaving(n) || !svc.target(n).pool.Ready(r.organisation)
 	})
 }
 
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -40,6 +40,8 @@
 	profile types.Profile
 	stage   stage
 
+	organisation types.OrganisationName // of the caller; empty without one
+
 	arrived       types.Instant
 	deadline      types.Instant
 	queueDeadline types.Instant
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -11,6 +11,7 @@
 type session struct {
 	id       types.SessionID
 	service  types.ServiceName
+	key      types.KeyDigest             // that the caller presented; zero without one
 	database types.DatabaseName          // set if the configuration routes the session by database name
 	openedAt types.Instant               // a floor determined later covers every write acknowledged before this
 	floor    floor                       // in the log of service
@@ -82,7 +83,7 @@
 		s.emit(effect.EndSession{Session: e.Session, Refusal: refusal(types.RefuseDraining, types.NotRun, "the proxy is stopping")})
 		return
 	}
-	c := &session{id: e.Session, service: e.Params.Service, database: e.Params.Database, openedAt: s.now}
+	c := &session{id: e.Session, service: e.Params.Service, key: e.Params.Key, database: e.Params.Database, openedAt: s.now}
 	if e.Params.Token != nil {
 		c.floor.initialize(*e.Params.Token)
 	}
--- a/core/types/config.go
+++ b/core/types/config.go
@@ -57,6 +57,7 @@
 	Objective      time.Duration // latency objective of a request; zero means none
 	DrainTimeout   time.Duration // how long a leaving target may finish requests in flight
 	Weight         int           // weight of the profile's requests in the queue, relative to other profiles
+	Priority       int           // 0 is the highest; used if Config.PriorityOrder is set
 }
 
 // Service is the configuration of a database group.
@@ -83,6 +84,10 @@
 	Database DatabaseName
 	Service  ServiceName
 	Profile  ProfileName
+
+	// Anonymous says that callers without a key may use the route although the
+	// configuration has organisations.
+	Anonymous bool
 }
 
 // Config is one accepted version of the operators' configuration. It is
@@ -93,6 +98,18 @@
 	Profiles map[ProfileName]Profile
 	Routes   map[DatabaseName]Route
 
+	// Organisations own the callers. Without any, callers need no key and targets are
+	// not told whose requests a connection carries.
+	Organisations map[OrganisationName]Organisation
+
+	// QuotaWindow is the length of the sliding windows in which the rates and bursts of
+	// organisations hold.
+	QuotaWindow time.Duration
+
+	// PriorityOrder says that requests which wait for the same targets are served in the
+	// order of the priorities of their profiles.
+	PriorityOrder bool
+
 	// TransactionIdle is how long a transaction may be idle between statements of
 	// its caller; zero means no limit.
 	TransactionIdle time.Duration
--- /dev/null
+++ b/core/types/organisation.go
@@ -0,0 +1,32 @@
+package types
+
+// OrganisationName names an organisation: an owner of applications.
+type OrganisationName string
+
+// KeyDigest is the SHA-256 digest of an organisation's key. Only the operators'
+// configuration file holds the keys themselves. The zero digest means no key.
+type KeyDigest [32]byte
+
+// String hides the digest in logs and errors.
+func (k KeyDigest) String() string {
+	if k == (KeyDigest{}) {
+		return "no key"
+	}
+	return "key"
+}
+
+// Organisation is the configuration of an organisation. Its callers connect with one of
+// its keys and share its limit.
+type Organisation struct {
+	Name     OrganisationName
+	Keys     []KeyDigest // sorted
+	Priority int         // 0 is the highest
+	Rate     float64     // operations a second over all proxies; zero means no limit
+	Burst    int         // operations that may come at once beyond Rate
+}
+
+// Quota is the part of an organisation's limit that one proxy may admit.
+type Quota struct {
+	Rate  float64 // operations a second
+	Burst float64 // operations at once beyond Rate
+}
--- a/core/types/request.go
+++ b/core/types/request.go
@@ -1,6 +1,9 @@
 package types
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Class says on which targets a request may run.
 type Class uint8
@@ -24,8 +27,9 @@
 	// Database is the database name of a route. If set, the route determines the
 	// service, which may change between transactions.
 	Database DatabaseName
-	Caller   string  // name that the caller gave for itself, for logs
-	Token    *LogPos // floor that the caller brings from another session
+	Caller   string    // name that the caller gave for itself, for logs
+	Key      KeyDigest // of the key that the caller presented; zero without one
+	Token    *LogPos   // floor that the caller brings from another session
 	// Floors are the floors that a session of a routed database name brings from an
 	// earlier one, by service: the route may lead to any of them.
 	Floors map[ServiceName]LogPos
@@ -140,6 +144,8 @@
 	RefuseTooLarge                               // the request or answer is too large
 	RefuseTransactionLost                        // the transaction was lost with its target
 	RefuseUnknownDatabase                        // no route for the database name
+	RefuseUnknownKey                             // the caller's key belongs to no organisation, or it has none
+	RefuseOverQuota                              // the organisation is at its limit
 
 	refusalCodesEnd
 )
@@ -159,6 +165,9 @@
 	Code    RefusalCode
 	Outcome Outcome
 	Reason  string
+
+	// RetryAfter is when the caller may come back; zero if it is not known.
+	RetryAfter time.Duration
 }
 
 // Error implements the error interface.
--- a/core/types/view.go
+++ b/core/types/view.go
@@ -42,6 +42,11 @@
 	Health     map[TargetRef]TargetHealth
 	Shares     map[TargetRef]Share // this proxy's share of each target
 	Draining   bool                // the proxy accepts no new sessions
+
+	// Quotas are this proxy's parts of the limits of organisations. An organisation that
+	// has a limit but no entry has the part that follows from the number of proxies.
+	Quotas map[OrganisationName]Quota
+	Fleet  Fleet // place of this proxy among those that share the targets and limits
 }
 
 // LeaseLive reports whether the proxy's lease is valid at now.
--- a/dialer/pg/conn_test.go
+++ b/dialer/pg/conn_test.go
@@ -28,7 +28,7 @@
 
 func dial(t testing.TB, c Config, address string) runtime.TargetConn {
 	t.Helper()
-	conn, err := NewDialer(c).Dial(t.Context(), testRef, types.Address(address))
+	conn, err := NewDialer(c).Dial(t.Context(), testRef, types.Address(address), "")
 	assert.NilError(t, err)
 	t.Cleanup(conn.Close)
 	return conn
@@ -241,12 +241,12 @@
 	assert.NilError(t, err)
 	t.Cleanup(m.Close)
 	dial(t, Config{}, m.Address())
-	_, err = NewDialer(Config{}).Dial(t.Context(), testRef, types.Address(m.Address()))
+	_, err = NewDialer(Config{}).Dial(t.Context(), testRef, types.Address(m.Address()), "")
 	assert.ErrorContains(t, err, "53300")
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
-	_, err = NewDialer(Config{DialTimeout: 20 * time.Millisecond}).Dial(t.Context(), testRef, types.Address(l.Addr().String()))
+	_, err = NewDialer(Config{DialTimeout: 20 * time.Millisecond}).Dial(t.Context(), testRef, types.Address(l.Addr().String()), "")
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
--- a/dialer/pg/dialer.go
+++ b/dialer/pg/dialer.go
@@ -64,7 +64,9 @@
 }
 
 // Dial connects to the target and completes the startup.
-func (d *Dialer) Dial(ctx context.Context, ref types.TargetRef, addr types.Address) (runtime.TargetConn, error) {
+func (d *Dialer) Dial(
+	ctx context.Context, ref types.TargetRef, addr types.Address, _ types.OrganisationName,
+) (runtime.TargetConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.config.DialTimeout)
 	defer cancel()
 	raw, err := d.net.DialContext(ctx, "tcp", string(addr))
--- a/front/inproc/example_test.go
+++ b/front/inproc/example_test.go
@@ -17,7 +17,7 @@
 // dialer implements runtime.TargetDialer for a MemoryGroup.
 type dialer struct{ group *inproc.MemoryGroup }
 
-func (d dialer) Dial(ctx context.Context, ref types.TargetRef, addr types.Address) (runtime.TargetConn, error) {
+func (d dialer) Dial(ctx context.Context, ref types.TargetRef, addr types.Address, _ types.OrganisationName) (runtime.TargetConn, error) {
 	return d.group.Dial(ctx, ref, addr)
 }
 
--- a/front/pg/refusal.go
+++ b/front/pg/refusal.go
@@ -17,6 +17,7 @@
 	codeNotSupported       = "0A000"
 	codeInvalidValue       = "22023"
 	codeUnknownService     = "3D000" // invalid_catalog_name
+	codeInvalidPassword    = "28P01"
 	codeInvalidCursor      = "34000"
 	codeSerialization      = "40001"
 	codeUndefinedParameter = "42704"
@@ -48,6 +49,8 @@
 	types.RefuseTransactionLost: codeConnectionFailure,
 
 	types.RefuseUnknownDatabase: codeUnknownService,
+	types.RefuseUnknownKey:      codeInvalidPassword,
+	types.RefuseOverQuota:       codeOverloaded,
 }
 
 // refusalCode returns the SQLSTATE of a refusal.
--- a/front/pg/transport_test.go
+++ b/front/pg/transport_test.go
@@ -53,7 +53,7 @@
 
 	ref := types.TargetRef{Service: "spares", Name: "a"}
 	secured := targetpg.NewDialer(targetpg.Config{TLS: client})
-	target, err := secured.Dial(t.Context(), ref, types.Address(p.address))
+	target, err := secured.Dial(t.Context(), ref, types.Address(p.address), "")
 	assert.NilError(t, err)
 	defer target.Close()
 	results, _, err := target.Exchange(t.Context(), []types.Operation{{Kind: types.OpPosition}})
@@ -61,7 +61,7 @@
 	assert.Equal(t, len(results), 1)
 
 	plain := startHarness(t, Config{}, nil)
-	_, err = secured.Dial(t.Context(), ref, types.Address(plain.address))
+	_, err = secured.Dial(t.Context(), ref, types.Address(plain.address), "")
 	assert.ErrorContains(t, err, "does not offer TLS")
 }
 
--- a/runtime/ports.go
+++ b/runtime/ports.go
@@ -46,7 +46,10 @@
 
 // TargetDialer opens connections to targets.
 type TargetDialer interface {
-	Dial(ctx context.Context, ref types.TargetRef, addr types.Address) (TargetConn, error)
+	// Dial opens a connection that carries requests of one organisation, which the
+	// target is told. It is empty for callers without one and for the system's own
+	// connections.
+	Dial(ctx context.Context, ref types.TargetRef, addr types.Address, organisation types.OrganisationName) (TargetConn, error)
 }
 
 // ErrTargetFull is the error of a dial that the target rejected because its
--- a/runtime/targetlink.go
+++ b/runtime/targetlink.go
@@ -58,7 +58,7 @@
 func (l *targetLink) dial(ctx context.Context, e effect.DialTarget) (TargetConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
-	return dialTarget(ctx, l.shard.proxy.Targets, e.Ref, e.Address)
+	return dialTarget(ctx, l.shard.proxy.Targets, e.Ref, e.Address, e.Organisation)
 }
 
 func (l *targetLink) exchange(ctx context.Context, conn TargetConn, job effect.SendTarget) {
--- a/runtime/targets.go
+++ b/runtime/targets.go
@@ -105,7 +105,7 @@
 	defer cancel()
 	if conn == nil {
 		var err error
-		if conn, err = dialTarget(ctx, c.dialer, key.ref, key.addr); err != nil {
+		if conn, err = dialTarget(ctx, c.dialer, key.ref, key.addr, ""); err != nil {
 			job.done(types.Result{}, trace.Wrap(err, "dialing target %s at %s", key.ref, key.addr))
 			return nil
 		}
@@ -124,9 +124,11 @@
 }
 
 // dialTarget opens a connection to a target. A panic of the dialer is an error.
-func dialTarget(ctx context.Context, d TargetDialer, ref types.TargetRef, addr types.Address) (conn TargetConn, err error) {
+func dialTarget(
+	ctx context.Context, d TargetDialer, ref types.TargetRef, addr types.Address, organisation types.OrganisationName,
+) (conn TargetConn, err error) {
 	err = contain.Call("dialing target "+ref.String(), func() (err error) {
-		conn, err = d.Dial(ctx, ref, addr)
+		conn, err = d.Dial(ctx, ref, addr, organisation)
 		return err
 	})
 	return conn, err
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -219,6 +219,8 @@
 	types.RefuseTransactionLost: "transaction_lost",
 
 	types.RefuseUnknownDatabase: "unknown_database",
+	types.RefuseUnknownKey:      "unknown_key",
+	types.RefuseOverQuota:       "over_quota",
 }
 
 func refusalName(c types.RefusalCode) string {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -9,7 +9,7 @@
 )
 
 // Version is the version of the protocol. Both ends must use the same one.
-const Version = 3
+const Version = 4
 
 // Path is the URL path at which control hosts serve the protocol.
 const Path = "/v1/peer"
