Callers belong to the organisation whose key they present

Cause: the program knew no organisation: the key of a startup message was dropped, unknown keys were served and a key that was taken away went on. Proxies publish an index of keys with the view. A transaction whose key is revoked ends, after its statement in progress.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -9,6 +9,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/lease"
+	"github.com/camphorpaddle/camphorpaddle/core/organisation"
 	"github.com/camphorpaddle/camphorpaddle/core/probe"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -35,11 +36,12 @@
 	now            types.Instant // time of the event in progress
 	appliedVersion uint64        // highest view version that all shards have reported as applied
 	clusterView    *types.ClusterView
-	leaseUntil     types.Instant // end of the lease as published
-	changed        bool          // something to publish at once differs from the last published view
-	healthChanged  bool          // a target was probed since the last published view
-	publishedAt    types.Instant // when the last view was published
-	publishArmed   bool          // the timer of the next view is armed
+	keyHolders     map[types.KeyDigest]types.OrganisationName // of the configuration of clusterView
+	leaseUntil     types.Instant                              // end of the lease as published
+	changed        bool                                       // something to publish at once differs from the last published view
+	healthChanged  bool                                       // a target was probed since the last published view
+	publishedAt    types.Instant                              // when the last view was published
+	publishArmed   bool                                       // the timer of the next view is armed
 }
 
 // publishInterval is the minimum time between two published views that differ only in
@@ -125,6 +127,9 @@
 	}
 	var out []effect.Effect
 	if view := n.holder.Cluster(); view != n.clusterView {
+		if n.clusterView == nil || n.clusterView.Config != view.Config {
+			n.keyHolders = organisation.KeyHolders(view.Config)
+		}
 		out = n.recordConfig(view)
 		n.clusterView, n.changed = view, true
 		out = append(out, n.prober.SetView(view, n.now)...)
@@ -166,6 +171,7 @@
 		Health:     n.prober.Health(),
 		Shares:     n.holder.Shares(),
 		Draining:   n.draining,
+		KeyHolders: n.keyHolders,
 	}}}
 }
 
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -212,3 +212,23 @@
 	p.report(event.ShardReport{Shard: 1})
 	assert.Equal(t, len(p.advance(300*ms).Held), 0)
 }
+
+// TestViewHasKeyHolders checks that a published view knows the keys of its own
+// configuration.
+func TestViewHasKeyHolders(t *testing.T) {
+	p := newProxy(t)
+	publish := func(version uint64, keys ...types.KeyDigest) {
+		r := p.request()
+		p.step(event.LeaseGranted{From: "c1", Grant: proto.LeaseGrant{
+			Proxy: "p1", Seq: r.Seq, SentAt: r.SentAt, Duration: lease.Duration, Term: 1,
+			View: &proto.ViewUpdate{Version: version, Config: &types.Config{
+				Version: version, Organisations: map[types.OrganisationName]types.Organisation{"mill": {Name: "mill", Keys: keys}},
+			}},
+		}})
+	}
+	publish(5, types.KeyDigest{1}, types.KeyDigest{2})
+	assert.DeepEqual(t, p.view().KeyHolders, map[types.KeyDigest]types.OrganisationName{{1}: "mill", {2}: "mill"})
+	p.advance(300 * ms)
+	publish(6, types.KeyDigest{2})
+	assert.DeepEqual(t, p.view().KeyHolders, map[types.KeyDigest]types.OrganisationName{{2}: "mill"})
+}
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -266,7 +266,7 @@
 	c, conn := r.session, r.conn
 	r.stage, r.conn = stageDurable, nil
 	if tx != types.TxIdle {
-		c.conn, c.onReplica, c.profile = conn, r.replica, r.profile
+		c.conn, c.onReplica, c.profile, c.organisation = conn, r.replica, r.profile, r.organisation
 		return
 	}
 	c.conn = nil
--- a/core/session/harness_test.go
+++ b/core/session/harness_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/organisation"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"gotest.tools/v3/assert"
 )
@@ -102,6 +103,7 @@
 	}
 	change(v, g)
 	v.Cluster = &types.ClusterView{Version: h.version, Config: h.config, Groups: map[types.ServiceName]*types.Group{svcName: g}}
+	v.KeyHolders = organisation.KeyHolders(h.config)
 	h.view = v
 	h.step(event.ViewChanged{})
 }
--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -366,11 +366,11 @@
 	assert.Equal(t, refused.Code, types.RefuseNoLease)
 	assert.Equal(t, refused.Outcome, types.NotRun)
 	for name, want := range map[types.DatabaseName]types.RefusalCode{"orders": types.RefuseNoLease, "other": types.RefuseNoLease} {
-		r, ok := RefuseDatabase(h.view, name, h.now)
+		r, ok := RefuseSession(h.view, types.SessionParams{Database: name}, h.now)
 		assert.Assert(t, ok)
 		assert.Equal(t, r.Code, want)
 	}
-	r, ok := RefuseDatabase(nil, "orders", h.now)
+	r, ok := RefuseSession(nil, types.SessionParams{Database: "orders"}, h.now)
 	assert.Assert(t, ok)
 	assert.Equal(t, r.Code, types.RefuseNoLease)
 }
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/organisation"
 	"github.com/camphorpaddle/camphorpaddle/core/pool"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -164,6 +165,9 @@
 		s.refuse(r, types.RefuseUnknownService, r.outcome(), fmt.Sprintf("service %q is not configured", name))
 		return false
 	}
+	if !s.identify(r) {
+		return false
+	}
 	profile, ok := s.profile(r)
 	if !ok {
 		s.refuse(r, types.RefuseUnknownProfile, r.outcome(), fmt.Sprintf("service %q has no profile %q", name, r.Profile))
@@ -176,13 +180,16 @@
 	return true
 }
 
-// RefuseDatabase returns a refusal and true if the configuration does not route
-// the database name of a session.
-func RefuseDatabase(view *types.NodeView, name types.DatabaseName, now types.Instant) (types.Refusal, bool) {
-	if view.Routes(name) {
-		return types.Refusal{}, false
+// RefuseSession returns a refusal and true if the configuration does not route the
+// database name of a session, or does not know the key of its caller.
+func RefuseSession(view *types.NodeView, p types.SessionParams, now types.Instant) (types.Refusal, bool) {
+	if !view.Routes(p.Database) {
+		return refuseUnrouted(view, p.Database, now), true
+	}
+	if _, why := organisation.Identify(view, p.Key, p.Database, now); why != nil {
+		return *why, true
 	}
-	return refuseUnrouted(view, name, now), true
+	return types.Refusal{}, false
 }
 
 // refuseUnrouted reports a name as unknown only under a live lease. Without one
@@ -244,6 +251,10 @@
 	s.emit(effect.AnswerCaller{Session: c.id, Seq: r.Seq, Answer: r.answer})
 	s.finish(r, 0)
 	c.lastAnswerAt = s.now
+	if s.keyRevoked(c) {
+		s.endRevoked(c)
+		return
+	}
 	s.afterRequest(c)
 }
 
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -22,8 +22,9 @@
 	// Set while a transaction is open.
 	conn         *pool.Conn
 	onReplica    bool
-	profile      types.Profile // of the transaction's last request
-	lastAnswerAt types.Instant // to the transaction's last request
+	profile      types.Profile          // of the transaction's last request
+	organisation types.OrganisationName // that the transaction belongs to; empty without one
+	lastAnswerAt types.Instant          // to the transaction's last request
 
 	// Whether the session counts in the shard's reports as busy and as writing.
 	busy    bool
--- a/core/session/shard.go
+++ b/core/session/shard.go
@@ -34,6 +34,8 @@
 	draining bool
 	reports  reporter
 
+	checkedConfig *types.Config // the configuration that the keys of transactions were last checked against
+
 	// Set while draining with a limit.
 	drainUntil        types.Instant // requests that are not answered by then are refused
 	transactionsUntil types.Instant // transactions that wait for their caller are ended then
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -15,6 +15,7 @@
 	if s.view.Draining && !s.draining {
 		s.drain(0)
 	}
+	s.endRevokedTransactions()
 	for _, name := range sortedKeys(s.services) {
 		svc := s.services[name]
 		s.dirty[name] = true
--- a/core/types/organisation.go
+++ b/core/types/organisation.go
@@ -15,6 +15,12 @@
 	return "key"
 }
 
+// Upper limits of the limits of organisations.
+const (
+	MaxRate  = 1_000_000_000 // operations a second
+	MaxBurst = 1_000_000_000 // operations
+)
+
 // Organisation is the configuration of an organisation. Its callers connect with one of
 // its keys and share its limit.
 type Organisation struct {
--- a/core/types/view.go
+++ b/core/types/view.go
@@ -43,6 +43,9 @@
 	Shares     map[TargetRef]Share // this proxy's share of each target
 	Draining   bool                // the proxy accepts no new sessions
 
+	// KeyHolders are the organisations of the configuration by the digests of their keys.
+	KeyHolders map[KeyDigest]OrganisationName
+
 	// Quotas are this proxy's parts of the limits of organisations. An organisation that
 	// has a limit but no entry has the part that follows from the number of proxies.
 	Quotas map[OrganisationName]Quota
--- a/runtime/session.go
+++ b/runtime/session.go
@@ -50,11 +50,11 @@
 	return s, nil
 }
 
-// RefuseDatabase reports whether sessions with a database name are refused now, and
-// returns the refusal. A refusal is recorded like that of a request.
-func (p *Proxy) RefuseDatabase(name types.DatabaseName) (types.Refusal, bool) {
+// RefuseSession reports whether a session with the database name and the key of params is
+// refused now, and returns the refusal. A refusal is recorded like that of a request.
+func (p *Proxy) RefuseSession(params types.SessionParams) (types.Refusal, bool) {
 	view, now := p.View(), p.Clock()
-	refusal, refused := session.RefuseDatabase(view, name, now)
+	refusal, refused := session.RefuseSession(view, params, now)
 	if refused {
 		p.Recorder.Decision(effect.Decide{Kind: effect.DecideRefuse, Reason: refusal.Reason, Basis: session.ViewBasis(view, now)})
 	}
--- a/runtime/session_test.go
+++ b/runtime/session_test.go
@@ -139,7 +139,7 @@
 		Control: core.New(), Shards: 1, Clock: func() types.Instant { return 10 }, Seed: zeroSeed,
 		Shard: func(int) *core.Reducer { return core.New() }, Recorder: &recorder,
 	})
-	_, refused := p.RefuseDatabase("orders")
+	_, refused := p.RefuseSession(types.SessionParams{Database: "orders"})
 	assert.Assert(t, refused)
 	p.view.Store(&types.NodeView{
 		LeaseUntil: 20,
@@ -147,9 +147,9 @@
 			Version: 3, Routes: map[types.DatabaseName]types.Route{"orders": {Database: "orders"}},
 		}},
 	})
-	_, refused = p.RefuseDatabase("orders")
+	_, refused = p.RefuseSession(types.SessionParams{Database: "orders"})
 	assert.Assert(t, !refused)
-	_, refused = p.RefuseDatabase("other")
+	_, refused = p.RefuseSession(types.SessionParams{Database: "other"})
 	assert.Assert(t, refused)
 	assert.Equal(t, len(recorder.decisions), 2)
 	last := recorder.decisions[1]
