Connections serve one organisation; a target that failed once is tried again

Cause: targets are told the organisation when a connection is opened, and connections were given to any caller. Besides, a proxy that keeps no idle connection of a target never came back to it after one failed or rejected dial: the target counted as unreachable, so nothing waited for it. Change: a connection is opened for an organisation and used for it alone. Where there is no room, the least recently used idle connection of another one that no waiting request needs is closed. Requests with a connection go before one that waits for its own, for 50 ms.

--- a/core/limits/ways_test.go
+++ b/core/limits/ways_test.go
@@ -172,7 +172,8 @@
 		}
 	}
 	p.askedAt = 0
-	for range p.target.DialsNeeded(len(p.waiting), len(p.waiting) > 0, s.now) {
+	demand := pool.Demand{Waiting: []pool.Waiting{{Requests: len(p.waiting)}}, ServiceWaiting: len(p.waiting) > 0}
+	for range p.target.PlanDials(demand, s.now).Open {
 		s.connect(p)
 	}
 }
@@ -180,7 +181,7 @@
 // connect opens a connection, which the target rejects at its limit.
 func (s *simTarget) connect(p *simProxy) {
 	s.lastConn++
-	c := p.target.Dial(s.lastConn)
+	c := p.target.Dial(s.lastConn, "")
 	s.connects++
 	s.after(connectTime, func() {
 		if s.open >= s.connections {
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -15,13 +15,15 @@
 	InUse // used by one session until it is released or dropped
 )
 
-// Conn is one connection to a target.
+// Conn is one connection to a target. It serves one organisation until it is closed, since
+// the target was told the organisation's name when it was opened.
 type Conn struct {
-	ID      types.ConnID
-	Ref     types.TargetRef
-	Address types.Address
-	Owner   types.SessionID // session that uses it, while in use
-	setup   setup           // settings and prepared statements that exist on it
+	ID           types.ConnID
+	Ref          types.TargetRef
+	Address      types.Address
+	Organisation types.OrganisationName // empty for callers without one
+	Owner        types.SessionID        // session that uses it, while in use
+	setup        setup                  // settings and prepared statements that exist on it
 
 	state     State
 	idleSince types.Instant // while idle
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -39,6 +39,8 @@
 	dialFailedAt   types.Instant // when the last of them failed
 	rejectedAt     types.Instant // when the target last rejected a connection because of its limit, or zero
 	extraExchanges int           // exchanges allowed beyond those of the share's slots
+
+	failedOrganisation types.OrganisationName // that the last failed dial was for
 }
 
 // NewTarget returns a target without a share.
@@ -151,28 +153,34 @@
 func (t *Target) LowerLimit() { t.extraExchanges /= 2 }
 
 // Reachable reports whether the proxy has a share of the target, and the last dial
-// didn't fail or an earlier connection is still open.
-func (t *Target) Reachable() bool {
-	return t.share.Connections > 0 && (t.dialFailures == 0 || t.countState(Dialing) < len(t.conns))
+// didn't fail or an earlier connection is still open. A target that rejected the last
+// connection because of its limit may have room after a while.
+func (t *Target) Reachable(now types.Instant) bool {
+	return t.share.Connections > 0 && (t.dialFailures == 0 || t.countState(Dialing) < len(t.conns) || t.lastRejected() && !t.Full(now))
+}
+
+// lastRejected reports whether the last dial failed because of the target's limit.
+func (t *Target) lastRejected() bool {
+	return t.dialFailures > 0 && t.rejectedAt != 0 && t.rejectedAt == t.dialFailedAt
 }
 
 // Ready reports whether Acquire would return a connection for the organisation.
 func (t *Target) Ready(organisation types.OrganisationName) bool {
-	return t.InFlight() < t.Limit() && t.idleConn() != nil
+	return t.InFlight() < t.Limit() && t.idleConn(organisation) != nil
 }
 
-// Acquire assigns an idle connection to a session, or returns nil. It prefers the one that
-// needs the fewest operations to get the setup that the session needs.
+// Acquire assigns an idle connection of the organisation to a session, or returns nil. It
+// prefers the one that needs the fewest operations to get the setup that the session needs.
 func (t *Target) Acquire(owner types.SessionID, organisation types.OrganisationName, want *types.Setup) *Conn {
 	if t.InFlight() >= t.Limit() {
 		return nil
 	}
-	best := t.idleConn()
+	best := t.idleConn(organisation)
 	if best == nil {
 		return nil
 	}
 	for _, c := range t.conns {
-		if c.state == Idle && c.Address == t.address && c.missingCount(want) < best.missingCount(want) {
+		if t.serves(c, organisation) && c.missingCount(want) < best.missingCount(want) {
 			best = c
 		}
 	}
@@ -180,17 +188,23 @@
 	return best
 }
 
-// idleConn returns the idle connection that was opened first, or nil. Using the same
-// connections leaves the others idle, so that they can be closed when the share shrinks.
-func (t *Target) idleConn() *Conn {
+// idleConn returns the organisation's idle connection that was opened first, or nil. Using
+// the same connections leaves the others idle, so that they can be closed when the share
+// shrinks.
+func (t *Target) idleConn(organisation types.OrganisationName) *Conn {
 	for _, c := range t.conns {
-		if c.state == Idle && c.Address == t.address {
+		if t.serves(c, organisation) {
 			return c
 		}
 	}
 	return nil
 }
 
+// serves reports whether a request of the organisation may run on the connection now.
+func (t *Target) serves(c *Conn, organisation types.OrganisationName) bool {
+	return c.state == Idle && c.Address == t.address && c.Organisation == organisation
+}
+
 // Release makes a connection idle that has no exchange or transaction in progress. It
 // reports false if the connection was dropped instead and must be closed.
 func (t *Target) Release(c *Conn, now types.Instant) bool {
@@ -212,29 +226,6 @@
 	}
 }
 
-// DialsNeeded returns how many connections to open now for the given number of
-// requests that wait for the target. serviceWaiting tells whether requests of its
-// service wait, perhaps for another target.
-func (t *Target) DialsNeeded(waiting int, serviceWaiting bool, now types.Instant) int {
-	if t.address == "" || now < t.NextDialAt(serviceWaiting) {
-		return 0
-	}
-	available := t.countState(Idle) + t.countState(Dialing)
-	wanted := max(min(minConnections, t.kept()), min(waiting, t.Limit()-t.InFlight()))
-	n := min(wanted-available, t.share.Connections-len(t.conns))
-	if t.dialFailures > 0 {
-		n = min(n, 1-t.countState(Dialing))
-	}
-	return max(0, n)
-}
-
-// Dial adds a connection that is being dialed.
-func (t *Target) Dial(id types.ConnID) *Conn {
-	c := &Conn{ID: id, Ref: t.Ref, Address: t.address}
-	t.conns = append(t.conns, c)
-	return c
-}
-
 // Connected marks a dialed connection as idle. It returns the number of dials that had
 // failed since the last success.
 func (t *Target) Connected(c *Conn, now types.Instant) int {
@@ -253,7 +244,7 @@
 		t.rejectedAt = now
 	}
 	t.dialFailures++
-	t.dialFailedAt = now
+	t.dialFailedAt, t.failedOrganisation = now, c.Organisation
 	return t.dialFailures == 1
 }
 
--- a/core/pool/target_test.go
+++ b/core/pool/target_test.go
@@ -13,11 +13,16 @@
 	t := NewTarget(types.TargetRef{Service: "s", Name: "t"})
 	t.Update("address", types.Share{Connections: 4, Slots: 2})
 	for i := range failures {
-		t.DialFailed(t.Dial(types.ConnID(i+1)), false, now)
+		t.DialFailed(t.Dial(types.ConnID(i+1), ""), false, now)
 	}
 	return t
 }
 
+// dials returns how many connections to open for requests without an organisation.
+func dials(t *Target, waiting int, serviceWaiting bool, now types.Instant) int {
+	return len(t.PlanDials(Demand{Waiting: []Waiting{{Requests: waiting}}, ServiceWaiting: serviceWaiting}, now).Open)
+}
+
 // TestWaitingRequestsShortenTheDialBackoff covers a target that accepts connections
 // again after it refused them for some seconds, because the connections of hosts that
 // had lost power still counted against its limit.
@@ -25,10 +30,10 @@
 	const failed = types.Instant(time.Second)
 	target := failingTarget(12, failed)
 	soon := failed.Add(maxDialBackoffWaiting)
-	assert.Equal(t, target.DialsNeeded(1, true, soon-1), 0)
-	assert.Equal(t, target.DialsNeeded(0, true, soon), 1, "a request of the service waits")
-	assert.Equal(t, target.DialsNeeded(0, false, soon), 0, "nothing waits")
-	assert.Equal(t, target.DialsNeeded(0, false, failed.Add(maxDialBackoff)), 1)
+	assert.Equal(t, dials(target, 1, true, soon-1), 0)
+	assert.Equal(t, dials(target, 0, true, soon), 1, "a request of the service waits")
+	assert.Equal(t, dials(target, 0, false, soon), 0, "nothing waits")
+	assert.Equal(t, dials(target, 0, false, failed.Add(maxDialBackoff)), 1)
 	assert.Equal(t, target.NextDialAt(true), soon)
 	assert.Equal(t, target.NextDialAt(false), failed.Add(maxDialBackoff))
 }
@@ -37,7 +42,7 @@
 	const failed = types.Instant(time.Second)
 	target := failingTarget(1, failed)
 	assert.Equal(t, target.NextDialAt(true), failed.Add(minDialBackoff))
-	target.Connected(target.Dial(9), 0)
+	target.Connected(target.Dial(9, ""), 0)
 	assert.Equal(t, target.NextDialAt(true), types.Instant(0))
 }
 
@@ -46,10 +51,10 @@
 func TestSharedConnectionsAreClosedWhenIdle(t *testing.T) {
 	target := NewTarget(types.TargetRef{Service: "a", Name: "t1"})
 	target.Update("10.0.0.1:1", types.Share{Connections: 40, Shared: 39, Slots: 2})
-	assert.Equal(t, target.DialsNeeded(0, false, 0), 1)
+	assert.Equal(t, dials(target, 0, false, 0), 1)
 	var used []*Conn
 	for id := range types.ConnID(3) {
-		target.Connected(target.Dial(id), 0)
+		target.Connected(target.Dial(id, ""), 0)
 		used = append(used, target.Acquire(types.SessionID(id), "", nil))
 	}
 	released := types.Instant(time.Second)
--- a/core/session/connection.go
+++ b/core/session/connection.go
@@ -14,21 +14,24 @@
 const dialTimeout = 2 * time.Second
 
 // dial opens connections for the queued requests and those that the pool keeps open
-// in advance, and closes those that have been idle for too long.
-func (s *Shard) dial(svc *service) {
-	waiting := s.queuedPerTarget(svc)
-	busy := svc.queued() > 0
+// in advance, and closes those that have been idle for too long. It reports whether it
+// closed one for a request of another organisation.
+func (s *Shard) dial(svc *service) bool {
+	waiting := s.waitingPerTarget(svc)
+	demand := pool.Demand{ServiceWaiting: svc.queued() > 0, Organisations: len(s.view.Cluster.Config.Organisations) > 0}
+	madeRoom := false
 	var next types.Instant
 	for _, name := range sortedKeys(svc.targets) {
 		t := svc.targets[name].pool
-		for range t.DialsNeeded(waiting[name], busy, s.now) {
-			s.lastConn++
-			c := t.Dial(s.lastConn)
-			s.conns[c.ID] = c
-			s.emit(effect.DialTarget{Conn: c.ID, Ref: c.Ref, Address: c.Address, Timeout: dialTimeout})
+		demand.Waiting = waiting[name]
+		plan := t.PlanDials(demand, s.now)
+		s.closeConns(plan.Close)
+		madeRoom = madeRoom || len(plan.Close) > 0
+		for _, organisation := range plan.Open {
+			s.openConn(t, organisation)
 		}
 		s.closeConns(t.CloseIdle(s.now))
-		for _, at := range []types.Instant{t.NextDialAt(busy), t.NextIdleClose()} {
+		for _, at := range []types.Instant{t.NextDialAt(demand.ServiceWaiting), t.NextIdleClose()} {
 			if at > s.now && (next == 0 || at < next) {
 				next = at
 			}
@@ -37,6 +40,31 @@
 	if next != 0 {
 		s.emit(effect.ArmTimer{ID: event.TimerID{Domain: event.DomainPool, Key: svc.timerKey}, At: next})
 	}
+	return madeRoom
+}
+
+// openConn opens a connection to a target for an organisation.
+func (s *Shard) openConn(t *pool.Target, organisation types.OrganisationName) {
+	s.lastConn++
+	c := t.Dial(s.lastConn, organisation)
+	s.conns[c.ID] = c
+	s.emit(effect.DialTarget{Conn: c.ID, Ref: c.Ref, Address: c.Address, Organisation: organisation, Timeout: dialTimeout})
+}
+
+// waitingPerTarget returns the queued requests that each target could serve.
+func (s *Shard) waitingPerTarget(svc *service) map[types.TargetName][]pool.Waiting {
+	out := make(map[types.TargetName][]pool.Waiting)
+	for _, key := range sortedKeys(svc.queues) {
+		q := svc.queues[key]
+		if q.len() == 0 {
+			continue
+		}
+		waiting := q.waiting()
+		for _, name := range s.queueTargets(svc, q) {
+			out[name] = append(out[name], waiting...)
+		}
+	}
+	return out
 }
 
 // queuedPerTarget returns how many queued requests each target could serve.
--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -135,7 +135,7 @@
 	var names []types.TargetName
 	for _, m := range g.Members {
 		t := r.service.target(m.Name)
-		if m.Name == primary || m.State != types.TargetActive || !t.pool.Reachable() || t.behind.lacks(floor, s.now) || s.now < t.ejectedUntil {
+		if m.Name == primary || m.State != types.TargetActive || !t.pool.Reachable(s.now) || t.behind.lacks(floor, s.now) || s.now < t.ejectedUntil {
 			continue
 		}
 		names = append(names, m.Name)
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -15,6 +15,10 @@
 	// floorTimeout is how long a request waits for positions that may lower
 	// its session's first floor. A lower floor lets more replicas serve it.
 	floorTimeout = 10 * time.Millisecond
+	// overtakingLimit is how long a request that waits for a connection of its
+	// organisation is overtaken by those of others. Opening one takes 12 ms of a slot
+	// and two round trips.
+	overtakingLimit = 50 * time.Millisecond
 )
 
 // place moves a request to its next waiting stage: for the session's floor, or
@@ -135,7 +139,7 @@
 		return false
 	}
 	h := r.service.health(s.view, t.Name)
-	if h.Failing || h.Primary || h.Term != term || !r.service.target(t.Name).pool.Reachable() {
+	if h.Failing || h.Primary || h.Term != term || !r.service.target(t.Name).pool.Reachable(s.now) {
 		return false
 	}
 	if r.profile.Freshness == types.FreshAge && !fresh(h, s.now, r.profile.MaxAge) {
@@ -167,43 +171,72 @@
 // dispatch starts the queued requests for which a connection is free, and opens
 // connections for the rest.
 func (s *Shard) dispatch(svc *service) {
+	s.startReady(svc)
+	if s.dial(svc) {
+		s.startReady(svc) // those that waited behind a request that has its connection now
+	}
+}
+
+// startReady starts the queued requests for which a connection is free.
+func (s *Shard) startReady(svc *service) {
 	for s.leaseLive() || svc.managed(s.view) {
-		q, ready := s.nextQueue(svc)
-		if q == nil {
-			break
+		r, ready := s.nextRequest(svc)
+		if r == nil {
+			return
 		}
-		r := q.pop()
+		svc.queues[r.queueKey].take(r)
 		if key, _ := s.candidateSet(r); key != r.queueKey {
 			s.enqueue(r)
 			continue
 		}
 		s.start(r, s.pickTarget(svc, ready))
 	}
-	s.dial(svc)
 }
 
-// nextQueue returns the queue whose head goes first among the queues with a free
-// connection, and the targets that have one.
-func (s *Shard) nextQueue(svc *service) (*queue, []types.TargetName) {
-	var best *queue
-	var bestReady []types.TargetName
+// nextRequest returns the request that goes first among those of all queues that have a
+// free connection, and the targets that have it.
+func (s *Shard) nextRequest(svc *service) (*request, []types.TargetName) {
 	var first *request
+	var bestReady []types.TargetName
 	for _, key := range sortedKeys(svc.queues) {
 		q := svc.queues[key]
 		s.deprioritizeLate(svc, q)
-		r, ok := q.peek()
-		if !ok || best != nil && !r.precedes(first) {
-			continue
+		r, ready := s.nextOfQueue(svc, q)
+		if r != nil && (first == nil || r.precedes(first)) {
+			first, bestReady = r, ready
 		}
-		ready := s.readyTargets(svc, q, r)
+	}
+	return first, bestReady
+}
+
+// nextOfQueue returns the request of a queue that goes first among those with a free
+// connection, and the targets that have it. None goes before a request that waits for a
+// connection to be closed for it.
+func (s *Shard) nextOfQueue(svc *service, q *queue) (*request, []types.TargetName) {
+	var ready []types.TargetName
+	r, _ := q.next(func(r *request) bool {
+		ready = s.readyTargets(svc, q, r)
 		if len(ready) == 0 {
 			ready = s.overflowTarget(svc, q, r)
 		}
-		if len(ready) > 0 {
-			best, bestReady, first = q, ready, r
-		}
+		return len(ready) > 0 || s.starved(svc, q, r)
+	})
+	if len(ready) == 0 {
+		return nil, nil
+	}
+	return r, ready
+}
+
+// starved reports whether a request has been overtaken for too long: none of the targets
+// opens a connection for it while those of other organisations are used again.
+func (s *Shard) starved(svc *service, q *queue, r *request) bool {
+	if s.now.Sub(r.arrived) < overtakingLimit {
+		return false
 	}
-	return best, bestReady
+	targets := s.queueTargets(svc, q)
+	return len(targets) > 0 && !slices.ContainsFunc(targets, func(n types.TargetName) bool {
+		return svc.departures.Leaving(n) || !svc.target(n).pool.Starved(r.organisation, s.now)
+	})
 }
 
 // precedes orders the heads of two queues: timely requests first, then by
