A shard admits operations within its part of an organisation's limit

Cause: nothing bounded the operations of an organisation. Change: core/quota counts the operations that began within the window; a shard refuses one beyond its part at once, with the time at which a right is free again. The part follows from the number of proxies for now. Retries of an operation whose earlier attempt was sent use a right. The view has the place of the proxy in the fleet.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -36,6 +36,7 @@
 	appliedVersion uint64        // highest view version that all shards have reported as applied
 	clusterView    *types.ClusterView
 	leaseUntil     types.Instant // end of the lease as published
+	fleet          types.Fleet   // as published
 	changed        bool          // something to publish at once differs from the last published view
 	healthChanged  bool          // a target was probed since the last published view
 	publishedAt    types.Instant // when the last view was published
@@ -119,6 +120,9 @@
 	if until := n.holder.Until(); until != n.leaseUntil {
 		n.leaseUntil, n.changed = until, true
 	}
+	if fleet := n.holder.Fleet(); fleet != n.fleet {
+		n.fleet, n.changed = fleet, true
+	}
 	if version := n.holder.SharesVersion(); version != n.sharesVersion {
 		n.sharesVersion, n.changed = version, true
 		n.shares.set(n.holder.Shares(), n.now)
@@ -166,6 +170,7 @@
 		Health:     n.prober.Health(),
 		Shares:     n.holder.Shares(),
 		Draining:   n.draining,
+		Fleet:      n.fleet,
 	}}}
 }
 
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -290,6 +290,7 @@
 		return
 	}
 	if again && s.retry(r, reason) {
+		s.chargeQuota(r, sent)
 		return
 	}
 	s.refuse(r, code, r.outcome(), reason)
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -173,7 +173,7 @@
 	r.profile = profile
 	r.deadline = s.now.Add(orDefault(profile.RequestTimeout, defaultRequestTimeout))
 	r.queueDeadline = min(r.deadline, s.now.Add(orDefault(profile.QueueTimeout, defaultQueueTimeout)))
-	return true
+	return s.admitByQuota(r)
 }
 
 // RefuseDatabase returns a refusal and true if the configuration does not route
@@ -250,9 +250,15 @@
 // refuse refuses a request. Within a transaction it ends the transaction, which
 // must not be committed without this request.
 func (s *Shard) refuse(r *request, code types.RefusalCode, o types.Outcome, reason string) {
+	s.refuseUntil(r, code, o, reason, 0)
+}
+
+// refuseUntil refuses a request whose caller may come back after a time, if it isn't zero.
+func (s *Shard) refuseUntil(r *request, code types.RefusalCode, o types.Outcome, reason string, retryAfter time.Duration) {
 	c := r.session
 	s.abandon(r)
 	ref := refusal(code, o, reason)
+	ref.RetryAfter = retryAfter
 	s.emit(effect.RefuseCaller{Session: c.id, Seq: r.Seq, Refusal: ref})
 	s.recordDecision(r, effect.DecideRefuse, "", reason)
 	s.finish(r, code)
--- a/core/session/shard.go
+++ b/core/session/shard.go
@@ -11,6 +11,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/pool"
+	"github.com/camphorpaddle/camphorpaddle/core/quota"
 	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -20,6 +21,7 @@
 	Host             types.HostID
 	AvailabilityZone types.AvailabilityZone
 	Index            int
+	Shards           int            // number of shards of the proxy
 	Policy           routing.Policy // nil selects routing.Default
 }
 
@@ -33,6 +35,7 @@
 	lastConn types.ConnID
 	draining bool
 	reports  reporter
+	quotas   *quota.Admission
 
 	// Set while draining with a limit.
 	drainUntil        types.Instant // requests that are not answered by then are refused
@@ -57,6 +60,7 @@
 		services: make(map[types.ServiceName]*service),
 		conns:    make(map[types.ConnID]*pool.Conn),
 		dirty:    make(map[types.ServiceName]bool),
+		quotas:   quota.NewAdmission(o.Shards, o.Index),
 	}
 }
 
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -107,7 +107,7 @@
 // newShard returns the reducer of one traffic shard.
 func (p *Proxy) newShard(index int) *core.Reducer {
 	return core.NewShard(session.Options{
-		Host: p.host, AvailabilityZone: p.settings.AvailabilityZone, Index: index, Policy: p.edge.Policy,
+		Host: p.host, AvailabilityZone: p.settings.AvailabilityZone, Index: index, Shards: p.settings.Shards, Policy: p.edge.Policy,
 	})
 }
 
