A proxy opens no connection in advance that it would not keep

Cause: a pool had one idle connection open at all times. With one to keep, each request that used it had another one opened, which was closed after 1 s: the cause of nearly a connection an operation on large fleets. Change: connections are opened in advance only up to those kept while idle. Tests of pool, session and limits pass.

--- a/core/pool/dial.go
+++ b/core/pool/dial.go
@@ -46,7 +46,7 @@
 			break
 		}
 		if room := t.share.Connections - len(t.conns) - len(p.Open); room <= 0 || t.Full(now) {
-			c := t.leastRecentlyUsed(o, d)
+			c := t.replaceable(o, d)
 			if c == nil && room <= 0 {
 				continue
 			}
@@ -89,7 +89,7 @@
 	case t.share.Connections == 0:
 	case t.dialFailures > 0 && !t.lastRejected() && len(t.conns) == 0:
 		return []types.OrganisationName{t.failedOrganisation}
-	case !d.Organisations && t.available("") < min(minConnections, t.kept()):
+	case !d.Organisations && t.available("") < minConnections && len(t.conns) < t.kept():
 		return []types.OrganisationName{""}
 	}
 	return nil
@@ -117,19 +117,12 @@
 	return false
 }
 
-// leastRecentlyUsed returns the connection that has been idle for the longest time among
-// those of organisations other than the given one that no waiting request needs, or nil.
-func (t *Target) leastRecentlyUsed(organisation types.OrganisationName, d Demand) *Conn {
-	var oldest *Conn
-	for _, c := range t.conns {
-		if c.state != Idle || c.Organisation == organisation || t.available(c.Organisation) <= d.requests(c.Organisation) {
-			continue
-		}
-		if oldest == nil || c.idleSince < oldest.idleSince {
-			oldest = c
-		}
-	}
-	return oldest
+// replaceable returns the connection to close for one of the given organisation: the least
+// recently used one of the others that no waiting request needs, or nil.
+func (t *Target) replaceable(organisation types.OrganisationName, d Demand) *Conn {
+	return t.leastRecentlyUsed(func(c *Conn) bool {
+		return c.Organisation != organisation && t.available(c.Organisation) > d.requests(c.Organisation)
+	})
 }
 
 // Starved reports whether a connection for the organisation could be opened now but for
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -73,15 +73,29 @@
 // have been idle for idleTimeout.
 func (t *Target) CloseIdle(now types.Instant) []*Conn {
 	var closed []*Conn
-	for i := len(t.conns) - 1; i >= 0 && len(t.conns) > t.kept(); i-- {
-		if c := t.conns[i]; c.state == Idle && now.Sub(c.idleSince) >= t.idleTimeout() {
-			t.Drop(c)
-			closed = append(closed, c)
+	for len(t.conns) > t.kept() {
+		c := t.leastRecentlyUsed(func(c *Conn) bool { return now.Sub(c.idleSince) >= t.idleTimeout() })
+		if c == nil {
+			break
 		}
+		t.Drop(c)
+		closed = append(closed, c)
 	}
 	return closed
 }
 
+// leastRecentlyUsed returns the connection that has been idle for the longest time among
+// those that match, or nil.
+func (t *Target) leastRecentlyUsed(match func(*Conn) bool) *Conn {
+	var oldest *Conn
+	for _, c := range t.conns {
+		if c.state == Idle && (oldest == nil || c.idleSince < oldest.idleSince) && match(c) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
 // NextIdleClose returns when CloseIdle may drop a connection next, or zero.
 func (t *Target) NextIdleClose() types.Instant {
 	if len(t.conns) <= t.kept() {
@@ -156,7 +170,8 @@
 // didn't fail or an earlier connection is still open. A target that rejected the last
 // connection because of its limit may have room after a while.
 func (t *Target) Reachable(now types.Instant) bool {
-	return t.share.Connections > 0 && (t.dialFailures == 0 || t.countState(Dialing) < len(t.conns) || t.lastRejected() && !t.Full(now))
+	opening := t.countState(Dialing)
+	return t.share.Connections > 0 && (t.dialFailures == 0 || opening < len(t.conns) || t.lastRejected() && opening == 0 && !t.Full(now))
 }
 
 // lastRejected reports whether the last dial failed because of the target's limit.
--- a/core/pool/target_test.go
+++ b/core/pool/target_test.go
@@ -68,3 +68,17 @@
 	assert.Equal(t, target.NextIdleClose(), types.Instant(0))
 	assert.Equal(t, len(target.CloseIdle(released.Add(time.Hour))), 0, "it closes what it keeps")
 }
+
+// TestUseOfTheKeptConnectionOpensNone covers a proxy that keeps one connection, and uses it
+// time and again: it opens no second one that would be closed without use.
+func TestUseOfTheKeptConnectionOpensNone(t *testing.T) {
+	target := NewTarget(types.TargetRef{Service: "a", Name: "t1"})
+	target.Update("10.0.0.1:1", types.Share{Connections: 40, Shared: 39, Slots: 2})
+	target.Connected(target.Dial(1, ""), 0)
+	c := target.Acquire(1, "", nil)
+	assert.Equal(t, dials(target, 0, false, 0), 0)
+	assert.Assert(t, target.Release(c, types.Instant(time.Second)))
+	target.Update("10.0.0.1:1", types.Share{Connections: 40, Shared: 38, Slots: 2})
+	target.Acquire(1, "", nil)
+	assert.Equal(t, dials(target, 0, false, 0), 1, "it may keep two")
+}
