Operators configure organisations and their keys

Cause: the operators' YAML had no organisations, and what shows a configuration would show the keys. Files of the control log that came with a wider mode are restricted when the folder is opened. Result: tests of settings, cmd/paddlectl, storage and daemon pass.

--- a/cmd/paddlectl/config.go
+++ b/cmd/paddlectl/config.go
@@ -11,6 +11,7 @@
 	"github.com/camphorpaddle/camphorpaddle/internal/cmdline"
 	"github.com/camphorpaddle/camphorpaddle/settings"
 	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 )
 
@@ -25,7 +26,12 @@
 				Name: "check", Usage: "validate a file without applying it", ArgsUsage: "FILE",
 				Action: checkConfig,
 			},
-			{Name: "show", Usage: "show the current configuration", Action: withClient(showConfig)},
+			{
+				Name: "show", Usage: "show the current configuration",
+				Description: "If it has organisations, their keys are hidden and comments are left out.",
+				Flags:       []cli.Flag{&cli.BoolFlag{Name: "keys", Usage: "show the text as it was applied, with the keys of organisations"}},
+				Action:      withClient(showConfig),
+			},
 			{
 				Name: "apply", Usage: "apply a configuration file", ArgsUsage: "FILE",
 				Description: "The change is based on a version. If another change was accepted in between,\n" +
@@ -61,10 +67,12 @@
 		return err
 	}
 	summary := struct {
-		Services int `json:"services"`
-		Profiles int `json:"profiles"`
-	}{len(cfg.Services), len(cfg.Profiles)}
-	return out.line(summary, "%s: valid, %d services, %d profiles", args[0], summary.Services, summary.Profiles)
+		Services      int `json:"services"`
+		Profiles      int `json:"profiles"`
+		Organisations int `json:"organisations"`
+	}{len(cfg.Services), len(cfg.Profiles), len(cfg.Organisations)}
+	return out.line(summary, "%s: valid, %d services, %d profiles, %d organisations",
+		args[0], summary.Services, summary.Profiles, summary.Organisations)
 }
 
 // currentConfig returns the configuration in effect.
@@ -74,11 +82,16 @@
 	return cfg, err
 }
 
-func showConfig(ctx context.Context, inv *invocation, _ *cli.Command) error {
+func showConfig(ctx context.Context, inv *invocation, cmd *cli.Command) error {
 	cfg, err := inv.currentConfig(ctx)
 	if err != nil {
 		return err
 	}
+	if cfg.Organisations > 0 && !cmd.Bool("keys") {
+		if cfg.Source, err = settings.HideKeys(cfg.Source); err != nil {
+			return trace.Wrap(err, "hiding the keys of organisations; --keys shows the text as it was applied")
+		}
+	}
 	return inv.out.line(cfg, "# version %d\n%s", cfg.Version, cfg.Source)
 }
 
--- a/cmd/paddlectl/main_test.go
+++ b/cmd/paddlectl/main_test.go
@@ -30,6 +30,7 @@
 	delay   time.Duration
 	silent  bool // closes the connection of every change without an answer
 	changes []api.ConfigChange
+	config  *api.Config // the configuration in effect; nil for one without organisations
 	status  api.Status
 }
 
@@ -46,6 +47,8 @@
 		_ = json.NewDecoder(r.Body).Decode(&c)
 		f.changes = append(f.changes, c)
 		f.writeJSON(w, api.ChangeResult{ChangeID: c.ChangeID, Accepted: true, Version: c.Base + 1})
+	case r.URL.Path == api.PathConfig && f.config != nil:
+		f.writeJSON(w, f.config)
 	case r.URL.Path == api.PathConfig:
 		f.writeJSON(w, api.Config{Version: 4, Source: validConfig})
 	case r.URL.Path == api.PathStatus:
@@ -176,6 +179,28 @@
 	assert.Equal(t, st.Term, uint64(3))
 }
 
+// TestShowHidesKeys checks that the keys of organisations are shown on request only, also
+// if the configuration was given in a format that the command does not know.
+func TestShowHidesKeys(t *testing.T) {
+	withKey := &api.Config{
+		Version: 4, Organisations: 1, Source: validConfig + "organisations:\n  mill: {keys: [secret-0000000001]}\n",
+	}
+	for _, format := range []string{"table", "json"} {
+		out, code := ctl(t, &fakeControl{config: withKey}, "-o", format, "config", "show")
+		assert.Equal(t, code, 0)
+		assert.Assert(t, strings.Contains(out, "mill") && !strings.Contains(out, "secret"), out)
+		out, code = ctl(t, &fakeControl{config: withKey}, "-o", format, "config", "show", "--keys")
+		assert.Equal(t, code, 0)
+		assert.Assert(t, strings.Contains(out, "secret-0000000001"), out)
+	}
+	foreign := &api.Config{Version: 4, Organisations: 1, Source: `{"keys":["secret-0000000001"]}`}
+	out, code := ctl(t, &fakeControl{config: foreign}, "config", "show")
+	assert.Assert(t, code != 0)
+	assert.Assert(t, !strings.Contains(out, "secret"), out)
+	out, _ = ctl(t, &fakeControl{}, "config", "show")
+	assert.Equal(t, out, "# version 4\n"+validConfig+"\n", "a configuration without organisations is shown as it was applied")
+}
+
 func TestEveryCommandHasHelp(t *testing.T) {
 	for _, args := range [][]string{{}, {"config"}, {"config", "apply"}, {"target", "drain"}, {"host", "add"}, {"promote"}} {
 		out, code := ctl(t, &fakeControl{}, append(args, "--help")...)
--- a/cmd/paddlectl/profiles.go
+++ b/cmd/paddlectl/profiles.go
@@ -34,6 +34,7 @@
 	QueueTimeout   time.Duration `json:"queue_timeout_ns"`
 	DrainTimeout   time.Duration `json:"drain_timeout_ns"`
 	Weight         int           `json:"weight"`
+	Priority       int           `json:"priority"`
 	Services       []string      `json:"services"`
 }
 
@@ -57,7 +58,7 @@
 // newProfile returns the JSON form of a profile with the services that offer it.
 func newProfile(cfg *types.Config, p types.Profile) profile {
 	out := profile{
-		Name: string(p.Name), MaxAge: p.MaxAge, Weight: p.Weight,
+		Name: string(p.Name), MaxAge: p.MaxAge, Weight: p.Weight, Priority: p.Priority,
 		Freshness:      settings.FreshnessName(p.Freshness),
 		Idempotent:     settings.IdempotenceName(p.Idempotent),
 		Durability:     settings.DurabilityName(p.Durability),
@@ -112,6 +113,7 @@
 	t.add("queue_timeout", p.QueueTimeout)
 	t.add("drain_timeout", p.DrainTimeout)
 	t.add("weight", p.Weight)
+	t.add("priority", p.Priority)
 	for _, svc := range p.Services {
 		t.add("service", svc)
 	}
--- a/daemon/api/api.go
+++ b/daemon/api/api.go
@@ -61,8 +61,9 @@
 
 // Config is the configuration in effect.
 type Config struct {
-	Version uint64 `json:"version"`
-	Source  string `json:"source"`
+	Version       uint64 `json:"version"`
+	Source        string `json:"source"`        // with the keys of organisations
+	Organisations int    `json:"organisations"` // number of organisations
 }
 
 // Promote requests an ordered change of primary.
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -117,7 +117,11 @@
 	if err != nil {
 		return err
 	}
-	return ctx.Result(200, api.Config{Version: configVersion(st), Source: st.State.Source})
+	out := api.Config{Version: configVersion(st), Source: st.State.Source}
+	if st.State.Config != nil {
+		out.Organisations = len(st.State.Config.Organisations)
+	}
+	return ctx.Result(200, out)
 }
 
 func (c *Control) changeConfig(ctx khttp.Context) error {
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -73,7 +73,12 @@
 	return d.mapping(doc.Content[0], "")
 }
 
-var syntaxLine = regexp.MustCompile(`line (\d+)`)
+var (
+	syntaxLine = regexp.MustCompile(`line (\d+)`)
+	// unknownAnchor matches the part of a message that quotes the file: a key that
+	// begins with an asterisk reads as an alias.
+	unknownAnchor = regexp.MustCompile(`unknown anchor '.*'`)
+)
 
 // addSyntaxError records an error of the YAML parser, at the line that its message
 // gives.
@@ -86,7 +91,8 @@
 	if m := syntaxLine.FindStringSubmatch(err.Error()); m != nil {
 		position.Line, _ = strconv.Atoi(m[1])
 	}
-	d.addFinding(position, "", "not valid YAML: %s", strings.TrimPrefix(err.Error(), "yaml: "))
+	message := unknownAnchor.ReplaceAllString(strings.TrimPrefix(err.Error(), "yaml: "), "unknown anchor")
+	d.addFinding(position, "", "not valid YAML: %s", message)
 }
 
 // entry is one key of a mapping with its value.
--- a/settings/operators.go
+++ b/settings/operators.go
@@ -45,6 +45,7 @@
 	}
 	proxies := root.integer("proxies", 1, valueRange[int]{1, maxProxies})
 	cfg.TransactionIdle = root.duration("transaction_idle", 0, valueRange[time.Duration]{0, maxTimeout})
+	cfg.PriorityOrder = choice(root, "priority_order", false, switches)
 	root.required("profiles")
 	for _, e := range root.submapping("profiles").entries {
 		p := d.profile(e)
@@ -55,6 +56,7 @@
 		s := d.service(e, cfg.Profiles, proxies)
 		cfg.Services[s.Name] = s
 	}
+	root.organisations(cfg)
 	root.reportUnknownKeys()
 	if err := d.err(); err != nil {
 		return nil, err
@@ -68,6 +70,8 @@
 	"age":     types.FreshAge,
 }
 
+var switches = map[string]bool{"true": true, "false": false}
+
 var idempotences = map[string]types.Idempotence{
 	"none":  types.IdempotentNone,
 	"reads": types.IdempotentReads,
@@ -91,6 +95,7 @@
 		Objective:      m.duration("objective", 0, valueRange[time.Duration]{0, maxTimeout}),
 		DrainTimeout:   m.duration("drain_timeout", defaultDrainTimeout, timeouts),
 		Weight:         m.integer("weight", defaultWeight, valueRange[int]{1, maxWeight}),
+		Priority:       m.integer("priority", 0, valueRange[int]{0, maxPriority}),
 	}
 	m.required("freshness")
 	p.Freshness = choice(m, "freshness", types.FreshPrimary, freshnessModes)
--- a/storage/folder.go
+++ b/storage/folder.go
@@ -23,6 +23,10 @@
 	tempSuffix   = ".tmp"
 )
 
+// fileMode lets only the user of the process read the files: the text of the operators'
+// configuration holds the keys of organisations.
+const fileMode = 0o600
+
 // formatVersion identifies the format of the files. A folder in any other
 // format is refused.
 const formatVersion = "camphorpaddle control data 1\n"
@@ -39,7 +43,7 @@
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	lock, err := os.OpenFile(filepath.Join(path, lockFile), os.O_CREATE|os.O_RDWR, 0o600)
+	lock, err := os.OpenFile(filepath.Join(path, lockFile), os.O_CREATE|os.O_RDWR, fileMode)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
@@ -47,7 +51,26 @@
 		_ = lock.Close()
 		return nil, trace.AlreadyExists("data folder %s is in use by another process", path)
 	}
-	return &folder{path: path, lock: lock}, nil
+	f := &folder{path: path, lock: lock}
+	return f, f.restrictFiles()
+}
+
+// restrictFiles sets the mode of files that came with another one, as from a backup.
+func (f *folder) restrictFiles() error {
+	for _, name := range []string{snapshotFile, logFile, snapshotFile + tempSuffix, logFile + tempSuffix} {
+		info, err := os.Stat(f.filePath(name))
+		if errors.Is(err, fs.ErrNotExist) || err == nil && info.Mode().Perm() == fileMode {
+			continue
+		}
+		if err == nil {
+			err = os.Chmod(f.filePath(name), fileMode)
+		}
+		if err != nil {
+			_ = f.close()
+			return trace.ConvertSystemError(err)
+		}
+	}
+	return nil
 }
 
 // close unlocks the folder.
@@ -85,7 +108,7 @@
 }
 
 func writeFileSynced(path string, content []byte) error {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -159,7 +159,7 @@
 
 // openLog opens the log for appending and truncates a torn record at its end.
 func (l *Log) openLog() (err error) {
-	file, err := os.OpenFile(l.folder.filePath(logFile), os.O_RDWR, 0o600)
+	file, err := os.OpenFile(l.folder.filePath(logFile), os.O_RDWR, fileMode)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -91,6 +91,33 @@
 	assert.ErrorContains(t, err, "in use by another process")
 }
 
+// TestFilesAreReadableByTheirUserOnly checks the modes of the files that hold the text of
+// the operators' configuration, also after a copy that changed them.
+func TestFilesAreReadableByTheirUserOnly(t *testing.T) {
+	l := newClusterLog(t)
+	p := persistEntries(2, 6, 6)
+	p.Snapshot = &proto.Snapshot{Index: 4, Term: 2}
+	assert.NilError(t, l.Persist(p))
+	check := func() {
+		t.Helper()
+		entries, err := os.ReadDir(l.folder.path)
+		assert.NilError(t, err)
+		assert.Assert(t, len(entries) >= 2)
+		for _, e := range entries {
+			info, err := e.Info()
+			assert.NilError(t, err)
+			assert.Equal(t, info.Mode().Perm(), os.FileMode(fileMode), e.Name())
+		}
+	}
+	check()
+	assert.NilError(t, l.Close())
+	for _, name := range []string{snapshotFile, logFile} {
+		assert.NilError(t, os.Chmod(l.folder.filePath(name), 0o644))
+	}
+	l = open(t, l.folder.path)
+	check()
+}
+
 func TestSnapshotRotatesLog(t *testing.T) {
 	l := newClusterLog(t)
 	p := persistEntries(2, 6, 6)
