Proxies keep two thirds of a target's connections, and close others after 300 ms

With 1 s of idle time, proxies reported their uses all the time. Change: a proxy keeps its even part of two thirds, half while the target is contended; idle ones beyond close after 300 ms, or 1 s where none is kept, the least recently used first. The test of the part kept checks both parts for the first, the last and all proxies in place of half for one. Tests of capacity, limits, lease, node, pool and session pass.

--- a/core/capacity/capacity.go
+++ b/core/capacity/capacity.go
@@ -19,9 +19,12 @@
 // the proxies is enough to fill the slots.
 const maxProxiesPerSlot = 2
 
-// keptDivisor is the part of a managed target's connections that proxies may keep while
-// idle, in equal parts. The rest is left for bursts.
-const keptDivisor = 2
+// Parts of a managed target's connections that the proxies together keep open while idle,
+// in even parts. The rest is left for bursts.
+const (
+	keptFraction          = 2.0 / 3
+	contendedKeptFraction = 1.0 / 2 // while nearly all are in use
+)
 
 // EvenPart returns part number at when total is split into n parts that differ by at
 // most one.
@@ -60,13 +63,34 @@
 	return max(0, svc.Connections-ControlConnections-JoinConnections)
 }
 
-// Kept returns how many idle connections to a managed target each of n proxies keeps
-// open. It closes the others after a while.
-func Kept(svc types.Service, n int) int {
+// Kept returns how many idle connections to a managed target a proxy keeps open. It closes
+// the others after a while. Where there are not enough for every proxy, none keeps any.
+func Kept(svc types.Service, fleet types.Fleet) int {
+	total := keptByAll(svc)
+	if fleet.Proxies <= 0 || total < fleet.Proxies {
+		return 0
+	}
+	return EvenPart(total, fleet.Proxies, fleet.Index)
+}
+
+// KeptByOthers returns the most that some of the n proxies keep together.
+func KeptByOthers(svc types.Service, n, others int) int {
+	total := keptByAll(svc)
+	if n <= 0 || total < n {
+		return 0
+	}
+	return others*(total/n) + min(others, total%n)
+}
+
+func keptByAll(svc types.Service) int { return int(keptFraction * float64(Managed(svc))) }
+
+// KeptWhileContended returns how many idle connections each of n proxies keeps open at a
+// contended target.
+func KeptWhileContended(svc types.Service, n int) int {
 	if n <= 0 {
 		return 0
 	}
-	return Managed(svc) / keptDivisor / n
+	return int(contendedKeptFraction*float64(Managed(svc))) / n
 }
 
 // provisionalDivisor divides a managed target's connections for a proxy that does not
@@ -83,7 +107,7 @@
 	}
 	connections := max(1, Managed(svc))
 	return types.Share{
-		Connections: connections, Shared: connections - Kept(svc, fleet.Proxies),
+		Connections: connections, Shared: connections - Kept(svc, fleet),
 		Slots: Slots(SlotsOf(svc, t), fleet.Proxies, fleet.Index),
 	}
 }
--- a/core/capacity/capacity_test.go
+++ b/core/capacity/capacity_test.go
@@ -27,23 +27,40 @@
 	}
 }
 
-// TestProxiesKeepIdleConnectionsWhileHalfAreLeft covers fleets in which idle connections
-// of all proxies leave half of a target's connections for bursts.
-func TestProxiesKeepIdleConnectionsWhileHalfAreLeft(t *testing.T) {
-	cases := []struct{ connections, proxies, kept int }{
-		{16, 4, 1},
-		{56, 4, 6},
-		{48, 34, 0},
-		{144, 71, 1},
-		{144, 78, 0},
-		{144, 300, 0},
-		{56, 96, 0},
-		{3, 1, 0},
+// TestProxiesKeepIdleConnectionsWhileAThirdIsLeft covers fleets in which idle connections
+// of all proxies leave a third of a target's connections for bursts, and half of them while
+// the target is contended.
+func TestProxiesKeepIdleConnectionsWhileAThirdIsLeft(t *testing.T) {
+	cases := []struct{ connections, proxies, first, last, contended int }{
+		{16, 4, 3, 2, 1},
+		{56, 4, 9, 9, 6},
+		{70, 26, 2, 1, 1},
+		{48, 34, 0, 0, 0},
+		{144, 71, 2, 1, 1},
+		{144, 78, 2, 1, 0},
+		{144, 300, 0, 0, 0},
+		{56, 96, 0, 0, 0},
+		{3, 1, 0, 0, 0},
 	}
 	for _, c := range cases {
 		svc := types.Service{Connections: c.connections, Managed: true}
-		assert.Equal(t, capacity.Kept(svc, c.proxies), c.kept, "%d connections, %d proxies", c.connections, c.proxies)
-		assert.Assert(t, 2*c.kept*c.proxies <= capacity.Managed(svc))
+		sum, all := 0, capacity.Managed(svc)
+		for i := range c.proxies {
+			kept := capacity.Kept(svc, types.Fleet{Proxies: c.proxies, Index: i})
+			sum += kept
+			assert.Assert(t, kept >= capacity.KeptWhileContended(svc, c.proxies))
+			if i == 0 {
+				assert.Equal(t, kept, c.first, "%d connections, %d proxies", c.connections, c.proxies)
+			}
+			if i == c.proxies-1 {
+				assert.Equal(t, kept, c.last, "%d connections, %d proxies", c.connections, c.proxies)
+			}
+		}
+		assert.Assert(t, 3*sum <= 2*all)
+		assert.Equal(t, capacity.KeptWhileContended(svc, c.proxies), c.contended)
+		assert.Assert(t, 2*c.contended*c.proxies <= all)
+		assert.Equal(t, capacity.KeptByOthers(svc, c.proxies, c.proxies), sum)
+		assert.Assert(t, capacity.KeptByOthers(svc, c.proxies, 1) == c.first)
 	}
 }
 
--- a/core/limits/managed.go
+++ b/core/limits/managed.go
@@ -169,7 +169,7 @@
 		}
 		member, _ := a.state.Group(ref.Service).Target(ref.Name)
 		share := capacity.ManagedShare(svc, member, place)
-		share.Shared = max(0, n-(share.Connections-share.Shared))
+		share.Shared = max(0, n-capacity.KeptWhileContended(svc, place.Proxies))
 		share.Connections, share.Contended = n, true
 		out = append(out, proto.ShareGrant{Ref: ref, Share: share})
 	}
@@ -205,13 +205,14 @@
 // holds what it keeps while idle.
 func (a *Allocator) occupied(p *managedPool, svc types.Service) int {
 	n := len(a.fleet.index)
-	return p.sum + max(0, n-len(p.uses))*capacity.Kept(svc, n)
+	return p.sum + capacity.KeptByOthers(svc, n, max(0, n-len(p.uses)))
 }
 
 // nearlyFull reports whether nearly all connections of a target are in use, as far as the
 // proxies know. Where every proxy keeps some, that is usual, and one has to need more.
 func (a *Allocator) nearlyFull(p *managedPool, svc types.Service) bool {
-	keepsNone := capacity.Kept(svc, len(a.fleet.index)) == 0
+	n := len(a.fleet.index)
+	keepsNone := capacity.KeptByOthers(svc, n, n) == 0
 	return p.full > 0 || (keepsNone || p.unmet > 0) && a.occupied(p, svc) > divisible(svc)
 }
 
@@ -238,7 +239,7 @@
 	hosts := slices.Sorted(maps.Keys(p.uses))
 	others := max(0, len(a.fleet.index)-len(hosts))
 	demands := make([]int, len(hosts)+others)
-	sum := others * capacity.Kept(svc, len(a.fleet.index))
+	sum := others * capacity.KeptWhileContended(svc, len(a.fleet.index))
 	for i := range demands {
 		demands[i] = 1
 		if i < len(hosts) {
--- a/core/limits/managed_test.go
+++ b/core/limits/managed_test.go
@@ -79,10 +79,15 @@
 // request sends a lease request of a proxy that holds and could use the given numbers
 // of connections, and returns the proxy's share by the grant.
 func (f *managedFleet) request(proxy, held, demand int) types.Share {
+	return f.requestFull(proxy, held, demand, false)
+}
+
+// requestFull is request of a proxy of which the target may have rejected a connection.
+func (f *managedFleet) requestFull(proxy, held, demand int, full bool) types.Share {
 	f.seq++
 	r := proto.LeaseRequest{Proxy: host(proxy), Seq: f.seq, AppliedVersion: f.index, ViewVersion: f.index}
-	if max(held, demand) > 0 {
-		r.Held = []proto.ShareHeld{{Ref: managedRef, Share: types.Share{Connections: held}, Demand: demand}}
+	if max(held, demand) > 0 || full {
+		r.Held = []proto.ShareHeld{{Ref: managedRef, Share: types.Share{Connections: held}, Demand: demand, Full: full}}
 	}
 	f.step(event.LeaseRequested{Request: r})
 	for _, g := range f.grant.Shares {
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -14,9 +14,11 @@
 	// minConnections is the number of connections kept open without load.
 	minConnections = 1
 	// idleTimeout is how long a connection that other proxies may use too stays open
-	// without use, and contendedIdleTimeout while the target has no free connections.
-	// A new connection takes 12 ms of a slot of the target.
-	idleTimeout          = time.Second
+	// without use, keptNoneIdleTimeout where the proxy keeps none of its own, and
+	// contendedIdleTimeout while the target has no free connections. A new connection
+	// takes 12 ms of a slot of the target.
+	idleTimeout          = 300 * time.Millisecond
+	keptNoneIdleTimeout  = time.Second
 	contendedIdleTimeout = 100 * time.Millisecond
 	// fullDuration is how long a target counts as full after it rejected a connection.
 	fullDuration = 500 * time.Millisecond
@@ -70,7 +72,7 @@
 }
 
 // CloseIdle drops and returns the connections that other proxies may use too and that
-// have been idle for idleTimeout.
+// have been idle for too long, the least recently used first.
 func (t *Target) CloseIdle(now types.Instant) []*Conn {
 	var closed []*Conn
 	for len(t.conns) > t.kept() {
@@ -111,8 +113,11 @@
 }
 
 func (t *Target) idleTimeout() time.Duration {
-	if t.share.Contended {
+	switch {
+	case t.share.Contended:
 		return contendedIdleTimeout
+	case t.kept() == 0:
+		return keptNoneIdleTimeout
 	}
 	return idleTimeout
 }
