PostgreSQL callers present the key of their organisation as password

Cause: the PostgreSQL front let every caller in, and told targets one fixed name. The dialer tells the target the organisation as application_name.

--- a/core/session/request.go
+++ b/core/session/request.go
@@ -183,9 +183,12 @@
 // RefuseSession returns a refusal and true if the configuration does not route the
 // database name of a session, or does not know the key of its caller.
 func RefuseSession(view *types.NodeView, p types.SessionParams, now types.Instant) (types.Refusal, bool) {
-	if !view.Routes(p.Database) {
+	if p.Database != "" && !view.Routes(p.Database) {
 		return refuseUnrouted(view, p.Database, now), true
 	}
+	if !view.Configured() {
+		return types.Refusal{}, false
+	}
 	if _, why := organisation.Identify(view, p.Key, p.Database, now); why != nil {
 		return *why, true
 	}
--- a/core/types/view.go
+++ b/core/types/view.go
@@ -71,6 +71,12 @@
 	return ok
 }
 
+// HasOrganisations reports whether the configuration has organisations, so that callers
+// need a key.
+func (v *NodeView) HasOrganisations() bool {
+	return v.Configured() && len(v.Cluster.Config.Organisations) > 0
+}
+
 // Group returns the group of a service, or nil.
 func (v *NodeView) Group(s ServiceName) *Group {
 	if v == nil || v.Cluster == nil {
--- a/dialer/pg/conn_test.go
+++ b/dialer/pg/conn_test.go
@@ -236,6 +236,35 @@
 	}
 }
 
+// TestTargetIsToldTheOrganisation checks the name of the application in the startup
+// message.
+func TestTargetIsToldTheOrganisation(t *testing.T) {
+	for organisation, want := range map[types.OrganisationName]string{"": applicationName, "mill": "mill"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		dialed := make(chan error, 1)
+		go func() {
+			conn, err := NewDialer(Config{}).Dial(t.Context(), testRef, types.Address(l.Addr().String()), organisation)
+			if err == nil {
+				conn.Close()
+			}
+			dialed <- err
+		}()
+		conn, err := l.Accept()
+		assert.NilError(t, err)
+		defer conn.Close()
+		backend := pgproto3.NewBackend(conn, conn)
+		msg, err := backend.ReceiveStartupMessage()
+		assert.NilError(t, err)
+		assert.Equal(t, msg.(*pgproto3.StartupMessage).Parameters["application_name"], want)
+		backend.Send(&pgproto3.AuthenticationOk{})
+		backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		assert.NilError(t, backend.Flush())
+		assert.NilError(t, <-dialed)
+	}
+}
+
 func TestDialFailures(t *testing.T) {
 	m, err := standin.Start(standin.Config{MaxConnections: 1})
 	assert.NilError(t, err)
--- a/dialer/pg/dialer.go
+++ b/dialer/pg/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -20,6 +21,10 @@
 	DefaultDialTimeout = 5 * time.Second
 )
 
+// applicationName is the name of the application on connections that carry no
+// organisation's requests.
+const applicationName = "camphorpaddle"
+
 // readBufferSize is the size of the read buffer of a connection, in bytes.
 const readBufferSize = 16 << 10
 
@@ -63,9 +68,10 @@
 	return &Dialer{config: c}
 }
 
-// Dial connects to the target and completes the startup.
+// Dial connects to the target and completes the startup. The target is told the
+// organisation as the name of the application.
 func (d *Dialer) Dial(
-	ctx context.Context, ref types.TargetRef, addr types.Address, _ types.OrganisationName,
+	ctx context.Context, ref types.TargetRef, addr types.Address, organisation types.OrganisationName,
 ) (runtime.TargetConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.config.DialTimeout)
 	defer cancel()
@@ -74,7 +80,7 @@
 		return nil, trace.Wrap(err, "connecting to target %s", ref)
 	}
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
-	conn, err := d.startup(ctx, raw, ref)
+	conn, err := d.startup(ctx, raw, ref, organisation)
 	if !stop() || err != nil {
 		raw.Close()
 		if ctx.Err() != nil {
@@ -85,13 +91,15 @@
 	return conn, nil
 }
 
-func (d *Dialer) startup(ctx context.Context, raw net.Conn, ref types.TargetRef) (*Conn, error) {
+func (d *Dialer) startup(
+	ctx context.Context, raw net.Conn, ref types.TargetRef, organisation types.OrganisationName,
+) (*Conn, error) {
 	secured, err := d.secure(ctx, raw)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	c := &Conn{conn: secured, reader: bufio.NewReaderSize(secured, readBufferSize), maxReply: d.config.MaxReply}
-	if err := c.sendStartup(d.config, ref.Service); err != nil {
+	if err := c.sendStartup(d.config, ref.Service, organisation); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return c, trace.Wrap(c.awaitReady(d.config.Password))
@@ -120,7 +128,7 @@
 	return secured, trace.Wrap(secured.HandshakeContext(ctx))
 }
 
-func (c *Conn) sendStartup(config Config, service types.ServiceName) error {
+func (c *Conn) sendStartup(config Config, service types.ServiceName, organisation types.OrganisationName) error {
 	database := config.Database
 	if database == "" {
 		database = string(service)
@@ -128,7 +136,8 @@
 	startup := pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters: map[string]string{
-			"user": config.User, "database": database, "application_name": "camphorpaddle",
+			"user": config.User, "database": database,
+			"application_name": cmp.Or(string(organisation), applicationName),
 		},
 	}
 	message, err := startup.Encode(nil)
--- a/front/pg/caller.go
+++ b/front/pg/caller.go
@@ -293,9 +293,9 @@
 
 // replyRefusal reports a refusal to the caller. A refusal within a transaction
 // closes the connection: the statements that follow must not run outside the
-// transaction.
+// transaction. So does an unknown key, which only a new connection can replace.
 func (c *caller) replyRefusal(r *types.Refusal) error {
-	if c.tx != types.TxIdle {
+	if c.tx != types.TxIdle || r.Code == types.RefuseUnknownKey {
 		return c.fatal(refusalError(r))
 	}
 	return c.replyError(refusalError(r))
--- a/front/pg/fake_test.go
+++ b/front/pg/fake_test.go
@@ -30,6 +30,7 @@
 	unanswered types.RequestSeq     // request that is never answered
 	closed     chan types.SessionID // sessions whose caller disconnected
 	draining   bool
+	view       *types.NodeView // published when the proxy starts, or nil
 
 	sessions map[types.SessionID]*fakeSession
 	waiting  map[types.ConnID]effect.SendTarget // to be sent once the connection is open
@@ -165,6 +166,13 @@
 	return append([]types.Request(nil), f.requests...)
 }
 
+// recordedParams returns the parameters of the sessions opened so far.
+func (f *fakeShard) recordedParams() []types.SessionParams {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]types.SessionParams(nil), f.params...)
+}
+
 // harness is a front end with the fake reducer and a stand-in target.
 type harness struct {
 	shard   *fakeShard
@@ -173,10 +181,15 @@
 	address string
 }
 
-// idlePart is a control reducer that does nothing.
-type idlePart struct{}
+// viewPart is a control reducer that only publishes one view.
+type viewPart struct{ view *types.NodeView }
 
-func (idlePart) Step(event.Input) []effect.Effect { return nil }
+func (p viewPart) Step(in event.Input) []effect.Effect {
+	if _, ok := in.Event.(event.Start); ok && p.view != nil {
+		return []effect.Effect{effect.PublishView{View: p.view}}
+	}
+	return nil
+}
 
 // discardRecorder is a recorder that discards everything.
 type discardRecorder struct{}
@@ -194,7 +207,7 @@
 		setup(shard)
 	}
 	proxy := runtime.NewProxy(runtime.ProxyOptions{
-		Control: core.New(idlePart{}), Shard: func(int) *core.Reducer { return core.New(shard) }, Shards: 1,
+		Control: core.New(viewPart{shard.view}), Shard: func(int) *core.Reducer { return core.New(shard) }, Shards: 1,
 		Clock: runtime.NewClock(), Seed: func() uint64 { return 1 },
 		Targets: targetpg.NewDialer(targetpg.Config{}), Recorder: discardRecorder{},
 	})
--- a/front/pg/fuzz_test.go
+++ b/front/pg/fuzz_test.go
@@ -75,7 +75,7 @@
 func refusingServer(t testing.TB) *Server {
 	t.Helper()
 	proxy := runtime.NewProxy(runtime.ProxyOptions{
-		Control: core.New(idlePart{}), Shard: func(int) *core.Reducer { return core.New(refusingPart{}) }, Shards: 1,
+		Control: core.New(viewPart{}), Shard: func(int) *core.Reducer { return core.New(refusingPart{}) }, Shards: 1,
 		Clock: runtime.NewClock(), Seed: func() uint64 { return 1 }, Recorder: discardRecorder{},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/front/pg/refusal.go
+++ b/front/pg/refusal.go
@@ -11,24 +11,25 @@
 
 // SQLSTATEs that the front end sends. docs/PROTOCOL.md explains them to callers.
 const (
-	codeProtocolViolation  = "08P01"
-	codeOutcomeUnknown     = "08007" // transaction_resolution_unknown
-	codeConnectionFailure  = "08006"
-	codeNotSupported       = "0A000"
-	codeInvalidValue       = "22023"
-	codeUnknownService     = "3D000" // invalid_catalog_name
-	codeInvalidPassword    = "28P01"
-	codeInvalidCursor      = "34000"
-	codeSerialization      = "40001"
-	codeUndefinedParameter = "42704"
-	codeTooManyConnections = "53300"
-	codeOverloaded         = "53400"
-	codeLimitExceeded      = "54000"
-	codeQueryCanceled      = "57014"
-	codeAdminShutdown      = "57P01"
-	codeCannotConnectNow   = "57P03"
-	codeLostWrite          = "PD001"
-	codeInternal           = "XX000"
+	codeProtocolViolation    = "08P01"
+	codeOutcomeUnknown       = "08007" // transaction_resolution_unknown
+	codeConnectionFailure    = "08006"
+	codeNotSupported         = "0A000"
+	codeInvalidValue         = "22023"
+	codeUnknownService       = "3D000" // invalid_catalog_name
+	codeInvalidPassword      = "28P01"
+	codeInvalidAuthorization = "28000"
+	codeInvalidCursor        = "34000"
+	codeSerialization        = "40001"
+	codeUndefinedParameter   = "42704"
+	codeTooManyConnections   = "53300"
+	codeOverloaded           = "53400"
+	codeLimitExceeded        = "54000"
+	codeQueryCanceled        = "57014"
+	codeAdminShutdown        = "57P01"
+	codeCannotConnectNow     = "57P03"
+	codeLostWrite            = "PD001"
+	codeInternal             = "XX000"
 )
 
 // notRunCodes maps the refusals of requests that did not run to their
--- a/front/pg/startup.go
+++ b/front/pg/startup.go
@@ -53,10 +53,13 @@
 	if c.params.Service == "" {
 		return false, c.fatal(newError(codeUnknownService, "not run: the startup message names no database"))
 	}
+	c.reader.startupDone()
+	if err := c.authenticate(); err != nil {
+		return false, trace.Wrap(err)
+	}
 	if err := c.completeStartup(msg.ProtocolVersion); err != nil {
 		return false, trace.Wrap(err)
 	}
-	c.reader.startupDone()
 	return true, trace.Wrap(c.conn.SetDeadline(time.Time{}))
 }
 
@@ -159,8 +162,7 @@
 	return conn.RemoteAddr().String()
 }
 
-// completeStartup sends the messages that end the startup. Callers are not
-// authenticated.
+// completeStartup sends the messages that end the startup.
 func (c *caller) completeStartup(version uint32) error {
 	messages := []pgproto3.BackendMessage{}
 	if version != pgproto3.ProtocolVersion30 {
--- a/runtime/session.go
+++ b/runtime/session.go
@@ -61,6 +61,9 @@
 	return refusal, refused
 }
 
+// HasOrganisations reports whether callers need a key now.
+func (p *Proxy) HasOrganisations() bool { return p.View().HasOrganisations() }
+
 // initialService returns the service that a session starts with.
 func (p *Proxy) initialService(params types.SessionParams) types.ServiceName {
 	view := p.View()
