Serve by priority when targets carry less than is asked

Cause: requests of all priorities queue at the target in order of arrival, since each of many proxies has only one exchange under way. In a surge the shortest objective, that of the highest priority, is missed first. Change: core/admission orders a queue by priority and, below it, fairly between organisations; each proxy learns a level of admission for each target from the delay of its own requests there, and spreads the return of refused callers. In effect where Config.PriorityOrder or organisations are set. The weighted fair queue moves from core/pool with its tests.

--- a/core/pool/queue_test.go
+++ b/core/admission/queue_test.go
@@ -1,4 +1,4 @@
-package pool
+package admission
 
 import (
 	"testing"
@@ -12,13 +12,13 @@
 func TestQueueSharesByWeight(t *testing.T) {
 	var q Queue[types.ProfileName]
 	for range 300 {
-		q.Push("catalog", 1, 1, "catalog")
+		q.Push(Class{Profile: "catalog", Weight: 1}, "", 1, "catalog")
 	}
 	for range 100 {
 		q.Pop()
 	}
 	for range 200 {
-		q.Push("orders", 3, 1, "orders")
+		q.Push(Class{Profile: "orders", Weight: 3}, "", 1, "orders")
 	}
 	got := make(map[types.ProfileName]int)
 	for range 100 {
@@ -32,10 +32,10 @@
 	var q Queue[int]
 	var entries []*Entry[int]
 	for i := range 10 {
-		entries = append(entries, q.Push("p", 1, 1, i))
+		entries = append(entries, q.Push(Class{Profile: "p", Weight: 1}, "", 1, i))
 	}
 	for _, i := range []int{0, 5, 5, 9} {
-		q.Remove("p", entries[i])
+		q.Remove(entries[i])
 	}
 	assert.Equal(t, q.Len(), 7)
 	assert.DeepEqual(t, q.Drain(), []int{1, 2, 3, 4, 6, 7, 8})
@@ -47,8 +47,8 @@
 func TestQueueSharesByCost(t *testing.T) {
 	var q Queue[types.ProfileName]
 	for range 300 {
-		q.Push("short", 1, 8, "short")
-		q.Push("long", 1, 40, "long")
+		q.Push(Class{Profile: "short", Weight: 1}, "", 8, "short")
+		q.Push(Class{Profile: "long", Weight: 1}, "", 40, "long")
 	}
 	got := make(map[types.ProfileName]int)
 	for range 120 {
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -48,10 +48,10 @@
 	QueuedRequests int           // queued requests of the service
 	Elapsed        time.Duration // time since the request arrived
 	Retries        int           // earlier attempts
-	Cause          Cause         // why the request is retried or queued again
+	Cause          Cause         // why the request is retried, queued again or refused
 }
 
-// Cause is the reason why a request is retried or queued again.
+// Cause is the reason why a request is retried, queued again or refused.
 type Cause string
 
 // The causes.
@@ -60,6 +60,7 @@
 	CauseBehind     Cause = "behind"      // the replica lacks the required position
 	CauseNotPrimary Cause = "not_primary" // the target was replaced
 	CauseNoAnswer   Cause = "no_answer"   // the connection broke, or the replica timed out
+	CausePriority   Cause = "priority"    // the targets serve requests of a higher priority
 )
 
 // Decision is the kind of a recorded decision.
--- a/core/routing/stats.go
+++ b/core/routing/stats.go
@@ -41,6 +41,9 @@
 // queued at the target.
 func (s *Stats) Congested() bool { return float64(s.last) > congestionFactor*float64(s.unloaded) }
 
+// Queued returns how much longer than without a queue at the target an exchange took.
+func (s *Stats) Queued(latency time.Duration) time.Duration { return latency - s.unloaded }
+
 // HasCapacity reports whether the latency of the last answer was no higher than without
 // a queue.
 func (s *Stats) HasCapacity() bool { return s.last <= s.unloaded }
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -169,6 +169,7 @@
 		r.service.recordLatency(r.profile.Name, e.Latency)
 		s.adaptLimit(r)
 	}
+	s.observeQueueing(r, e.Results[0], e.Latency)
 	s.recordStatus(r, e.Results[0], e.Results[len(e.Results)-1])
 	s.stepDone(r, e.Results)
 }
--- a/core/session/fleet_test.go
+++ b/core/session/fleet_test.go
@@ -45,6 +45,25 @@
 	pause          time.Duration // how long they do not answer
 	members        int           // 3 if not set
 	lastProxyRatio float64       // fraction of the callers sent to the last proxy; the others pick any
+	priorityOrder  bool          // Config.PriorityOrder
+	surge          surge
+	slowedAt       time.Duration // if set, when the members become slow
+	slowFactor     float64       // by which a slow member takes longer
+}
+
+// surge is a span of time in which the arrival rates are multiplied.
+type surge struct {
+	at, duration time.Duration
+	factor       float64
+}
+
+// factorAt returns by what the arrival rates are multiplied.
+func (s surge) factorAt(at types.Instant) float64 {
+	since := at.Sub(types.Instant(time.Second).Add(s.at))
+	if s.duration > 0 && since >= 0 && since < s.duration {
+		return s.factor
+	}
+	return 1
 }
 
 // requestClass is a kind of operation with its arrival rate and the counts of
@@ -58,6 +77,19 @@
 	transactionRatio float64       // fraction that are transactions of three statements
 
 	sent, inTime, late, failed int
+	seconds                    []secondCount // by the second in which the operation arrived
+}
+
+// secondCount counts the operations that arrived within one second.
+type secondCount struct{ sent, inTime int }
+
+// second returns the counts of the second in which an operation arrived.
+func (c *requestClass) second(arrived types.Instant) *secondCount {
+	i := int(arrived.Sub(types.Instant(time.Second)) / time.Second)
+	for len(c.seconds) <= i {
+		c.seconds = append(c.seconds, secondCount{})
+	}
+	return &c.seconds[i]
 }
 
 // fleetMember is a member of the service and its utilisation.
@@ -106,6 +138,7 @@
 		members: make(map[types.TargetName]*fleetMember), callers: make(map[types.SessionID]*fleetCaller),
 	}
 	config := testConfig()
+	config.PriorityOrder = c.priorityOrder
 	svc := config.Services[svcName]
 	svc.Managed, svc.Members = true, 0
 	config.Services[svcName] = svc
@@ -178,13 +211,15 @@
 // scheduleArrival schedules the next operation of a class, with exponentially
 // distributed intervals.
 func (f *fleet) scheduleArrival(c *requestClass, end types.Instant) {
-	f.after(time.Duration(f.rand.ExpFloat64()/c.perSecond*float64(time.Second)), func() {
+	perSecond := c.perSecond * f.config.surge.factorAt(f.now)
+	f.after(time.Duration(f.rand.ExpFloat64()/perSecond*float64(time.Second)), func() {
 		if f.now >= end {
 			return
 		}
 		caller := &fleetCaller{class: c, arrived: f.now, statements: f.drawOperation(c), counted: f.lagRaised() || f.config.lagRaisedAt == 0}
 		if caller.counted {
 			c.sent++
+			c.second(f.now).sent++
 		}
 		f.startAttempt(caller)
 		f.scheduleArrival(c, end)
@@ -249,24 +284,26 @@
 	case !caller.counted:
 	case f.now.Sub(caller.arrived) <= caller.class.profile.Objective:
 		caller.class.inTime++
+		caller.class.second(caller.arrived).inTime++
 	default:
 		caller.class.late++
 	}
 }
 
-func (f *fleet) handleRefusal(id types.SessionID, outcome types.Outcome) {
+func (f *fleet) handleRefusal(id types.SessionID, refusal types.Refusal) {
 	caller := f.callers[id]
 	if caller == nil {
 		return
 	}
 	f.closeSession(id, caller)
-	if caller.retries++; caller.retries > maxCallerRetries || outcome != types.NotRun {
+	if caller.retries++; caller.retries > maxCallerRetries || refusal.Outcome != types.NotRun {
 		if caller.counted {
 			caller.class.failed++
 		}
 		return
 	}
-	f.after(time.Duration(50+f.rand.IntN(100))*time.Millisecond, func() { f.startAttempt(caller) })
+	delay := time.Duration(50+f.rand.IntN(100)) * time.Millisecond
+	f.after(max(delay, refusal.RetryAfter), func() { f.startAttempt(caller) })
 }
 
 func (f *fleet) closeSession(id types.SessionID, caller *fleetCaller) {
@@ -297,9 +334,9 @@
 	case effect.AnswerCaller:
 		f.handleAnswer(e.Session)
 	case effect.RefuseCaller:
-		f.handleRefusal(e.Session, e.Refusal.Outcome)
+		f.handleRefusal(e.Session, e.Refusal)
 	case effect.EndSession:
-		f.handleRefusal(e.Session, e.Refusal.Outcome)
+		f.handleRefusal(e.Session, e.Refusal)
 	case effect.ArmTimer:
 		p.arm(e)
 	case effect.StopTimer:
@@ -380,7 +417,11 @@
 	f.changeBusy(m, 1)
 	m.statements++
 	stmt := op.Payload.(*simStatement)
-	f.after(f.drawServiceTime(stmt.serviceTime), func() {
+	serviceTime := f.drawServiceTime(stmt.serviceTime)
+	if f.config.slowedAt > 0 && f.now >= types.Instant(time.Second).Add(f.config.slowedAt) {
+		serviceTime = time.Duration(float64(serviceTime) * f.config.slowFactor)
+	}
+	f.after(serviceTime, func() {
 		f.changeBusy(m, -1)
 		if stmt.write {
 			f.commitTimes = append(f.commitTimes, f.now)
--- a/core/session/overload.go
+++ b/core/session/overload.go
@@ -1,9 +1,11 @@
 package session
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -17,9 +19,17 @@
 	// overflowAfter is how long a read waits for a replica of a managed service
 	// before the primary may serve it: about the time of one statement.
 	overflowAfter = 30 * time.Millisecond
+	// returnObjectiveDivisor divides a profile's objective into the time within which
+	// refused callers are told to come back, so that they can still be served in time.
+	// Those of profiles without an objective come back within defaultReturnLimit.
+	returnObjectiveDivisor = 2
+	defaultReturnLimit     = time.Second
 	// maxQueueLength bounds the requests that wait for one candidate set, and so
 	// their memory.
 	maxQueueLength = 4096
+	// maxOrganisationQueueLength bounds those of one organisation, so that others
+	// find the queue open.
+	maxOrganisationQueueLength = maxQueueLength / 8
 )
 
 // overloadReason returns why the queue can't accept the request, or "".
@@ -27,9 +37,12 @@
 	if q.len() >= maxQueueLength {
 		return "the queue is full"
 	}
+	if r.organisation != "" && q.timely.Waiting(r.organisation) >= maxOrganisationQueueLength {
+		return fmt.Sprintf("%d requests of the organisation wait", maxOrganisationQueueLength)
+	}
 	ahead, margin := q.len(), time.Duration(admissionMargin)
 	if r.profile.Objective > 0 {
-		ahead, margin = q.timely.Len(), 1 // late requests are queued behind it
+		ahead, margin = q.timely.Ahead(r.admissionClass(), r.organisation), 1 // late requests are queued behind it
 	}
 	wait := s.expectedWait(r.service, q, ahead)
 	if margin*wait > r.queueDeadline.Sub(s.now) {
@@ -38,9 +51,30 @@
 	return ""
 }
 
+// refuseOverloaded refuses a request that can't be served in time, and tells its
+// caller when to come back.
+func (s *Shard) refuseOverloaded(r *request, q *queue, cause effect.Cause, reason string) {
+	ref := refusal(types.RefuseOverloaded, r.outcome(), reason)
+	if q.byPriority() {
+		limit := orDefault(r.profile.Objective/returnObjectiveDivisor, defaultReturnLimit)
+		ref.RetryAfter = q.returnsOf(r.profile.Name).After(s.now, s.serviceRate(r.service, q), limit)
+	}
+	s.refuseWith(r, ref, cause)
+}
+
 // expectedWait estimates how long a request waits if ahead others are queued
 // before it.
 func (s *Shard) expectedWait(svc *service, q *queue, ahead int) time.Duration {
+	perSecond := s.serviceRate(svc, q)
+	if perSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+}
+
+// serviceRate estimates how many requests of the queue this proxy serves in a second,
+// or returns zero if it is not known.
+func (s *Shard) serviceRate(svc *service, q *queue) float64 {
 	var perSecond float64
 	for _, name := range s.queueTargets(svc, q) {
 		t := svc.target(name)
@@ -48,10 +82,7 @@
 			perSecond += float64(t.pool.Limit()) / latency.Seconds()
 		}
 	}
-	if perSecond == 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+	return perSecond
 }
 
 // deprioritizeLate moves late requests of a queue behind the others. If a target
@@ -66,7 +97,7 @@
 	}
 	for _, r := range q.shed(s.now, latency) {
 		r.queueEntry, r.stage = nil, stageBackoff
-		s.refuse(r, types.RefuseOverloaded, r.outcome(), "the targets have more work than they can do in time")
+		s.refuseOverloaded(r, q, "", "the targets have more work than they can do in time")
 	}
 }
 
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -68,11 +68,15 @@
 	key, candidates := s.candidateSet(r)
 	q, ok := r.service.queues[key]
 	if !ok {
-		q = &queue{candidates: candidates}
+		q = newQueue(candidates)
 		r.service.queues[key] = q
 	}
+	q.configure(s.view.Cluster.Config)
 	if reason := s.overloadReason(r, q); reason != "" && !r.admitted {
-		s.refuse(r, types.RefuseOverloaded, r.outcome(), reason)
+		s.refuseOverloaded(r, q, "", reason)
+		return
+	}
+	if !s.admitByPriority(r, q) {
 		return
 	}
 	r.stage, r.queueKey, r.admitted = stageQueued, key, true
@@ -168,11 +172,11 @@
 // connections for the rest.
 func (s *Shard) dispatch(svc *service) {
 	for s.leaseLive() || svc.managed(s.view) {
-		q, ready := s.nextQueue(svc)
-		if q == nil {
+		q, r, ready := s.nextRequest(svc)
+		if r == nil {
 			break
 		}
-		r := q.pop()
+		q.take(r)
 		if key, _ := s.candidateSet(r); key != r.queueKey {
 			s.enqueue(r)
 			continue
@@ -182,28 +186,27 @@
 	s.dial(svc)
 }
 
-// nextQueue returns the queue whose head goes first among the queues with a free
-// connection, and the targets that have one.
-func (s *Shard) nextQueue(svc *service) (*queue, []types.TargetName) {
+// nextRequest returns the request that goes first among those with a free
+// connection, its queue, and the targets that have one.
+func (s *Shard) nextRequest(svc *service) (*queue, *request, []types.TargetName) {
 	var best *queue
-	var bestReady []types.TargetName
 	var first *request
+	var bestReady []types.TargetName
 	for _, key := range sortedKeys(svc.queues) {
 		q := svc.queues[key]
 		s.deprioritizeLate(svc, q)
-		r, ok := q.peek()
-		if !ok || best != nil && !r.precedes(first) {
-			continue
-		}
-		ready := s.readyTargets(svc, q, r)
-		if len(ready) == 0 {
-			ready = s.overflowTarget(svc, q, r)
-		}
-		if len(ready) > 0 {
-			best, bestReady, first = q, ready, r
+		var ready []types.TargetName
+		r, ok := q.next(func(r *request) bool {
+			if ready = s.readyTargets(svc, q, r); len(ready) == 0 {
+				ready = s.overflowTarget(svc, q, r)
+			}
+			return len(ready) > 0
+		})
+		if ok && (best == nil || r.precedes(first)) {
+			best, first, bestReady = q, r, ready
 		}
 	}
-	return best, bestReady
+	return best, first, bestReady
 }
 
 // precedes orders the heads of two queues: timely requests first, then by
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/admission"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/pool"
@@ -48,7 +49,7 @@
 	retryAt       types.Instant // while in stageBackoff
 
 	queueKey   string // candidate set that it is queued for
-	queueEntry *pool.Entry[*request]
+	queueEntry *admission.Entry[*request]
 	cost       float64 // expected work, in seconds
 	late       bool    // it is queued behind those that can be answered in time
 
@@ -250,14 +251,18 @@
 // refuse refuses a request. Within a transaction it ends the transaction, which
 // must not be committed without this request.
 func (s *Shard) refuse(r *request, code types.RefusalCode, o types.Outcome, reason string) {
+	s.refuseWith(r, refusal(code, o, reason), "")
+}
+
+// refuseWith refuses a request for a cause, which may be empty.
+func (s *Shard) refuseWith(r *request, ref types.Refusal, cause effect.Cause) {
 	c := r.session
 	s.abandon(r)
-	ref := refusal(code, o, reason)
 	s.emit(effect.RefuseCaller{Session: c.id, Seq: r.Seq, Refusal: ref})
-	s.recordDecision(r, effect.DecideRefuse, "", reason)
-	s.finish(r, code)
+	s.recordDecision(r, effect.DecideRefuse, cause, ref.Reason)
+	s.finish(r, ref.Code)
 	if c.inTransaction() {
-		s.endSession(c, refusal(types.RefuseTransactionLost, o, "the connection of the transaction was closed: "+reason))
+		s.endSession(c, refusal(types.RefuseTransactionLost, ref.Outcome, "the connection of the transaction was closed: "+ref.Reason))
 		return
 	}
 	s.afterRequest(c)
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/admission"
 	"github.com/camphorpaddle/camphorpaddle/core/drain"
 	"github.com/camphorpaddle/camphorpaddle/core/freshness"
 	"github.com/camphorpaddle/camphorpaddle/core/pool"
@@ -26,6 +27,7 @@
 	writing        int          // sessions with a write or a transaction on the primary
 	group          *types.Group // group in the last view that was applied
 	samples        freshness.Samples
+	classes        serviceClasses
 	statementStats map[types.ProfileName]*routing.Stats // latency of the statements of each profile
 
 	// Of a managed service.
@@ -38,6 +40,7 @@
 type target struct {
 	pool         *pool.Target
 	stats        routing.Stats
+	level        admission.Level
 	answerHealth types.TargetHealth // status that came with an answer
 
 	caughtUp         bool               // holds every entry that it has held in the term
--- a/daemon/names_test.go
+++ b/daemon/names_test.go
@@ -61,7 +61,7 @@
 		stateNames[types.TargetSilent])
 	add("kind of error", api.ErrNotLeader, api.ErrConflict, api.ErrNotFound, api.ErrRefused, api.ErrUnknown,
 		api.ErrInvalid, api.ErrUnauthorized, api.ErrInternal)
-	add("cause of another try", effect.CauseNoCapacity, effect.CauseBehind, effect.CauseNotPrimary, effect.CauseNoAnswer)
+	add("cause of another try", effect.CauseNoCapacity, effect.CauseBehind, effect.CauseNotPrimary, effect.CauseNoAnswer, effect.CausePriority)
 	add("decision", effect.DecideLeader, effect.DecideStepDown, effect.DecideVoters, effect.DecideConfig,
 		effect.DecideConflict, effect.DecideMember, effect.DecideTermBegun, effect.DecideTermServing,
 		effect.DecidePromotionWaits, effect.DecideLeaseLost, effect.DecideLeaseGained, effect.DecideShare,
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -87,9 +87,13 @@
 		"kind": string(d.Kind), "service": string(d.Service),
 	}).Counter("decisions_total").Inc(1)
 	if d.Basis != nil && d.Basis.Cause != "" {
+		name := "tries_again_total"
+		if d.Kind == effect.DecideRefuse {
+			name = "refusal_causes_total"
+		}
 		m.scope.Tagged(map[string]string{
 			"service": string(d.Service), "cause": string(d.Basis.Cause),
-		}).Counter("tries_again_total").Inc(1)
+		}).Counter(name).Inc(1)
 	}
 	switch d.Kind {
 	case effect.DecideLeaseLost:
