--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -187,6 +187,16 @@
 	return all
 }
 
+// VisitFlows calls visit for each organisation of each class with the number of its entries,
+// in the order in which their first ones are served.
+func (q *Queue[T]) VisitFlows(visit func(organisation types.OrganisationName, entries int)) {
+	for _, c := range q.inOrder() {
+		for _, f := range c.inOrder() {
+			visit(f.organisation, f.len())
+		}
+	}
+}
+
 // Waiting returns how many entries an organisation has.
 func (q *Queue[T]) Waiting(organisation types.OrganisationName) int {
 	n := 0
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -267,7 +267,7 @@
 	c, conn := r.session, r.conn
 	r.stage, r.conn = stageDurable, nil
 	if tx != types.TxIdle {
-		c.conn, c.onReplica, c.profile = conn, r.replica, r.profile
+		c.conn, c.onReplica, c.profile, c.organisation = conn, r.replica, r.profile, r.organisation
 		return
 	}
 	c.conn = nil
@@ -291,6 +291,7 @@
 		return
 	}
 	if again && s.retry(r, reason) {
+		s.chargeQuota(r, sent)
 		return
 	}
 	s.refuse(r, code, r.outcome(), reason)
--- a/core/session/queue.go
+++ b/core/session/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/admission"
+	"github.com/camphorpaddle/camphorpaddle/core/pool"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -198,6 +199,25 @@
 	return &q.timely
 }
 
+// waiting returns how many requests of each organisation wait, in the order in which their
+// first ones are served.
+func (q *queue) waiting() []pool.Waiting {
+	var out []pool.Waiting
+	at := make(map[types.OrganisationName]int)
+	add := func(organisation types.OrganisationName, requests int) {
+		i, ok := at[organisation]
+		if !ok {
+			i = len(out)
+			at[organisation] = i
+			out = append(out, pool.Waiting{Organisation: organisation})
+		}
+		out[i].Requests += requests
+	}
+	q.timely.VisitFlows(add)
+	q.late.VisitFlows(add)
+	return out
+}
+
 // drain removes and returns all requests.
 func (q *queue) drain() []*request { return append(q.timely.Drain(), q.late.Drain()...) }
 
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -7,6 +7,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/admission"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/organisation"
 	"github.com/camphorpaddle/camphorpaddle/core/pool"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -165,6 +166,9 @@
 		s.refuse(r, types.RefuseUnknownService, r.outcome(), fmt.Sprintf("service %q is not configured", name))
 		return false
 	}
+	if !s.identify(r) {
+		return false
+	}
 	profile, ok := s.profile(r)
 	if !ok {
 		s.refuse(r, types.RefuseUnknownProfile, r.outcome(), fmt.Sprintf("service %q has no profile %q", name, r.Profile))
@@ -174,16 +178,19 @@
 	r.profile = profile
 	r.deadline = s.now.Add(orDefault(profile.RequestTimeout, defaultRequestTimeout))
 	r.queueDeadline = min(r.deadline, s.now.Add(orDefault(profile.QueueTimeout, defaultQueueTimeout)))
-	return true
+	return s.admitByQuota(r)
 }
 
-// RefuseDatabase returns a refusal and true if the configuration does not route
-// the database name of a session.
-func RefuseDatabase(view *types.NodeView, name types.DatabaseName, now types.Instant) (types.Refusal, bool) {
-	if view.Routes(name) {
-		return types.Refusal{}, false
+// RefuseSession returns a refusal and true if the configuration does not route the
+// database name of a session, or does not know the key of its caller.
+func RefuseSession(view *types.NodeView, p types.SessionParams, now types.Instant) (types.Refusal, bool) {
+	if !view.Routes(p.Database) {
+		return refuseUnrouted(view, p.Database, now), true
+	}
+	if _, why := organisation.Identify(view, p.Key, p.Database, now); why != nil {
+		return *why, true
 	}
-	return refuseUnrouted(view, name, now), true
+	return types.Refusal{}, false
 }
 
 // refuseUnrouted reports a name as unknown only under a live lease. Without one
@@ -245,13 +252,24 @@
 	s.emit(effect.AnswerCaller{Session: c.id, Seq: r.Seq, Answer: r.answer})
 	s.finish(r, 0)
 	c.lastAnswerAt = s.now
+	if s.keyRevoked(c) {
+		s.endRevoked(c)
+		return
+	}
 	s.afterRequest(c)
 }
 
 // refuse refuses a request. Within a transaction it ends the transaction, which
 // must not be committed without this request.
 func (s *Shard) refuse(r *request, code types.RefusalCode, o types.Outcome, reason string) {
-	s.refuseWith(r, refusal(code, o, reason), "")
+	s.refuseUntil(r, code, o, reason, 0)
+}
+
+// refuseUntil refuses a request whose caller may come back after a time, if it isn't zero.
+func (s *Shard) refuseUntil(r *request, code types.RefusalCode, o types.Outcome, reason string, retryAfter time.Duration) {
+	ref := refusal(code, o, reason)
+	ref.RetryAfter = retryAfter
+	s.refuseWith(r, ref, "")
 }
 
 // refuseWith refuses a request for a cause, which may be empty.
