--- a/core/session/place.go
+++ b/core/session/place.go
@@ -72,11 +72,15 @@
 	key, candidates := s.candidateSet(r)
 	q, ok := r.service.queues[key]
 	if !ok {
-		q = &queue{candidates: candidates}
+		q = newQueue(candidates)
 		r.service.queues[key] = q
 	}
+	q.configure(s.view.Cluster.Config)
 	if reason := s.overloadReason(r, q); reason != "" && !r.admitted {
-		s.refuse(r, types.RefuseOverloaded, r.outcome(), reason)
+		s.refuseOverloaded(r, q, "", reason)
+		return
+	}
+	if !s.admitByPriority(r, q) {
 		return
 	}
 	r.stage, r.queueKey, r.admitted = stageQueued, key, true
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/admission"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/organisation"
@@ -49,7 +50,7 @@
 	retryAt       types.Instant // while in stageBackoff
 
 	queueKey   string // candidate set that it is queued for
-	queueEntry *pool.Entry[*request]
+	queueEntry *admission.Entry[*request]
 	cost       float64 // expected work, in seconds
 	late       bool    // it is queued behind those that can be answered in time
 
@@ -269,15 +270,20 @@
 
 // refuseUntil refuses a request whose caller may come back after a time, if it isn't zero.
 func (s *Shard) refuseUntil(r *request, code types.RefusalCode, o types.Outcome, reason string, retryAfter time.Duration) {
-	c := r.session
-	s.abandon(r)
 	ref := refusal(code, o, reason)
 	ref.RetryAfter = retryAfter
+	s.refuseWith(r, ref, "")
+}
+
+// refuseWith refuses a request for a cause, which may be empty.
+func (s *Shard) refuseWith(r *request, ref types.Refusal, cause effect.Cause) {
+	c := r.session
+	s.abandon(r)
 	s.emit(effect.RefuseCaller{Session: c.id, Seq: r.Seq, Refusal: ref})
-	s.recordDecision(r, effect.DecideRefuse, "", reason)
-	s.finish(r, code)
+	s.recordDecision(r, effect.DecideRefuse, cause, ref.Reason)
+	s.finish(r, ref.Code)
 	if c.inTransaction() {
-		s.endSession(c, refusal(types.RefuseTransactionLost, o, "the connection of the transaction was closed: "+reason))
+		s.endSession(c, refusal(types.RefuseTransactionLost, ref.Outcome, "the connection of the transaction was closed: "+ref.Reason))
 		return
 	}
 	s.afterRequest(c)
