Probes of all proxies are bounded by the room of the members

Cause: while a managed group had no healthy primary, each proxy probed each member every 200 ms over a connection kept for 300 ms. 90 proxies so asked for 90 connections of members that accept 46; control got none, the group got no primary, and the probes went on.

Change: members other than the primary are probed in turn, 4 times a second and slot by all proxies together, once half of their connections are fewer than the proxies; a suspect primary that answers 16 times. Connections of such probes are closed with the answer. A rejected connection doubles the time to the next probe, and is reported, so that the leader has all proxies ask less often. A proxy that doesn't know the fleet leaves groups without a primary to control. A hint about an earlier primary doesn't count against the next one. Promotions by an external service need no connection to the member. An attempt that waits says for whom and why, at most once a second.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -159,6 +159,7 @@
 		Ref     types.TargetRef
 		Address types.Address
 		Timeout time.Duration
+		Close   bool // the connection is closed after the answer
 	}
 	// PublishView replaces the view that the shards use.
 	PublishView struct{ View *types.NodeView }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -107,6 +107,7 @@
 		ProbedAt types.Instant
 		Err      error
 		Busy     bool // the target had no capacity to report more than its position, if even that
+		Full     bool // Busy, because the target rejected the connection
 		Status   types.TargetStatus
 	}
 	// Announced reports an announcement that a target sent to this proxy.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -128,6 +128,7 @@
 	if version := n.holder.SharesVersion(); version != n.sharesVersion {
 		n.sharesVersion, n.changed = version, true
 		n.shares.set(n.holder.Shares(), n.now)
+		n.prober.SetShares(n.holder.Shares())
 	}
 	var out []effect.Effect
 	if view := n.holder.Cluster(); view != n.clusterView {
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -172,8 +172,11 @@
 	}
 }
 
-// isFull reports whether a target recently rejected a connection of a shard.
+// isFull reports whether a target recently rejected a connection of a shard or a probe.
 func (n *Node) isFull(ref types.TargetRef) bool {
+	if n.prober.Full(ref, n.now) {
+		return true
+	}
 	for _, r := range n.shards {
 		if r.Full[ref] {
 			return true
--- a/core/probe/managed.go
+++ b/core/probe/managed.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -16,14 +17,21 @@
 // another member may be the primary by now. It probes the members of each managed
 // service that becomes suspect.
 func (p *Prober) SetSuspects(suspects map[types.ServiceName]bool, now types.Instant) []effect.Effect {
+	before := p.suspect
+	p.suspect = suspects
 	var out []effect.Effect
 	for _, ref := range p.refs {
-		if t := p.targets[ref]; suspects[ref.Service] && !p.suspect[ref.Service] && t.interval != probeInterval {
-			t.suspectedAt = now
+		t := p.targets[ref]
+		if !suspects[ref.Service] || before[ref.Service] || t.interval == probeInterval {
+			continue
+		}
+		t.suspectedAt = now
+		if t.interval == 0 {
+			out = append(out, p.probeCandidate(ref, t, now)...)
+		} else {
 			out = append(out, p.probe(ref, t, now)...)
 		}
 	}
-	p.suspect = suspects
 	return out
 }
 
@@ -43,18 +51,33 @@
 		p.updateIntervals()
 	}
 	var out []effect.Effect
-	for _, name := range suspects {
-		ref := types.TargetRef{Service: name}
-		if g := p.view.Groups[name]; g != nil {
-			ref.Name = g.Primary
+	for _, ref := range p.refs {
+		t := p.targets[ref]
+		if g := p.view.Groups[ref.Service]; g.Primary != ref.Name || !slices.Contains(suspects, ref.Service) {
+			t.hintedSince = 0
+			continue
 		}
-		if t := p.targets[ref]; t != nil && now.Sub(max(t.probedAt, t.lastAnsweredAt, t.health.LastContact)) >= hintedContactAge {
+		if t.hintedSince == 0 {
+			t.hintedSince = now
+		}
+		if now >= p.nextHintedProbeAt(ref, t) {
 			out = append(out, p.probe(ref, t, now)...)
 		}
 	}
 	return out
 }
 
+// nextHintedProbeAt returns when a primary that fails for other proxies is probed next.
+// The first probe comes at once, unless the primary answered this proxy lately or is new:
+// then the hint is about the one before it.
+func (p *Prober) nextHintedProbeAt(ref types.TargetRef, t *target) types.Instant {
+	wait := hintedContactAge
+	if t.probedAt >= t.hintedSince {
+		wait = max(wait, p.urgentInterval(ref))
+	}
+	return max(t.probedAt.Add(wait), t.lastAnsweredAt.Add(wait), t.health.LastContact.Add(wait), t.addedAt.Add(startupGrace))
+}
+
 // updateIntervals sets the intervals of the primaries of managed services again.
 func (p *Prober) updateIntervals() {
 	for _, g := range p.view.Groups {
@@ -90,15 +113,6 @@
 	return since, ok && p.view.Groups[ref.Service].Primary == ref.Name
 }
 
-// probeCandidate probes a replica of a managed service, at searchInterval, while the
-// primary isn't healthy and another member may have become the primary.
-func (p *Prober) probeCandidate(ref types.TargetRef, t *target, now types.Instant) []effect.Effect {
-	if p.primaryHealthy(ref.Service) || t.probedAt != 0 && now.Sub(t.probedAt) < searchInterval {
-		return nil
-	}
-	return p.probe(ref, t, now)
-}
-
 // primaryHealthy reports whether the primary of a service answers and, if it was
 // probed, reports itself as primary of the group's term.
 func (p *Prober) primaryHealthy(name types.ServiceName) bool {
@@ -114,7 +128,11 @@
 // requests postpone the probe, as they show that the primary works.
 func (p *Prober) nextProbeAt(ref types.TargetRef, t *target) types.Instant {
 	if !p.primaryHealthy(ref.Service) {
-		return t.probedAt.Add(searchInterval)
+		interval := max(searchInterval, p.urgentInterval(ref))
+		if t.probedAt == 0 {
+			return t.addedAt.Add(p.spread(interval - searchInterval))
+		}
+		return t.probedAt.Add(interval)
 	}
 	if t.probedAt == 0 && t.lastAnsweredAt == 0 {
 		return t.addedAt.Add(t.interval - p.stagger(t.interval))
@@ -125,10 +143,10 @@
 // stagger returns by how much earlier this proxy begins to probe than after a whole
 // interval, so that proxies that started together take turns.
 func (p *Prober) stagger(interval time.Duration) time.Duration {
-	if interval <= managedProbeInterval || p.fleet.Proxies == 0 {
+	if interval <= managedProbeInterval {
 		return 0
 	}
-	return interval * time.Duration(p.fleet.Index) / time.Duration(p.fleet.Proxies)
+	return p.spread(interval)
 }
 
 // failedSince returns the start of the failure of a target whose probe failed at now.
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/camphorpaddle/camphorpaddle/core/capacity"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/freshness"
@@ -27,9 +26,11 @@
 	// primary in a second, for each of its slots. Each may take a new connection, which
 	// takes 12 ms of a slot.
 	maxProbesPerSlot = 4
-	// searchInterval is the time between two probes of a member of a managed
+	// maxUrgentProbesPerSlot is the same for a primary that seems to fail.
+	maxUrgentProbesPerSlot = 16
+	// searchInterval is the minimum time between two probes of a member of a managed
 	// service while the primary is missing, fails or doesn't report itself as
-	// primary. All proxies probe the members at the same time, so the rate is half
+	// primary. All proxies probe the primary at the same time, so the rate is half
 	// of the regular one to limit the load.
 	searchInterval = 200 * time.Millisecond
 	// probeTimeout is how long a target may take to answer.
@@ -73,6 +74,7 @@
 	suspect     map[types.ServiceName]bool          // services whose primary failed a request of a shard
 	silent      map[types.ServiceName]types.Instant // since when primaries answer no requests
 	fleet       types.Fleet                         // place among the proxies that probe the same targets
+	contended   map[types.TargetRef]bool            // targets without free connections, as the leader says
 	demandArmed bool                                // the timer of demandInterval is armed
 	reportDue   bool                                // a change has to be reported to control at once
 }
@@ -92,6 +94,10 @@
 	changedAt      types.Instant // when its alarm, term or role changed last
 	termSince      types.Instant // when the view of the group's term was applied
 	reportedAt     types.Instant // when it was last reported to control, or zero
+	hintedSince    types.Instant // since when it is known to fail for another proxy, or zero
+	searchedSince  types.Instant // since when it may have become the primary, or zero; of managed services
+	rejections     int           // consecutive probes whose connection it rejected because of its limit
+	fullUntil      types.Instant // it gets no probe before, since it rejected the last one
 }
 
 // alarm is the stage of a target's failure.
@@ -161,8 +167,7 @@
 	case !p.view.Config.Managed(g.Service):
 		return probeInterval
 	case m.Name == g.Primary:
-		slots := max(1, capacity.SlotsOf(p.view.Config.Services[g.Service], m))
-		return max(managedProbeInterval, time.Duration(p.fleet.Proxies)*time.Second/time.Duration(maxProbesPerSlot*slots))
+		return max(managedProbeInterval, p.sharedInterval(g, m))
 	}
 	return 0
 }
@@ -258,11 +263,11 @@
 
 // probe sends a probe to one target unless another one is in flight.
 func (p *Prober) probe(ref types.TargetRef, t *target, now types.Instant) []effect.Effect {
-	if t.inFlight && now.Sub(t.probedAt) < probeLostAfter {
+	if now < t.fullUntil || t.inFlight && now.Sub(t.probedAt) < probeLostAfter {
 		return nil
 	}
 	t.inFlight, t.probedAt = true, now
-	return []effect.Effect{effect.Probe{Ref: ref, Address: t.address, Timeout: probeTimeout}}
+	return []effect.Effect{effect.Probe{Ref: ref, Address: t.address, Timeout: probeTimeout, Close: !p.keepsConnections(ref.Service)}}
 }
 
 // handleProbed applies the result of a probe. A busy target may answer with its log
@@ -282,6 +287,7 @@
 	}
 	t.health.Failing, t.health.FailingSince = false, 0
 	t.health.LastContact = now
+	p.countRejection(e, t, now)
 	if e.Busy {
 		p.updateAlarm(t, now)
 		if e.Status.Pos != (types.LogPos{}) && e.Status.Pos.Compare(t.health.Pos) >= 0 && t.health.ProbedAt != 0 {
--- a/core/promotion/attempt.go
+++ b/core/promotion/attempt.go
@@ -31,9 +31,10 @@
 	stage           stage
 	ordered         bool
 	catchUpDeadline types.Instant // until when an ordered change waits for the chosen member
-	stallReported   bool          // waiting for proxies was reported
+	waitReportedAt  types.Instant // when it was reported last what the attempt waits for, or zero
 	statuses        map[types.TargetName]types.TargetStatus
 	requestedAt     map[types.TargetName]types.Instant // when each position was requested last
+	failures        map[types.TargetName]string        // why the last request for a position failed
 	quorumAt        types.Instant                      // when a quorum had answered
 	preferred       types.TargetName                   // member that an operator chose
 	avoided         types.TargetName                   // primary that the proxies can't reach
@@ -57,6 +58,7 @@
 		ordered: gr.ordered, preferred: c.Prefer, catchUpDeadline: now.Add(gr.catchUpTimeout()),
 		statuses:    make(map[types.TargetName]types.TargetStatus),
 		requestedAt: make(map[types.TargetName]types.Instant),
+		failures:    make(map[types.TargetName]string),
 	}
 	if m.managed(g) {
 		gr.attempt.catchUpDeadline = now.Add(managedCatchUpTimeout)
@@ -107,17 +109,10 @@
 		return m.readPositions(now, g, gr)
 	}
 	var out []effect.Effect
-	if waiting := m.leases.Unfenced(a.viewVersion, now); !a.stallReported && now.Sub(a.startedAt) >= retryInterval && len(waiting) > 0 {
-		a.stallReported = true
-		out = append(out, effect.Decide{
-			Kind: effect.DecidePromotionWaits, Service: g.Service, Term: g.Term, Host: waiting[0],
-			Reason: fmt.Sprintf("%d proxies have not confirmed term %d", len(waiting), g.Term),
-		})
-	}
-	at := m.leases.FencedAt(a.viewVersion)
-	if !a.stallReported {
-		at = min(at, a.startedAt.Add(retryInterval))
+	if waiting := m.leases.Unfenced(a.viewVersion, now); len(waiting) > 0 {
+		out = a.reportWait(now, g, waiting[0], fmt.Sprintf("%d proxies have not confirmed term %d", len(waiting), g.Term))
 	}
+	at := min(m.leases.FencedAt(a.viewVersion), a.nextWaitReportAt())
 	return append(out, armTimer(g.Service, max(at, now+1)))
 }
 
@@ -134,7 +129,7 @@
 	} else if chosen, ok := m.choose(now, g, a); ok {
 		return m.promote(now, g, a, chosen)
 	}
-	var out []effect.Effect
+	out := a.reportWait(now, g, "", m.missingPositions(g, a))
 	retry := a.retryInterval()
 	for _, t := range g.Members {
 		if _, ok := a.statuses[t.Name]; ok && !a.pollsPositions() {
@@ -175,8 +170,10 @@
 		return nil
 	}
 	if e.Err != nil || e.Result.Err != types.TargetErrNone {
+		a.failures[name] = failureOf(e)
 		return nil // readPositions asks again
 	}
+	delete(a.failures, name)
 	if m.managed(g) {
 		return m.handleManagedPosition(now, g, gr, name, e.Result.Status)
 	}
--- a/core/promotion/harness_test.go
+++ b/core/promotion/harness_test.go
@@ -58,6 +58,7 @@
 	state      *cluster.State
 	view       *types.NodeView
 	writing    []types.ServiceName                        // reported as having a write or a transaction on the primary
+	suspects   []types.ServiceName                        // reported as having a primary that failed a request
 	silent     func() map[types.ServiceName]types.Instant // if set, returns the reported silent primaries and since when
 	leadsUntil types.Instant                              // end of the leadership of a partitioned leader; zero if not partitioned
 }
@@ -248,7 +249,7 @@
 
 // report sends the report of a proxy's only shard.
 func (p *process) report() {
-	r := event.ShardReport{AppliedVersion: p.view.Cluster.Version, WritingServices: p.writing}
+	r := event.ShardReport{AppliedVersion: p.view.Cluster.Version, WritingServices: p.writing, SuspectServices: p.suspects}
 	if p.silent != nil {
 		r.SilentSince = p.silent()
 	}
@@ -297,4 +298,7 @@
 	return true
 }
 
-var errUnreachable = errors.New("unreachable")
+var (
+	errUnreachable = errors.New("unreachable")
+	errTargetFull  = errors.New("the target accepts no more connections")
+)
--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -170,7 +170,8 @@
 	if now >= a.replyDeadline {
 		return m.abandon(now, g, gr)
 	}
-	out := []effect.Effect{armTimer(g.Service, now.Add(managedPollInterval))}
+	out := a.reportWait(now, g, "", fmt.Sprintf("target %s has not become primary", a.chosen))
+	out = append(out, armTimer(g.Service, now.Add(managedPollInterval)))
 	if t, ok := g.Target(a.chosen); ok && now.Sub(a.requestedAt[a.chosen]) >= managedPollInterval {
 		a.requestedAt[a.chosen] = now
 		out = append(out, m.call(g, t, types.Operation{Kind: types.OpPosition}))
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -192,6 +192,7 @@
 		return nil
 	}
 	gr.countReplacement(now)
+	delete(m.failing, c.Service)
 	gr.followers = make(map[types.TargetName]*follower)
 	clear(gr.suspicions)
 	for _, t := range g.Members {
--- a/core/promotion/target_test.go
+++ b/core/promotion/target_test.go
@@ -1,6 +1,7 @@
 package promotion_test
 
 import (
+	"maps"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -22,8 +23,38 @@
 	frozenUntil    types.Instant // answers nothing before this time
 	leaving        bool
 	crashOnPromote bool // crashes when asked to become primary
+
+	room        int                      // connections that it accepts; zero means any number
+	connections map[string]types.Instant // until when each process keeps its connection
+	rejected    int                      // connections beyond room
+}
+
+// connectionIdle is how long a process keeps an idle connection to a target.
+const connectionIdle = 300 * time.Millisecond
+
+// accept opens or reuses the connection of a process, which stays open while it is in use
+// and for keep after that. It reports whether there is room.
+func (t *fakeTarget) accept(from string, timeout, keep time.Duration) bool {
+	if t.room == 0 || t.down {
+		return true
+	}
+	now := t.harness.clock()
+	maps.DeleteFunc(t.connections, func(_ string, until types.Instant) bool { return until <= now })
+	if _, ok := t.connections[from]; !ok && len(t.connections) >= t.room {
+		t.rejected++
+		return false
+	}
+	if t.connections == nil {
+		t.connections = make(map[string]types.Instant)
+	}
+	t.connections[from] = now.Add(timeout)
+	t.harness.Schedule(2*linkLatency+connectionSetup, func() { t.connections[from] = t.harness.clock().Add(keep) })
+	return true
 }
 
+// connectionSetup is how long a target takes to accept a connection.
+const connectionSetup = 12 * time.Millisecond
+
 func (h *harness) addTarget(name types.TargetName) {
 	t := &fakeTarget{harness: h, name: name, lag: 5 * time.Millisecond}
 	h.targets[name] = t
@@ -130,13 +161,24 @@
 		h.promotionService.promote(p, e)
 		return
 	}
-	h.roundTrip(string(p.id), e.Target.Name, e.Operation, e.Timeout, func(r types.Result, err error) {
-		p.step(event.TargetReplied{Call: e.Call, Err: err, Result: r})
-	})
+	reply := func(r types.Result, err error) { p.step(event.TargetReplied{Call: e.Call, Err: err, Result: r}) }
+	if t := h.targets[e.Target.Name]; t != nil && !t.accept(string(p.id), e.Timeout, connectionIdle) {
+		h.Schedule(2*linkLatency, func() { reply(types.Result{}, errTargetFull) })
+		return
+	}
+	h.roundTrip(string(p.id), e.Target.Name, e.Operation, e.Timeout, reply)
 }
 
 func (h *harness) probe(p *process, e effect.Probe) {
 	probedAt := h.clock()
+	keep := connectionIdle
+	if e.Close {
+		keep = 0
+	}
+	if t := h.targets[e.Ref.Name]; t != nil && !t.accept(string(p.id), e.Timeout, keep) {
+		h.Schedule(2*linkLatency, func() { p.step(event.Probed{Ref: e.Ref, ProbedAt: probedAt, Busy: true, Full: true}) })
+		return
+	}
 	h.roundTrip(string(p.id), e.Ref.Name, types.Operation{Kind: types.OpPosition}, e.Timeout, func(r types.Result, err error) {
 		p.step(event.Probed{Ref: e.Ref, ProbedAt: probedAt, Err: err, Status: r.Status})
 	})
--- a/core/types/operation.go
+++ b/core/types/operation.go
@@ -48,6 +48,15 @@
 	TargetErrBehind                    // the target lacks Operation.Floor; it did not run the operation
 )
 
+// String describes the error.
+func (k TargetErrorKind) String() string {
+	names := [...]string{"no error", "statement failed", "duplicate", "read only", "stale term", "busy", "behind"}
+	if int(k) >= len(names) {
+		return "unknown error"
+	}
+	return names[k]
+}
+
 // Result is the answer to one operation.
 type Result struct {
 	Payload Payload
--- a/runtime/control.go
+++ b/runtime/control.go
@@ -13,6 +13,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/internal/contain"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 )
@@ -175,10 +176,24 @@
 
 func (h *ControlHost) callTarget(e effect.CallTarget) {
 	ref := types.TargetRef{Service: e.Service, Name: e.Target.Name}
-	h.targets.submit(h.ctx, targetKey{ref, e.Target.Address}, targetJob{
-		operation: e.Operation, timeout: e.Timeout,
-		done: func(r types.Result, err error) {
-			h.loop.post(event.TargetReplied{Call: e.Call, Err: err, Result: r})
-		},
+	done := func(r types.Result, err error) {
+		h.loop.post(event.TargetReplied{Call: e.Call, Err: err, Result: r})
+	}
+	if p, ok := h.Targets.(Promoter); ok && e.Operation.Kind == types.OpPromote {
+		go h.promote(p, ref, e, done)
+		return
+	}
+	h.targets.submit(h.ctx, targetKey{ref, e.Target.Address}, targetJob{operation: e.Operation, timeout: e.Timeout, done: done})
+}
+
+// promote requests a promotion from an external promotion service.
+func (h *ControlHost) promote(p Promoter, ref types.TargetRef, e effect.CallTarget, done func(types.Result, error)) {
+	ctx, cancel := context.WithTimeout(h.ctx, e.Timeout)
+	defer cancel()
+	var result types.Result
+	err := contain.Call("requesting the promotion of target "+ref.String(), func() (err error) {
+		result, err = p.Promote(ctx, ref, e.Operation.Term)
+		return err
 	})
+	done(result, err)
 }
--- a/runtime/ports.go
+++ b/runtime/ports.go
@@ -52,6 +52,12 @@
 	Dial(ctx context.Context, ref types.TargetRef, addr types.Address, organisation types.OrganisationName) (TargetConn, error)
 }
 
+// Promoter is implemented by dialers to targets that an external promotion service
+// promotes. A promotion then needs no connection to the target.
+type Promoter interface {
+	Promote(ctx context.Context, ref types.TargetRef, token types.Term) (types.Result, error)
+}
+
 // ErrTargetFull is the error of a dial that the target rejected because its
 // connections are used up. Such a target works, unlike one that can't be reached.
 var ErrTargetFull = errors.New("the target accepts no more connections")
--- a/runtime/proxy.go
+++ b/runtime/proxy.go
@@ -117,13 +117,14 @@
 func (p *Proxy) probe(e effect.Probe) {
 	sentAt := p.Clock()
 	p.probes.submit(p.ctx, targetKey{e.Ref, e.Address}, targetJob{
-		operation: types.Operation{Kind: types.OpPosition}, timeout: e.Timeout,
+		operation: types.Operation{Kind: types.OpPosition}, timeout: e.Timeout, closeAfter: e.Close,
 		done: func(r types.Result, err error) {
-			busy := r.Err == types.TargetErrBusy
-			if errors.Is(err, ErrTargetFull) {
-				busy, err = true, nil
+			full := errors.Is(err, ErrTargetFull)
+			if full {
+				err = nil
 			}
-			p.loop.post(event.Probed{Ref: e.Ref, ProbedAt: sentAt, Err: err, Busy: busy, Status: r.Status})
+			busy := full || r.Err == types.TargetErrBusy
+			p.loop.post(event.Probed{Ref: e.Ref, ProbedAt: sentAt, Err: err, Busy: busy, Full: full, Status: r.Status})
 		},
 	})
 }
--- a/runtime/targets.go
+++ b/runtime/targets.go
@@ -12,9 +12,10 @@
 
 // targetJob is one operation for a target and the callback for its result.
 type targetJob struct {
-	operation types.Operation
-	timeout   time.Duration
-	done      func(types.Result, error)
+	operation  types.Operation
+	timeout    time.Duration
+	closeAfter bool // the connection is closed after the operation
+	done       func(types.Result, error)
 }
 
 // targetCalls executes single operations on targets, for probes and for calls of
@@ -119,6 +120,10 @@
 		job.done(types.Result{}, trace.Wrap(err, "executing an operation on target %s at %s", key.ref, key.addr))
 		return nil
 	}
+	if job.closeAfter {
+		conn.Close()
+		conn = nil
+	}
 	job.done(results[0], nil)
 	return conn
 }
