A waiting attempt's reason is only made when it is recorded

Cause: readPositions and awaitFence made the text for each of their steps, which a leader takes for every group that waits at every lease request. Change: the text is made by a function that a due report calls. Result: core/promotion passes.

--- a/core/promotion/attempt.go
+++ b/core/promotion/attempt.go
@@ -108,10 +108,7 @@
 		a.stage = stageRead
 		return m.readPositions(now, g, gr)
 	}
-	var out []effect.Effect
-	if waiting := m.leases.Unfenced(a.viewVersion, now); len(waiting) > 0 {
-		out = a.reportWait(now, g, waiting[0], fmt.Sprintf("%d proxies have not confirmed term %d", len(waiting), g.Term))
-	}
+	out := a.reportWait(now, g, func() string { return m.unfencedProxies(now, a) })
 	at := min(m.leases.FencedAt(a.viewVersion), a.nextWaitReportAt())
 	return append(out, armTimer(g.Service, max(at, now+1)))
 }
@@ -129,7 +126,7 @@
 	} else if chosen, ok := m.choose(now, g, a); ok {
 		return m.promote(now, g, a, chosen)
 	}
-	out := a.reportWait(now, g, "", m.missingPositions(g, a))
+	out := a.reportWait(now, g, func() string { return m.missingPositions(g, a) })
 	retry := a.retryInterval()
 	for _, t := range g.Members {
 		if _, ok := a.statuses[t.Name]; ok && !a.pollsPositions() {
--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -170,7 +170,7 @@
 	if now >= a.replyDeadline {
 		return m.abandon(now, g, gr)
 	}
-	out := a.reportWait(now, g, "", fmt.Sprintf("target %s has not become primary", a.chosen))
+	out := a.reportWait(now, g, func() string { return fmt.Sprintf("target %s has not become primary", a.chosen) })
 	out = append(out, armTimer(g.Service, now.Add(managedPollInterval)))
 	if t, ok := g.Target(a.chosen); ok && now.Sub(a.requestedAt[a.chosen]) >= managedPollInterval {
 		a.requestedAt[a.chosen] = now
--- a/core/promotion/wait.go
+++ b/core/promotion/wait.go
@@ -26,18 +26,26 @@
 	return a.waitReportedAt.Add(waitReportInterval)
 }
 
-// reportWait records what an attempt waits for, if it has waited long enough. host is a
-// host that it waits for, if any.
-func (a *attempt) reportWait(now types.Instant, g *types.Group, host types.HostID, reason string) []effect.Effect {
+// reportWait records what an attempt waits for, if it has waited long enough.
+func (a *attempt) reportWait(now types.Instant, g *types.Group, reason func() string) []effect.Effect {
 	if now < a.nextWaitReportAt() {
 		return nil
 	}
 	a.waitReportedAt = now
 	return []effect.Effect{effect.Decide{
-		Kind: effect.DecidePromotionWaits, Service: g.Service, Term: g.Term, Host: host, Reason: reason,
+		Kind: effect.DecidePromotionWaits, Service: g.Service, Term: g.Term, Reason: reason(),
 	}}
 }
 
+// unfencedProxies says which proxies may still use an earlier term.
+func (m *Manager) unfencedProxies(now types.Instant, a *attempt) string {
+	waiting := m.leases.Unfenced(a.viewVersion, now)
+	if len(waiting) == 0 {
+		return "the proxies have just confirmed the term"
+	}
+	return fmt.Sprintf("%d proxies have not confirmed the term, among them %s", len(waiting), waiting[0])
+}
+
 // missingPositions says whose positions an attempt waits for, and why they are missing.
 func (m *Manager) missingPositions(g *types.Group, a *attempt) string {
 	var missing []string
