--- a/core/probe/search.go
+++ b/core/probe/search.go
@@ -44,7 +44,7 @@
 // keepsConnections reports whether the targets of a service have room for a connection of
 // each proxy that stays open until the next probe.
 func (p *Prober) keepsConnections(name types.ServiceName) bool {
-	return !p.view.Config.Managed(name) || capacity.Kept(p.view.Config.Services[name], p.fleet.Proxies) > 0
+	return !p.view.Config.Managed(name) || capacity.Kept(p.view.Config.Services[name], p.fleet) > 0
 }
 
 // probeCandidate probes a member of a managed service other than the primary while the
