Proxies before crowded targets forget old queues

Cause: a proxy keeps the moving average of a target that it no longer asks. After a replica was slow for a moment, 30 or 90 proxies that each get a few answers a second avoid it for the rest of the load, while the other one is overrun. Change: routing.RecentLatency compares averages whose distance from the latency without a queue halves with each second without an answer. The fleet test gets regions, connection limits, waves and slow members.

--- a/core/capacity/capacity.go
+++ b/core/capacity/capacity.go
@@ -36,6 +36,10 @@
 	return part
 }
 
+// Crowded reports whether n proxies are so many for the slots of a target that each sends it
+// only a small part of its work, and so learns late what its load is.
+func Crowded(slots, n int) bool { return slots > 0 && n >= maxProxiesPerSlot*slots }
+
 // Slots returns the part number at of a target's slots among n proxies. Below
 // maxProxiesPerSlot each proxy gets at least one slot, even if the sum exceeds the
 // slots, because callers do not spread evenly over proxies.
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -10,13 +10,14 @@
 
 // Candidate is a target that may serve a request now.
 type Candidate struct {
-	Target      types.TargetName
-	Outstanding int           // exchanges in flight
-	Slots       int           // statements that this proxy may run there concurrently
-	Latency     time.Duration // moving average
-	LastLatency time.Duration // latency of the last answer
-	Answers     uint64        // number of answers so far
-	SameZone    bool          // in the proxy's availability zone
+	Target        types.TargetName
+	Outstanding   int           // exchanges in flight
+	Slots         int           // statements that this proxy may run there concurrently
+	Latency       time.Duration // moving average
+	RecentLatency time.Duration // the same, but what is old counts less
+	LastLatency   time.Duration // latency of the last answer
+	Answers       uint64        // number of answers so far
+	SameZone      bool          // in the proxy's availability zone
 }
 
 // Policy picks one of the candidates.
--- a/core/session/fleet_test.go
+++ b/core/session/fleet_test.go
@@ -3,13 +3,16 @@
 import (
 	"cmp"
 	"container/heap"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/capacity"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -28,6 +31,11 @@
 	lastSession types.SessionID
 	callers     map[types.SessionID]*fleetCaller
 	classes     []*requestClass
+
+	latencies       []time.Duration // of the operations that were answered
+	exchanges       int
+	regionCrossings int // exchanges between regions
+	zoneCrossings   int // exchanges between availability zones of one region
 }
 
 // fleetConfig holds the size of a fleet and its load.
@@ -47,8 +55,13 @@
 	lastProxyRatio float64       // fraction of the callers sent to the last proxy; the others pick any
 	priorityOrder  bool          // Config.PriorityOrder
 	surge          surge
-	slowedAt       time.Duration // if set, when the members become slow
-	slowFactor     float64       // by which a slow member takes longer
+	slow           slowness
+
+	policy    routing.Policy                                         // of the proxies
+	delay     func(proxy int, member types.TargetName) time.Duration // one way; networkDelay if not set
+	connLimit int                                                    // connections that a member accepts; no limit if not set
+	handshake time.Duration                                          // of a slot, for a new connection
+	swing     func(proxy int, at types.Instant) float64              // relative number of callers of a proxy
 }
 
 // surge is a span of time in which the arrival rates are multiplied.
@@ -57,6 +70,19 @@
 	factor       float64
 }
 
+// slowness is a span of time in which members take longer.
+type slowness struct {
+	member       types.TargetName // all if empty
+	at, duration time.Duration    // for the rest of the load without a duration
+	factor       float64
+}
+
+// applies reports whether a member is slow.
+func (s slowness) applies(m *fleetMember, now types.Instant) bool {
+	since := now.Sub(types.Instant(time.Second).Add(s.at))
+	return s.at > 0 && since >= 0 && (s.duration == 0 || since < s.duration) && (s.member == "" || s.member == m.name)
+}
+
 // factorAt returns by what the arrival rates are multiplied.
 func (s surge) factorAt(at types.Instant) float64 {
 	since := at.Sub(types.Instant(time.Second).Add(s.at))
@@ -98,12 +124,16 @@
 	busy          int // slots in use
 	queue         []func()
 	statements    int           // number of statements run
+	conns         int           // open connections
+	opened        int           // connections opened so far
+	rejected      int           // connections rejected because of the limit
 	idleTime      time.Duration // of its slots, up to the last change of busy
 	busyChangedAt types.Instant
 }
 
 type fleetProxy struct {
 	fleet  *fleet
+	index  int
 	shard  *Shard
 	view   *types.NodeView
 	timers map[event.TimerID]int
@@ -112,6 +142,8 @@
 
 type fleetConn struct {
 	member *fleetMember
+	open   bool
+	delay  time.Duration // one way
 	inTx   bool
 }
 
@@ -153,7 +185,7 @@
 		Service: svcName, Term: 1, LogTerm: logTerm, Phase: types.GroupServing, Primary: "a",
 		History: types.TermHistory{{Term: logTerm}},
 	}
-	for _, name := range []types.TargetName{"a", "b", "c"}[:cmp.Or(c.members, 3)] {
+	for _, name := range []types.TargetName{"a", "b", "c", "d", "e"}[:cmp.Or(c.members, 3)] {
 		f.members[name] = &fleetMember{name: name, busyChangedAt: f.now}
 		g.Members = append(g.Members, types.Target{Name: name, Address: types.Address(name), Slots: c.slots})
 	}
@@ -165,7 +197,7 @@
 
 func (f *fleet) addProxy(index int, config *types.Config, g *types.Group) {
 	p := &fleetProxy{
-		fleet: f, shard: NewShard(Options{Host: types.HostID(fmt.Sprint("proxy-", index))}),
+		fleet: f, index: index, shard: NewShard(Options{Host: types.HostID(fmt.Sprint("proxy-", index)), Policy: f.config.policy}),
 		timers: make(map[event.TimerID]int), conns: make(map[types.ConnID]*fleetConn),
 	}
 	slots := f.config.slots / f.config.proxies
@@ -182,12 +214,21 @@
 	}
 	for _, m := range g.Members {
 		p.view.Health[ref(m.Name)] = types.TargetHealth{Term: logTerm, Primary: m.Name == "a", LastContact: f.now}
-		p.view.Shares[ref(m.Name)] = types.Share{Connections: 8, Slots: slots}
+		p.view.Shares[ref(m.Name)] = f.share(index, slots)
 	}
 	f.proxies = append(f.proxies, p)
 	p.step(event.ViewChanged{})
 }
 
+// share returns a proxy's share of a member.
+func (f *fleet) share(proxy, slots int) types.Share {
+	if f.config.connLimit == 0 {
+		return types.Share{Connections: 8, Slots: slots}
+	}
+	svc := types.Service{Connections: f.config.connLimit, Slots: f.config.slots, Managed: true}
+	return capacity.ManagedShare(svc, types.Target{}, types.Fleet{Proxies: f.config.proxies, Index: proxy})
+}
+
 // after schedules run for when delay has passed.
 func (f *fleet) after(delay time.Duration, run func()) {
 	f.lastNumber++
@@ -255,7 +296,12 @@
 	if f.rand.Float64() < f.config.lastProxyRatio {
 		return f.proxies[len(f.proxies)-1]
 	}
-	return f.proxies[f.rand.IntN(len(f.proxies))]
+	for {
+		i := f.rand.IntN(len(f.proxies))
+		if f.config.swing == nil || f.rand.Float64()*2 < f.config.swing(i, f.now) {
+			return f.proxies[i]
+		}
+	}
 }
 
 func (f *fleet) sendNext(id types.SessionID, caller *fleetCaller) {
@@ -280,6 +326,7 @@
 		return
 	}
 	f.closeSession(id, caller)
+	f.latencies = append(f.latencies, f.now.Sub(caller.arrived))
 	switch {
 	case !caller.counted:
 	case f.now.Sub(caller.arrived) <= caller.class.profile.Objective:
@@ -322,14 +369,22 @@
 	f := p.fleet
 	switch e := eff.(type) {
 	case effect.DialTarget:
-		p.conns[e.Conn] = &fleetConn{member: f.members[e.Ref.Name]}
-		f.after(2*f.config.networkDelay, func() { p.step(event.TargetConnected{Conn: e.Conn}) })
+		c := &fleetConn{member: f.members[e.Ref.Name], delay: f.config.networkDelay}
+		if f.config.delay != nil {
+			c.delay = f.config.delay(p.index, e.Ref.Name)
+		}
+		p.conns[e.Conn] = c
+		f.after(c.delay, func() { f.accept(p, c, e.Conn) })
 	case effect.CloseConn:
+		if c := p.conns[e.Conn]; c != nil && c.open {
+			c.member.conns--
+		}
 		delete(p.conns, e.Conn)
 	case effect.SendTarget:
 		if c := p.conns[e.Conn]; c != nil {
 			sentAt := f.now
-			f.after(f.config.networkDelay, func() { f.receive(p, c, e, sentAt) })
+			f.countExchange(c)
+			f.after(c.delay, func() { f.receive(p, c, e, sentAt) })
 		}
 	case effect.AnswerCaller:
 		f.handleAnswer(e.Session)
@@ -357,6 +412,45 @@
 	})
 }
 
+// countExchange counts an exchange by the distance between its ends.
+func (f *fleet) countExchange(c *fleetConn) {
+	f.exchanges++
+	switch {
+	case c.delay >= 8*time.Millisecond:
+		f.regionCrossings++
+	case c.delay > time.Millisecond:
+		f.zoneCrossings++
+	}
+}
+
+// accept handles a new connection that has arrived at a member.
+func (f *fleet) accept(p *fleetProxy, c *fleetConn, id types.ConnID) {
+	if p.conns[id] != c {
+		return
+	}
+	m := c.member
+	if f.config.connLimit > 0 && m.conns >= f.config.connLimit {
+		m.rejected++
+		f.after(c.delay, func() {
+			if p.conns[id] == c {
+				p.step(event.TargetConnected{Conn: id, Err: errFull, Full: true})
+			}
+		})
+		return
+	}
+	m.conns++
+	m.opened++
+	c.open = true
+	connected := func() { f.after(c.delay, func() { p.step(event.TargetConnected{Conn: id}) }) }
+	if f.config.handshake == 0 {
+		connected()
+		return
+	}
+	f.occupy(m, func() time.Duration { return f.config.handshake }, connected)
+}
+
+var errFull = errors.New("the member has too many connections")
+
 // receive handles an exchange that has arrived at a member.
 func (f *fleet) receive(p *fleetProxy, c *fleetConn, e effect.SendTarget, sentAt types.Instant) {
 	m, op := c.member, e.Operations[0]
@@ -365,7 +459,7 @@
 		return
 	}
 	reply := func(kind types.TargetErrorKind) {
-		f.after(f.config.networkDelay, func() { f.reply(p, c, e, sentAt, kind) })
+		f.after(c.delay, func() { f.reply(p, c, e, sentAt, kind) })
 	}
 	switch {
 	case op.Kind == types.OpBegin:
@@ -373,12 +467,10 @@
 		reply(types.TargetErrNone)
 	case op.Floor.Offset > f.position(m):
 		reply(types.TargetErrBehind)
-	case m.busy < f.config.slots:
-		f.runStatement(m, op, reply)
-	case len(m.queue) >= f.config.maxQueue:
+	case m.busy >= f.config.slots && len(m.queue) >= f.config.maxQueue:
 		reply(types.TargetErrBusy)
 	default:
-		m.queue = append(m.queue, func() { f.runStatement(m, op, reply) })
+		f.runStatement(m, op, reply)
 	}
 }
 
@@ -411,22 +503,38 @@
 	return uint64(n)
 }
 
-// runStatement runs a statement in a slot of the member, then the next queued
-// one.
+// runStatement runs a statement of a caller on a member.
 func (f *fleet) runStatement(m *fleetMember, op types.Operation, reply func(types.TargetErrorKind)) {
-	f.changeBusy(m, 1)
 	m.statements++
 	stmt := op.Payload.(*simStatement)
-	serviceTime := f.drawServiceTime(stmt.serviceTime)
-	if f.config.slowedAt > 0 && f.now >= types.Instant(time.Second).Add(f.config.slowedAt) {
-		serviceTime = time.Duration(float64(serviceTime) * f.config.slowFactor)
-	}
-	f.after(serviceTime, func() {
-		f.changeBusy(m, -1)
+	f.occupy(m, func() time.Duration { return f.drawStatementTime(m, stmt) }, func() {
 		if stmt.write {
 			f.commitTimes = append(f.commitTimes, f.now)
 		}
 		reply(types.TargetErrNone)
+	})
+}
+
+// drawStatementTime draws how long a statement that starts now takes.
+func (f *fleet) drawStatementTime(m *fleetMember, stmt *simStatement) time.Duration {
+	d := f.drawServiceTime(stmt.serviceTime)
+	if f.config.slow.applies(m, f.now) {
+		d = time.Duration(float64(d) * f.config.slow.factor)
+	}
+	return d
+}
+
+// occupy takes a slot of the member for the time that draw returns, once one is free, and
+// then calls done.
+func (f *fleet) occupy(m *fleetMember, draw func() time.Duration, done func()) {
+	if m.busy >= f.config.slots {
+		m.queue = append(m.queue, func() { f.occupy(m, draw, done) })
+		return
+	}
+	f.changeBusy(m, 1)
+	f.after(draw(), func() {
+		f.changeBusy(m, -1)
+		done()
 		if len(m.queue) > 0 {
 			next := m.queue[0]
 			m.queue = m.queue[1:]
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/capacity"
 	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -270,7 +271,19 @@
 			Target: name, Outstanding: t.pool.InFlight(), Slots: t.pool.Share().Slots,
 			SameZone: member.AvailabilityZone == s.options.AvailabilityZone,
 		}
-		t.stats.Fill(&candidates[i])
+		t.stats.Fill(&candidates[i], s.now.Sub(t.lastRunAt))
 	}
-	return names[s.options.Policy.Pick(candidates, s.random())]
+	return names[s.policy(svc, g).Pick(candidates, s.random())]
+}
+
+// policy returns the routing policy for a service.
+func (s *Shard) policy(svc *service, g *types.Group) routing.Policy {
+	if g == nil || len(g.Members) == 0 {
+		return s.options.Policy
+	}
+	slots := capacity.SlotsOf(s.view.Cluster.Config.Services[svc.name], g.Members[0])
+	if capacity.Crowded(slots, s.view.Fleet.Proxies) {
+		return s.options.CrowdedPolicy
+	}
+	return s.options.Policy
 }
--- a/core/session/priority_test.go
+++ b/core/session/priority_test.go
@@ -113,9 +113,9 @@
 func TestPriorityOrderAtSlowPrimary(t *testing.T) {
 	for seed := range uint64(2) {
 		c := priorityLoad(0)
-		c.slowFactor, c.slowedAt = 5, c.surge.at
+		c.slow = slowness{at: c.surge.at, factor: 5}
 		c.surge.factor = 1
-		c.scaleTo(0.5 / c.slowFactor)
+		c.scaleTo(0.5 / c.slow.factor)
 		r := runSurge(c, seed)
 		t.Log(r)
 		for name, part := range r.inTime {
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -63,6 +63,7 @@
 	if now.Sub(t.lastRunAt) > answerPause {
 		t.steadySince = now
 	}
+	t.stats.Age(now.Sub(t.lastRunAt))
 	t.lastRunAt = now
 	t.consecutiveFailures, t.ejectedUntil = 0, 0
 	t.stats.Observe(latency)
--- a/core/session/shard.go
+++ b/core/session/shard.go
@@ -23,6 +23,7 @@
 	Index            int
 	Shards           int            // number of shards of the proxy
 	Policy           routing.Policy // nil selects routing.Default
+	CrowdedPolicy    routing.Policy // before targets with many proxies for each slot; nil selects Policy
 }
 
 // Shard is the reducer over the traffic events of one shard. It holds the state
@@ -56,6 +57,9 @@
 	if o.Policy == nil {
 		o.Policy = routing.Default()
 	}
+	if o.CrowdedPolicy == nil {
+		o.CrowdedPolicy = o.Policy
+	}
 	return &Shard{
 		options:  o,
 		sessions: make(map[types.SessionID]*session),
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -32,7 +32,8 @@
 type Edge struct {
 	NewDialer       func(*settings.Daemon) (runtime.TargetDialer, error)
 	NewCallerServer func(*settings.Daemon, *runtime.Proxy) (CallerServer, error)
-	Policy          routing.Policy // nil picks routing.Default
+	Policy          routing.Policy // nil picks that of the settings or routing.Default
+	CrowdedPolicy   routing.Policy // before targets with many proxies for each slot; nil picks Policy
 	// ReadyWithoutLease makes a proxy report ready while it has no lease. It is for
 	// targets that fence themselves.
 	ReadyWithoutLease bool
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -107,7 +108,8 @@
 // newShard returns the reducer of one traffic shard.
 func (p *Proxy) newShard(index int) *core.Reducer {
 	return core.NewShard(session.Options{
-		Host: p.host, AvailabilityZone: p.settings.AvailabilityZone, Index: index, Shards: p.settings.Shards, Policy: p.edge.Policy,
+		Host: p.host, AvailabilityZone: p.settings.AvailabilityZone, Index: index, Shards: p.settings.Shards,
+		Policy: cmp.Or(p.edge.Policy, p.settings.RoutingPolicy), CrowdedPolicy: p.edge.CrowdedPolicy,
 	})
 }
 
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/consensus"
+	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -40,9 +41,10 @@
 	CallersTLS       CallersTLS // proxy only
 	Limits           Limits
 	Target           Target
-	Shards           int           // proxy only
-	DrainLimit       time.Duration // maximum duration of a graceful stop
-	UnreadyDelay     time.Duration // how long new callers are still accepted after a stop request; proxy only
+	Shards           int            // proxy only
+	RoutingPolicy    routing.Policy // proxy only; nil if not set
+	DrainLimit       time.Duration  // maximum duration of a graceful stop
+	UnreadyDelay     time.Duration  // how long new callers are still accepted after a stop request; proxy only
 	Trace            Trace
 }
 
@@ -105,6 +107,13 @@
 	maxVoters       = 9
 )
 
+// routingPolicies are the policies that a proxy can choose among replicas by.
+var routingPolicies = map[string]routing.Policy{
+	"two_choices":    routing.TwoChoices{},
+	"lowest_latency": routing.LowestLatency{},
+	"recent_latency": routing.RecentLatency{},
+}
+
 // ParseDaemon parses the settings of a daemon of the given role. An error is an
 // *InvalidError.
 func ParseDaemon(file string, data []byte, role Role) (*Daemon, error) {
@@ -128,6 +137,7 @@
 		out.CallersTLS = root.callersTLS()
 		out.UnreadyDelay = root.duration("unready_delay", 0, valueRange[time.Duration]{0, maxTimeout})
 		out.Shards = root.integer("shards", defaultShards, valueRange[int]{1, maxShards})
+		out.RoutingPolicy = choice(root, "routing_policy", nil, routingPolicies)
 	} else {
 		out.Advertise = root.address("advertise", false)
 		root.required("data_folder")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/consensus"
+	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"gotest.tools/v3/assert"
 )
@@ -176,7 +177,7 @@
 					assert.Equal(t, d.AvailabilityZone, types.AvailabilityZone(az))
 					d.UnreadyDelay, d.Voters = 0, consensus.Policy{}
 					if role == RoleProxy {
-						d.UnreadyDelay = 3 * time.Second
+						d.UnreadyDelay, d.RoutingPolicy = 3*time.Second, routing.RecentLatency{}
 					} else {
 						d.Voters = consensus.Policy{Voters: 5, VoterSilence: 20 * time.Second}
 					}
--- a/settings/write.go
+++ b/settings/write.go
@@ -22,6 +22,7 @@
 	Limits           *limitsFile            `yaml:"limits,omitempty"`
 	Target           targetFile             `yaml:"target"`
 	Shards           int                    `yaml:"shards,omitempty"`
+	RoutingPolicy    string                 `yaml:"routing_policy,omitempty"`
 	DrainLimit       string                 `yaml:"drain_limit"`
 	UnreadyDelay     string                 `yaml:"unready_delay,omitempty"`
 	Voters           *votersFile            `yaml:"voters,omitempty"`
@@ -75,7 +76,7 @@
 	f := daemonFile{
 		Host: d.Host, AvailabilityZone: d.AvailabilityZone, Region: d.Region,
 		Listen: listenFile(d.Listen), Advertise: d.Advertise, Control: d.Control,
-		DataFolder: d.DataFolder, Target: targetFile(d.Target), Shards: d.Shards,
+		DataFolder: d.DataFolder, Target: targetFile(d.Target), Shards: d.Shards, RoutingPolicy: keyOf(routingPolicies, d.RoutingPolicy),
 		DrainLimit: d.DrainLimit.String(), Trace: traceFile(d.Trace),
 	}
 	if d.Security != (Security{}) {
