The leader divides the limits of organisations by what proxies need

Cause: equal parts refuse small organisations and uneven callers far below the limit, and a sum over parts that change with the number of proxies is not bounded. Change: the unit is a right, one operation in any period; a window is a whole number of periods. core/division gives a proxy only rights that nobody else may hold or have used within the period: open grants, processes that were replaced and proxies that a new leader hasn't heard count. Rights are given out in step with the rate, so that a fleet that restarts is served at that rate. An operation without a right waits up to 250 ms while the leader is asked, and is refused at once if the limit is used up. Without a QuotaWindow there are no limits.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -134,13 +134,14 @@
 	Sessions     int
 	BusySessions int // sessions with a request or a transaction in progress
 
-	QuotaUse map[types.OrganisationName]QuotaUse // of the organisations near this proxy's part of their limit
+	QuotaUse map[types.OrganisationName]QuotaUse // of the organisations with operations within the window
 }
 
 // QuotaUse is what callers of an organisation asked of a shard.
 type QuotaUse struct {
-	Admitted float64 // operations a second that were admitted
-	Demand   float64 // operations a second that arrived
+	Used    int // operations that began within the window
+	Waiting int // operations that wait for a right
+	Refused int // operations that were refused lately for want of a right
 }
 
 // Events of a traffic shard.
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -66,6 +66,9 @@
 // Shares returns this proxy's share of each target.
 func (h *Holder) Shares() map[types.TargetRef]types.Share { return h.shares }
 
+// SharesSeq returns the number of the request whose grant brought the last shares.
+func (h *Holder) SharesSeq() uint64 { return h.sharesSeq }
+
 // Fleet returns the place of this proxy among those with a lease, as of the last grant.
 func (h *Holder) Fleet() types.Fleet { return h.fleet }
 
@@ -85,6 +88,15 @@
 	return h.sendRequest(now)
 }
 
+// RequestWhenAnswered sends a request early, but not before the last one was answered.
+func (h *Holder) RequestWhenAnswered(now types.Instant) []effect.Effect {
+	if h.waitsSince != 0 {
+		h.overdue = true
+		return nil
+	}
+	return h.RequestSoon(now)
+}
+
 // Step processes one event.
 func (h *Holder) Step(in event.Input) []effect.Effect {
 	switch e := in.Event.(type) {
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -26,6 +26,13 @@
 	Suspects(now types.Instant) []types.ServiceName
 }
 
+// QuotaSource divides the limits of organisations.
+type QuotaSource interface {
+	// Quotas returns the parts that change for the proxy, and whether its next request has
+	// to name all that it holds.
+	Quotas(proxy types.HostID) ([]proto.QuotaGrant, bool)
+}
+
 // Table holds the leases that this control host granted as leader.
 type Table struct {
 	self       types.HostID
@@ -33,6 +40,7 @@
 	leadership Leadership
 	shares     ShareSource
 	suspects   SuspectSource
+	quotas     QuotaSource
 
 	now         types.Instant // time of the event in progress
 	role        role.Role
@@ -65,6 +73,9 @@
 // SetSuspects sets the source of the suspects in grants.
 func (t *Table) SetSuspects(s SuspectSource) { t.suspects = s }
 
+// SetQuotas sets the source of the parts of limits in grants.
+func (t *Table) SetQuotas(s QuotaSource) { t.quotas = s }
+
 // Step processes one event and returns the grants and proposals that follow from it.
 func (t *Table) Step(in event.Input) []effect.Effect {
 	t.now = in.Now
@@ -209,6 +220,9 @@
 		g.Shares = t.shares.Shares(p.request.Proxy)
 		g.Fleet = t.shares.Fleet(p.request.Proxy)
 	}
+	if t.quotas != nil && g.Duration > 0 {
+		g.Quotas, g.NameQuotas = t.quotas.Quotas(p.request.Proxy)
+	}
 	if t.suspects != nil {
 		g.Suspects = t.suspects.Suspects(t.now)
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -31,6 +31,7 @@
 	shares        shareHistory
 	sharesVersion uint64 // of the holder's shares in the history
 	demand        demandHistory
+	quotas        quotas
 	draining      bool
 
 	now            types.Instant // time of the event in progress
@@ -38,7 +39,6 @@
 	clusterView    *types.ClusterView
 	keyHolders     map[types.KeyDigest]types.OrganisationName // of the configuration of clusterView
 	leaseUntil     types.Instant                              // end of the lease as published
-	fleet          types.Fleet                                // as published
 	changed        bool                                       // something to publish at once differs from the last published view
 	healthChanged  bool                                       // a target was probed since the last published view
 	publishedAt    types.Instant                              // when the last view was published
@@ -64,6 +64,9 @@
 // Step processes one event.
 func (n *Node) Step(in event.Input) []effect.Effect {
 	n.now = in.Now
+	if _, ok := in.Event.(event.Start); ok {
+		n.quotas.start(in.Seed, in.Now)
+	}
 	out := n.handleOwn(in)
 	out = append(out, n.holder.Step(in)...)
 	out = append(out, n.prober.Step(in)...)
@@ -71,6 +74,12 @@
 	if granted {
 		n.announcements.confirm(g.Grant)
 	}
+	if granted && g.Grant.NotLeader {
+		n.quotas.refused(g.Grant)
+	}
+	if granted && g.Grant.Duration > 0 && n.holder.SharesSeq() == g.Grant.Seq && n.quotas.apply(g.Grant, n.now, n.leaseUntil) {
+		n.changed = true
+	}
 	out = append(out, n.updateFromHolder(granted)...)
 	return append(out, n.publish()...)
 }
@@ -110,6 +119,9 @@
 		n.appliedVersion = version
 		out = n.holder.RequestSoon(n.now)
 	}
+	if n.quotas.setUses(n.quotaUses()) {
+		out = append(out, n.holder.RequestWhenAnswered(n.now)...)
+	}
 	n.prober.SetAnsweredAt(n.answeredAt())
 	n.prober.SetSilentSince(n.silentSince())
 	out = append(out, n.prober.SetSuspects(n.suspects(), n.now)...)
@@ -122,9 +134,6 @@
 	if until := n.holder.Until(); until != n.leaseUntil {
 		n.leaseUntil, n.changed = until, true
 	}
-	if fleet := n.holder.Fleet(); fleet != n.fleet {
-		n.fleet, n.changed = fleet, true
-	}
 	if version := n.holder.SharesVersion(); version != n.sharesVersion {
 		n.sharesVersion, n.changed = version, true
 		n.shares.set(n.holder.Shares(), n.now)
@@ -137,6 +146,7 @@
 		}
 		out = n.recordConfig(view)
 		n.clusterView, n.changed = view, true
+		n.quotas.dropUnlimited(view.Config, n.now)
 		out = append(out, n.prober.SetView(view, n.now)...)
 	}
 	if granted {
@@ -177,7 +187,7 @@
 		Shares:     n.holder.Shares(),
 		Draining:   n.draining,
 		KeyHolders: n.keyHolders,
-		Fleet:      n.fleet,
+		Quotas:     n.quotas.published,
 	}}}
 }
 
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -18,6 +18,7 @@
 	r.Announcements = n.announcements.forRequest(n.now, r.Seq)
 	r.Quiesced = n.quiesced()
 	r.Draining = n.draining && n.idle()
+	n.quotas.fill(r, n.now, n.leaseUntil)
 }
 
 // minAppliedVersion returns the lowest view version that a shard has applied, or zero
@@ -202,3 +203,22 @@
 		return strings.Compare(a.String(), b.String())
 	})
 }
+
+// quotaUses returns what all shards together use and lack of the limits of organisations.
+// A part is divided evenly among the shards, so that the one which needs most counts.
+func (n *Node) quotaUses() map[types.OrganisationName]event.QuotaUse {
+	out := make(map[types.OrganisationName]event.QuotaUse)
+	for _, r := range n.shards {
+		for name, use := range r.QuotaUse {
+			most := out[name]
+			most.Used, most.Waiting, most.Refused = max(most.Used, use.Used), max(most.Waiting, use.Waiting), max(most.Refused, use.Refused)
+			out[name] = most
+		}
+	}
+	if n.options.Shards > 1 {
+		for name, use := range out {
+			out[name] = event.QuotaUse{Used: use.Used * n.options.Shards, Waiting: use.Waiting * n.options.Shards, Refused: use.Refused * n.options.Shards}
+		}
+	}
+	return out
+}
--- a/core/proto/lease.go
+++ b/core/proto/lease.go
@@ -22,22 +22,26 @@
 	Quiesced         []types.ServiceName // quiescing services without a write or transaction in progress on the primary
 	Draining         bool                // the proxy is shutting down; its lease may be dropped
 	Cursor           ViewCursor          // how much of the next view the proxy has received
-	QuotaUses        []QuotaUse          // of the organisations near this proxy's part of their limit
+	QuotaUses        []QuotaUse          // of the organisations whose part changes or has to change
+	QuotasFull       bool                // QuotaUses has every organisation of which the proxy holds rights
+	Process          uint64              // identifies the proxy's process
+	Uptime           time.Duration       // of that process, up to a minute
 }
 
-// QuotaUse is what a proxy may still admit of an organisation, and what its callers ask
-// for.
+// QuotaUse is a proxy's part of an organisation's limit, and what its callers ask for.
+// The unit is a right: one operation that may begin in any window.
 type QuotaUse struct {
 	Organisation types.OrganisationName
-	Held         types.Quota // the largest that the proxy may still act on
-	Admitted     float64     // operations a second
-	Demand       float64     // operations a second
+	Part         int // the most rights that a shard of the proxy may still act on
+	Used         int // rights of operations that began within the window
+	Waiting      int // operations that lack a right
 }
 
-// QuotaGrant is the part of an organisation's limit that the proxy may admit from now on.
+// QuotaGrant is the part of an organisation's limit that the proxy has from now on.
 type QuotaGrant struct {
 	Organisation types.OrganisationName
-	Quota        types.Quota
+	Rights       int
+	Spent        bool // the proxy lacks rights, and there are none left
 }
 
 // TargetReport is the state of one target according to a proxy's probes.
@@ -73,7 +77,10 @@
 	Hosts     []types.Address     // addresses of the control hosts
 	Fleet     types.Fleet         // place of the proxy among those with a lease
 	Suspects  []types.ServiceName // managed services whose primary fails for some proxy
-	Quotas    []QuotaGrant        // of the organisations whose limit is divided by demand
+	Quotas    []QuotaGrant        // parts of limits that change
+	// NameQuotas says that the control host doesn't know what the proxy holds: its next
+	// request has to be QuotasFull.
+	NameQuotas bool
 }
 
 // ViewUpdate updates a proxy's view to Version, or is a part of such an update.
--- a/core/quota/history.go
+++ b/core/quota/history.go
@@ -10,13 +10,13 @@
 	// granularity is the unit in which instants are counted, rounded up. It bounds the
 	// entries of a history.
 	granularity = 50 * time.Millisecond
-	// driftDivisor is the part of a window by which it is counted longer, since the clock
-	// of a proxy may be faster than that of whoever judges the limit.
+	// driftDivisor is the part of a period by which it is counted longer, since the clock
+	// of a proxy may be faster than others.
 	driftDivisor = 100
 )
 
 // history counts the rights that are used: those of the operations that began within
-// the window.
+// the period.
 type history struct {
 	entries []used // in order of until
 	count   int
@@ -29,9 +29,9 @@
 }
 
 // add records that an operation begins.
-func (h *history) add(now types.Instant, window time.Duration) {
+func (h *history) add(now types.Instant, period time.Duration) {
 	until := (now + types.Instant(granularity) - 1) / types.Instant(granularity) * types.Instant(granularity)
-	until = until.Add(window + window/driftDivisor)
+	until = until.Add(period + period/driftDivisor)
 	h.count++
 	if last := len(h.entries) - 1; last >= 0 && h.entries[last].until >= until {
 		h.entries[last].count++
@@ -40,7 +40,7 @@
 	h.entries = append(h.entries, used{until: until, count: 1})
 }
 
-// expire removes the operations that began before the window.
+// expire removes the operations that began before the period.
 func (h *history) expire(now types.Instant) {
 	n := 0
 	for n < len(h.entries) && h.entries[n].until <= now {
--- a/core/roles.go
+++ b/core/roles.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
 	"github.com/camphorpaddle/camphorpaddle/core/consensus"
+	"github.com/camphorpaddle/camphorpaddle/core/division"
 	"github.com/camphorpaddle/camphorpaddle/core/lease"
 	"github.com/camphorpaddle/camphorpaddle/core/limits"
 	"github.com/camphorpaddle/camphorpaddle/core/membership"
@@ -21,6 +22,8 @@
 	leases := lease.NewTable(self.Host, state, raft)
 	shares := limits.New(state, leases)
 	leases.SetShares(shares)
+	quotas := division.New(state, leases)
+	leases.SetQuotas(quotas)
 	promotions := promotion.New(state, leases)
 	leases.SetSuspects(promotions)
 	return New(
@@ -28,6 +31,7 @@
 		state,
 		leases,
 		shares,
+		quotas,
 		membership.New(state),
 		promotions,
 		operator.New(self.Host, state, leases),
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -73,6 +73,8 @@
 		return r.queueDeadline
 	case stageBackoff:
 		return r.retryAt
+	case stageQuota:
+		return r.quotaDeadline()
 	}
 	return r.deadline
 }
@@ -184,6 +186,8 @@
 		s.refuse(r, types.RefuseTimeout, r.outcome(), fmt.Sprintf("target %s did not answer within %s", r.target, s.now.Sub(r.sentAt)))
 	case stageDurable:
 		s.refuseNotDurable(r)
+	case stageQuota:
+		s.refuseOverQuota(r)
 	}
 }
 
--- a/core/session/quota.go
+++ b/core/session/quota.go
@@ -2,21 +2,111 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/quota"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
-// admitByQuota reports whether the limit of the caller's organisation allows the
-// request, and refuses it otherwise. A transaction is admitted at its beginning.
+const (
+	// quotaTimeout is how long a request waits for a right of its organisation: a few
+	// round trips to control.
+	quotaTimeout = 250 * time.Millisecond
+	// quotaLogInterval is the minimum time between two log records that an organisation is
+	// at its limit.
+	quotaLogInterval = time.Second
+)
+
+// quotaDeadline returns until when the request waits for a right.
+func (r *request) quotaDeadline() types.Instant {
+	return min(r.queueDeadline, r.arrived.Add(quotaTimeout))
+}
+
+// admitByQuota reports whether the limit of the caller's organisation allows the request
+// now. Otherwise the request is refused, or waits while control may have a right for it.
+// A transaction is admitted at its beginning.
 func (s *Shard) admitByQuota(r *request) bool {
-	if r.organisation == "" || r.inTx || s.quotas.Admit(s.view, r.organisation, s.now) {
+	if r.organisation == "" || r.inTx {
 		return true
 	}
-	s.refuseUntil(r, types.RefuseOverQuota, r.outcome(),
-		fmt.Sprintf("organisation %q is at its limit", r.organisation), s.quotas.RetryAfter(s.view, r.organisation, s.now))
+	verdict := quota.Wait
+	if len(s.lacking[r.organisation]) == 0 {
+		verdict = s.quotas.Admit(s.view, r.organisation, s.now)
+	}
+	switch verdict {
+	case quota.Admitted:
+		return true
+	case quota.Wait:
+		s.awaitRight(r)
+	case quota.Refused:
+		s.refuseOverQuota(r)
+	}
 	return false
 }
 
+// awaitRight adds a request to those that wait for a right of their organisation.
+func (s *Shard) awaitRight(r *request) {
+	r.stage = stageQuota
+	s.lacking[r.organisation] = append(s.lacking[r.organisation], r)
+	s.quotas.SetWaiting(r.organisation, len(s.lacking[r.organisation]))
+	s.reports.urgent = true
+	s.armSessionTimer(r.session)
+}
+
+// removeLacking removes a request from those that wait for a right.
+func (s *Shard) removeLacking(r *request) {
+	name := r.organisation
+	left := slices.DeleteFunc(s.lacking[name], func(other *request) bool { return other == r })
+	if len(left) == 0 {
+		delete(s.lacking, name)
+	} else {
+		s.lacking[name] = left
+	}
+	s.quotas.SetWaiting(name, len(left))
+}
+
+// recheckLacking starts the waiting requests for which there are rights now, in the order
+// in which they arrived, and refuses those for which there will be none.
+func (s *Shard) recheckLacking() {
+	for _, name := range sortedKeys(s.lacking) {
+		for len(s.lacking[name]) > 0 && s.recheckFirst(s.lacking[name][0]) {
+		}
+	}
+}
+
+// recheckFirst reports whether a waiting request has ended its wait.
+func (s *Shard) recheckFirst(r *request) bool {
+	if s.view.Cluster == nil {
+		return false
+	}
+	switch s.quotas.Admit(s.view, r.organisation, s.now) {
+	case quota.Admitted:
+		s.abandon(r)
+		s.begin(r)
+	case quota.Refused:
+		s.refuseOverQuota(r)
+	default:
+		return false
+	}
+	return true
+}
+
+// refuseOverQuota refuses a request that the limit of its organisation doesn't allow.
+func (s *Shard) refuseOverQuota(r *request) {
+	reason := fmt.Sprintf("organisation %q is at its limit", r.organisation)
+	retryAfter := s.quotas.Refuse(r.organisation, s.now)
+	if s.now.Sub(s.quotaLoggedAt) >= quotaLogInterval {
+		s.quotaLoggedAt = s.now
+		s.emit(effect.Decide{
+			Kind: effect.DecideQuotaReached, Host: s.options.Host, Version: s.viewVersion(),
+			Reason: fmt.Sprintf("%s; this proxy may begin %d operations in each period", reason, s.view.Quotas[r.organisation].Rights),
+		})
+	}
+	s.refuseUntil(r, types.RefuseOverQuota, r.outcome(), reason, retryAfter)
+}
+
 // chargeQuota counts the retry of a request whose last attempt was sent, since the targets
 // may run it once more.
 func (s *Shard) chargeQuota(r *request, sent bool) {
--- a/core/session/quota_test.go
+++ b/core/session/quota_test.go
@@ -4,45 +4,128 @@
 	"testing"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"gotest.tools/v3/assert"
 )
 
 const limitedOrganisation = types.OrganisationName("north")
 
+var limitedKey = types.KeyDigest{1}
+
 // limit gives limitedOrganisation operations in each window.
 func (h *harness) limit(operations int) {
 	config := *h.config
 	config.QuotaWindow = 5 * time.Second
 	config.Organisations = map[types.OrganisationName]types.Organisation{
-		limitedOrganisation: {Name: limitedOrganisation, Rate: 0.01, Burst: operations},
+		limitedOrganisation: {Name: limitedOrganisation, Keys: []types.KeyDigest{limitedKey}, Rate: 0.01, Burst: operations},
 	}
 	h.config = &config
-	h.setView(func(v *types.NodeView, g *types.Group) { v.Fleet = types.Fleet{Proxies: 1} })
-}
-
-// admitForOrganisation applies the limit to a request as requestArrived does.
-func (h *harness) admitForOrganisation(id types.SessionID) bool {
-	c := h.shard.sessions[id]
-	r := &request{session: c, service: h.shard.service(c.service), organisation: limitedOrganisation, inTx: c.inTransaction()}
-	c.request = r
-	h.shard.out = nil
-	admitted := h.shard.admitByQuota(r)
-	for _, eff := range h.shard.out {
-		h.record(eff)
-	}
-	c.request = nil
-	return admitted
+	h.setQuota(types.Quota{Rights: operations})
+}
+
+func (h *harness) setQuota(q types.Quota) {
+	h.setView(func(v *types.NodeView, g *types.Group) {
+		v.Quotas = map[types.OrganisationName]types.Quota{limitedOrganisation: q}
+	})
+}
+
+// openLimited opens a session with a key of limitedOrganisation.
+func (h *harness) openLimited(id types.SessionID) {
+	h.step(event.SessionOpened{Session: id, Params: types.SessionParams{Service: svcName, Key: limitedKey}})
+}
+
+func (h *harness) sendLimited(id types.SessionID) types.RequestSeq {
+	return h.sendRequest(id, types.Request{Profile: "strict", Class: types.ClassRead, Payload: "read"})
 }
 
 func TestRequestBeyondTheLimitIsRefusedAtOnce(t *testing.T) {
 	h := newHarness(t)
 	h.limit(1)
-	h.openSession(1)
-	assert.Assert(t, h.admitForOrganisation(1))
-	assert.Assert(t, !h.admitForOrganisation(1))
-	refused := h.refusals[len(h.refusals)-1].Refusal
+	h.openLimited(1)
+	h.openLimited(2)
+	h.sendLimited(1)
+	h.setQuota(types.Quota{Rights: 1, SpentUntil: h.now.Add(time.Second)})
+	refused := h.refusal(h.sendLimited(2))
 	assert.Equal(t, refused.Code, types.RefuseOverQuota)
 	assert.Equal(t, refused.Outcome, types.NotRun)
 	assert.Assert(t, refused.RetryAfter > 0)
 }
+
+// TestRequestWaitsForARight covers a caller that comes through a proxy without a part: its
+// request waits for control's answer, which the shard asks for at once.
+func TestRequestWaitsForARight(t *testing.T) {
+	h := newHarness(t)
+	h.limit(5)
+	h.setQuota(types.Quota{})
+	h.openLimited(1)
+	seq := h.sendLimited(1)
+	assert.Equal(t, len(h.sends), 0)
+	assert.Equal(t, h.reports[len(h.reports)-1].QuotaUse[limitedOrganisation].Waiting, 1)
+	h.setQuota(types.Quota{Rights: 1})
+	h.connect()
+	assert.Equal(t, len(h.sends), 1)
+	h.answer(1, types.TxIdle)
+	assert.Assert(t, h.answered(seq))
+	assert.Equal(t, h.reports[len(h.reports)-1].QuotaUse[limitedOrganisation], event.QuotaUse{Used: 1})
+}
+
+// TestRequestDoesNotWaitForARightForLong covers a control leader that does not answer.
+func TestRequestDoesNotWaitForARightForLong(t *testing.T) {
+	h := newHarness(t)
+	h.limit(5)
+	h.setQuota(types.Quota{})
+	h.openLimited(1)
+	seq := h.sendLimited(1)
+	h.advance(quotaTimeout)
+	assert.Equal(t, h.refusal(seq).Code, types.RefuseOverQuota)
+	assert.Equal(t, h.refusal(seq).Outcome, types.NotRun)
+	assert.Equal(t, len(h.shard.lacking), 0)
+	h.advance(time.Second)
+	h.step(event.ViewChanged{})
+	h.advance(reportInterval)
+	assert.Equal(t, len(h.reports[len(h.reports)-1].QuotaUse), 0)
+}
+
+// TestCallerThatLeavesWaitsNoLonger covers a session that closes while its request waits
+// for a right: the next request in order gets it.
+func TestCallerThatLeavesWaitsNoLonger(t *testing.T) {
+	h := newHarness(t)
+	h.limit(5)
+	h.setQuota(types.Quota{})
+	h.openLimited(1)
+	h.openLimited(2)
+	h.sendLimited(1)
+	seq := h.sendLimited(2)
+	h.step(event.SessionClosed{Session: 1})
+	h.setQuota(types.Quota{Rights: 1})
+	h.connect()
+	h.answer(1, types.TxIdle)
+	assert.Assert(t, h.answered(seq))
+}
+
+// TestTransactionIsCountedOnce covers a transaction of an organisation at its limit: what
+// follows its beginning is not refused.
+func TestTransactionIsCountedOnce(t *testing.T) {
+	h := newHarness(t)
+	h.limit(1)
+	h.openLimited(1)
+	h.sendLimited(1)
+	h.answer(1, types.TxOpen)
+	h.setQuota(types.Quota{SpentUntil: h.now.Add(time.Second)})
+	seq := h.sendLimited(1)
+	h.answer(1, types.TxIdle)
+	assert.Assert(t, h.answered(seq))
+}
+
+// TestRetryThatMayRunTwiceIsCounted covers a read whose answer was lost: the target may
+// have run it, and runs it again.
+func TestRetryThatMayRunTwiceIsCounted(t *testing.T) {
+	h := newHarness(t)
+	h.limit(5)
+	h.openLimited(1)
+	h.sendRequest(1, types.Request{Profile: "strict", Class: types.ClassRead, Idempotent: true, Payload: "read"})
+	h.breakConn(true)
+	h.advance(20 * time.Millisecond)
+	assert.Equal(t, h.reports[len(h.reports)-1].QuotaUse[limitedOrganisation].Used, 2)
+}
--- a/core/session/report.go
+++ b/core/session/report.go
@@ -121,6 +121,7 @@
 		Demand:         make(map[types.TargetRef]int), Connections: make(map[types.TargetRef]int),
 		Full:        make(map[types.TargetRef]bool),
 		SilentSince: make(map[types.ServiceName]types.Instant), AnsweredAt: make(map[types.TargetRef]types.Instant),
+		QuotaUse: s.quotas.Uses(s.now),
 	}
 	for _, name := range sortedKeys(s.services) {
 		svc := s.services[name]
@@ -166,5 +167,6 @@
 func sameReport(a, b event.ShardReport) bool {
 	return a.AppliedVersion == b.AppliedVersion && a.Sessions == b.Sessions && a.BusySessions == b.BusySessions &&
 		slices.Equal(a.WaitingServices, b.WaitingServices) && slices.Equal(a.SuspectServices, b.SuspectServices) && slices.Equal(a.WritingServices, b.WritingServices) &&
-		maps.Equal(a.SilentSince, b.SilentSince) && maps.Equal(a.Demand, b.Demand) && maps.Equal(a.Connections, b.Connections) && maps.Equal(a.Full, b.Full)
+		maps.Equal(a.SilentSince, b.SilentSince) && maps.Equal(a.Demand, b.Demand) && maps.Equal(a.Connections, b.Connections) && maps.Equal(a.Full, b.Full) &&
+		maps.Equal(a.QuotaUse, b.QuotaUse)
 }
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -32,6 +32,7 @@
 	stageBackoff              // the pause before a retry
 	stageRunning              // the target's answer
 	stageDurable              // confirmation that a majority holds the write
+	stageQuota                // a right of the caller's organisation
 )
 
 // request is a request in progress.
@@ -125,12 +126,16 @@
 	}
 	r := &request{Request: e.Request, session: c, arrived: s.now, inTx: c.inTransaction()}
 	c.request = r
-	if !s.admit(r) {
-		return
+	if s.admit(r) {
+		s.begin(r)
 	}
+}
+
+// begin serves an admitted request.
+func (s *Shard) begin(r *request) {
 	r.service.budget.Deposit()
 	if r.inTx {
-		c.profile = r.profile
+		r.session.profile = r.profile
 		s.startPinned(r)
 		return
 	}
@@ -145,8 +150,9 @@
 	})
 }
 
-// admit resolves the service and profile of a request, or refuses the request
-// if it can't be served.
+// admit resolves the service and profile of a request and reports whether it can be
+// served now. Otherwise it refuses the request, or lets it wait for a right of its
+// organisation.
 func (s *Shard) admit(r *request) bool {
 	if s.view == nil || s.view.Cluster == nil {
 		s.refuse(r, types.RefuseNoLease, r.outcome(), "the proxy has no configuration yet")
@@ -299,6 +305,8 @@
 		s.dropRunning(r)
 	case stageFloor, stageDurable:
 		delete(r.service.waitingOrNil(), r)
+	case stageQuota:
+		s.removeLacking(r)
 	}
 	r.stage = stageBackoff
 }
--- a/core/session/shard.go
+++ b/core/session/shard.go
@@ -28,14 +28,16 @@
 // Shard is the reducer over the traffic events of one shard. It holds the state
 // of the shard's sessions, services and connections.
 type Shard struct {
-	options  Options
-	sessions map[types.SessionID]*session
-	services map[types.ServiceName]*service
-	conns    map[types.ConnID]*pool.Conn
-	lastConn types.ConnID
-	draining bool
-	reports  reporter
-	quotas   *quota.Admission
+	options       Options
+	sessions      map[types.SessionID]*session
+	services      map[types.ServiceName]*service
+	conns         map[types.ConnID]*pool.Conn
+	lastConn      types.ConnID
+	draining      bool
+	reports       reporter
+	quotas        *quota.Admission
+	lacking       map[types.OrganisationName][]*request // requests that wait for a right of their organisation, in order
+	quotaLoggedAt types.Instant                         // last log record of an organisation at its limit
 
 	checkedConfig *types.Config // the configuration that the keys of transactions were last checked against
 
@@ -63,6 +65,7 @@
 		conns:    make(map[types.ConnID]*pool.Conn),
 		dirty:    make(map[types.ServiceName]bool),
 		quotas:   quota.NewAdmission(o.Shards, o.Index),
+		lacking:  make(map[types.OrganisationName][]*request),
 	}
 }
 
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -30,6 +30,7 @@
 		}
 		svc.group = s.view.Group(name)
 	}
+	s.recheckLacking()
 }
 
 // targetsChanged reports whether the new view has a changed group or probe of the
--- a/core/types/organisation.go
+++ b/core/types/organisation.go
@@ -33,6 +33,6 @@
 
 // Quota is the part of an organisation's limit that one proxy may admit.
 type Quota struct {
-	Rate  float64 // operations a second
-	Burst float64 // operations at once beyond Rate
+	Rights     int     // operations that may begin in any window of Config.QuotaWindow
+	SpentUntil Instant // until then control has no more rights for the proxy
 }
--- a/core/types/view.go
+++ b/core/types/view.go
@@ -46,10 +46,9 @@
 	// KeyHolders are the organisations of the configuration by the digests of their keys.
 	KeyHolders map[KeyDigest]OrganisationName
 
-	// Quotas are this proxy's parts of the limits of organisations. An organisation that
-	// has a limit but no entry has the part that follows from the number of proxies.
+	// Quotas are this proxy's parts of the limits of organisations; they end some time
+	// after the lease. Of an organisation that has a limit but no entry it has no part.
 	Quotas map[OrganisationName]Quota
-	Fleet  Fleet // place of this proxy among those that share the targets and limits
 }
 
 // LeaseLive reports whether the proxy's lease is valid at now.
