Organisations without a connection take turns with those that have one

Cause: a request that was overtaken for too long held back the others of a target, while the idle connection was not closed for it because others needed it: with a share of one connection and two organisations nothing was served. Change: an overdue request may have an idle connection closed that others wait for, once in 50 ms at a target and not before that connection was used. Closing for other reasons counts idle connections alone. Tests of pool, session and limits pass.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -187,12 +187,12 @@
 	return all
 }
 
-// VisitFlows calls visit for each organisation of each class with the number of its entries,
-// in the order in which their first ones are served.
-func (q *Queue[T]) VisitFlows(visit func(organisation types.OrganisationName, entries int)) {
+// VisitFlows calls visit for each organisation of each class with its first entry and the
+// number of its entries, in the order in which the first ones are served.
+func (q *Queue[T]) VisitFlows(visit func(organisation types.OrganisationName, first T, entries int)) {
 	for _, c := range q.inOrder() {
 		for _, f := range c.inOrder() {
-			visit(f.organisation, f.len())
+			visit(f.organisation, f.first().Value, f.len())
 		}
 	}
 }
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -1,6 +1,5 @@
-// Package pool keeps track of a proxy's connections to the targets of one service and
-// of the requests that wait for them. It only decides: the code that uses the package
-// emits the effects that dial, send and close.
+// Package pool keeps track of a proxy's connections to the targets of one service. It only
+// decides: the code that uses the package emits the effects that dial, send and close.
 package pool
 
 import "github.com/camphorpaddle/camphorpaddle/core/types"
--- a/core/pool/dial.go
+++ b/core/pool/dial.go
@@ -1,9 +1,17 @@
 package pool
 
 import (
+	"slices"
+	"time"
+
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
+// Turn is how long requests of an organisation that has connections may go before one that
+// waits for a connection of its own, where there is no room for one. Opening one takes
+// 12 ms of a slot and two round trips.
+const Turn = 50 * time.Millisecond
+
 // Demand is what connections to a target are wanted for.
 type Demand struct {
 	Waiting        []Waiting // requests that could run on the target, in the order in which they are served
@@ -15,6 +23,7 @@
 type Waiting struct {
 	Organisation types.OrganisationName
 	Requests     int
+	Overdue      bool // one has waited for Turn or more
 }
 
 // requests returns how many requests of an organisation wait.
@@ -28,6 +37,11 @@
 	return n
 }
 
+// overdue reports whether a request of an organisation is overdue.
+func (d Demand) overdue(organisation types.OrganisationName) bool {
+	return slices.ContainsFunc(d.Waiting, func(w Waiting) bool { return w.Organisation == organisation && w.Overdue })
+}
+
 // Plan is what to open and close now.
 type Plan struct {
 	Open  []types.OrganisationName // organisations to open a connection for, with Dial
@@ -35,7 +49,7 @@
 }
 
 // PlanDials returns which connections to open now. Where there is no room for one, an idle
-// connection that no waiting request needs is closed for it, the least recently used first.
+// connection of another organisation is closed for it.
 func (t *Target) PlanDials(d Demand, now types.Instant) Plan {
 	var p Plan
 	if t.address == "" || now < t.NextDialAt(d.ServiceWaiting) {
@@ -46,7 +60,7 @@
 			break
 		}
 		if room := t.share.Connections - len(t.conns) - len(p.Open); room <= 0 || t.Full(now) {
-			c := t.replaceable(o, d)
+			c := t.replaceable(o, d, now)
 			if c == nil && room <= 0 {
 				continue
 			}
@@ -97,9 +111,14 @@
 
 // available returns how many connections of an organisation are idle or being opened.
 func (t *Target) available(organisation types.OrganisationName) int {
+	return t.count(organisation, Idle) + t.count(organisation, Dialing)
+}
+
+// count returns how many connections of an organisation are in a state.
+func (t *Target) count(organisation types.OrganisationName, state State) int {
 	n := 0
 	for _, c := range t.conns {
-		if c.Organisation == organisation && c.state != InUse {
+		if c.Organisation == organisation && c.state == state {
 			n++
 		}
 	}
@@ -117,19 +136,31 @@
 	return false
 }
 
-// replaceable returns the connection to close for one of the given organisation: the least
-// recently used one of the others that no waiting request needs, or nil.
-func (t *Target) replaceable(organisation types.OrganisationName, d Demand) *Conn {
-	return t.leastRecentlyUsed(func(c *Conn) bool {
-		return c.Organisation != organisation && t.available(c.Organisation) > d.requests(c.Organisation)
+// replaceable returns the connection to close for one of the given organisation, or nil:
+// the least recently used one of the others that no waiting request needs. An organisation
+// that is starved and overdue gets one that is needed, but not before that has been used.
+func (t *Target) replaceable(organisation types.OrganisationName, d Demand, now types.Instant) *Conn {
+	c := t.leastRecentlyUsed(func(c *Conn) bool {
+		return c.Organisation != organisation && t.count(c.Organisation, Idle) > d.requests(c.Organisation)
 	})
+	if c != nil || !d.overdue(organisation) || !t.Starved(organisation, now) {
+		return c
+	}
+	if c = t.leastRecentlyUsed(func(c *Conn) bool { return c.Organisation != organisation }); c != nil {
+		t.turnBegan = now
+	}
+	return c
 }
 
-// Starved reports whether a connection for the organisation could be opened now but for
-// those of other organisations, and none of its own will be free.
+// Starved reports whether the organisation may have the next connection that comes free
+// closed for one of its own: it has none that will be free, there is no room, and each
+// connection that was opened lately has been used.
 func (t *Target) Starved(organisation types.OrganisationName, now types.Instant) bool {
-	return t.address != "" && t.share.Connections > 0 && now >= t.NextDialAt(true) && !t.progresses(organisation) &&
-		(len(t.conns) >= t.share.Connections || t.Full(now))
+	if t.address == "" || now < t.NextDialAt(true) || t.progresses(organisation) {
+		return false
+	}
+	full := t.share.Connections > 0 && len(t.conns) >= t.share.Connections || t.Full(now)
+	return full && now.Sub(t.turnBegan) >= Turn && !slices.ContainsFunc(t.conns, func(c *Conn) bool { return c.state == Idle && c.seq == 0 })
 }
 
 // Dial adds a connection that is being opened for an organisation.
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -43,6 +43,7 @@
 	extraExchanges int           // exchanges allowed beyond those of the share's slots
 
 	failedOrganisation types.OrganisationName // that the last failed dial was for
+	turnBegan          types.Instant          // when a connection that was needed was last closed for another organisation
 }
 
 // NewTarget returns a target without a share.
--- a/core/session/connection.go
+++ b/core/session/connection.go
@@ -59,7 +59,7 @@
 		if q.len() == 0 {
 			continue
 		}
-		waiting := q.waiting()
+		waiting := q.waiting(s.now)
 		for _, name := range s.queueTargets(svc, q) {
 			out[name] = append(out[name], waiting...)
 		}
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/pool"
 	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -15,10 +16,6 @@
 	// floorTimeout is how long a request waits for positions that may lower
 	// its session's first floor. A lower floor lets more replicas serve it.
 	floorTimeout = 10 * time.Millisecond
-	// overtakingLimit is how long a request that waits for a connection of its
-	// organisation is overtaken by those of others. Opening one takes 12 ms of a slot
-	// and two round trips.
-	overtakingLimit = 50 * time.Millisecond
 )
 
 // place moves a request to its next waiting stage: for the session's floor, or
@@ -231,10 +228,10 @@
 	return r, ready
 }
 
-// starved reports whether a request has been overtaken for too long: none of the targets
-// opens a connection for it while those of other organisations are used again.
+// starved reports whether a request has been overtaken for too long: no target opens a
+// connection for it while those of other organisations are used again.
 func (s *Shard) starved(svc *service, q *queue, r *request) bool {
-	if s.now.Sub(r.arrived) < overtakingLimit {
+	if !r.overdue(s.now) {
 		return false
 	}
 	targets := s.queueTargets(svc, q)
@@ -243,6 +240,9 @@
 	})
 }
 
+// overdue reports whether others may no longer go before the request.
+func (r *request) overdue(now types.Instant) bool { return now.Sub(r.arrived) >= pool.Turn }
+
 // precedes orders the heads of two queues: timely requests first, then by
 // arrival.
 func (r *request) precedes(o *request) bool {
--- a/core/session/queue.go
+++ b/core/session/queue.go
@@ -201,10 +201,10 @@
 
 // waiting returns how many requests of each organisation wait, in the order in which their
 // first ones are served.
-func (q *queue) waiting() []pool.Waiting {
+func (q *queue) waiting(now types.Instant) []pool.Waiting {
 	var out []pool.Waiting
 	at := make(map[types.OrganisationName]int)
-	add := func(organisation types.OrganisationName, requests int) {
+	add := func(organisation types.OrganisationName, first *request, requests int) {
 		i, ok := at[organisation]
 		if !ok {
 			i = len(out)
@@ -212,6 +212,7 @@
 			out = append(out, pool.Waiting{Organisation: organisation})
 		}
 		out[i].Requests += requests
+		out[i].Overdue = out[i].Overdue || first.overdue(now)
 	}
 	q.timely.VisitFlows(add)
 	q.late.VisitFlows(add)
