Count connections that are opened, rejected, and closed for another organisation

Cause: new connections are a cost for targets, and only the open ones were counted. Change: shards report counts for each target, and telemetry has a counter for each.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -127,10 +127,13 @@
 	SilentSince     map[types.ServiceName]types.Instant // since when a primary has not answered requests
 	// AnsweredAt is when a primary last answered a request, even by rejecting it. A
 	// change of this field alone causes no report.
-	AnsweredAt   map[types.TargetRef]types.Instant
-	Demand       map[types.TargetRef]int  // connections that the shard could use now
-	Connections  map[types.TargetRef]int  // connections that the shard holds or opens
-	Full         map[types.TargetRef]bool // targets that recently rejected a connection because of their limit
+	AnsweredAt  map[types.TargetRef]types.Instant
+	Demand      map[types.TargetRef]int  // connections that the shard could use now
+	Connections map[types.TargetRef]int  // connections that the shard holds or opens
+	Full        map[types.TargetRef]bool // targets that recently rejected a connection because of their limit
+	// ConnCounts counts the connections to each target. A change of this field alone
+	// causes no report.
+	ConnCounts   map[types.TargetRef]types.ConnCounts
 	Sessions     int
 	BusySessions int // sessions with a request or a transaction in progress
 
--- a/core/pool/dial.go
+++ b/core/pool/dial.go
@@ -66,6 +66,7 @@
 			}
 			if c != nil {
 				t.Drop(c)
+				t.counts.Replaced++
 				p.Close = append(p.Close, c)
 			}
 		}
--- a/core/pool/organisation_test.go
+++ b/core/pool/organisation_test.go
@@ -237,6 +237,7 @@
 	assert.DeepEqual(t, plan.Open, []types.OrganisationName{"d"})
 	assert.Equal(t, len(plan.Close), 1)
 	assert.Equal(t, plan.Close[0].Organisation, types.OrganisationName("b"), "the oldest is needed")
+	assert.Equal(t, m.target.Counts(), types.ConnCounts{Opened: 3, Replaced: 1})
 }
 
 // TestUnreachableTargetIsTriedAgain covers a proxy that keeps no idle connection of a
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -41,6 +41,7 @@
 	dialFailedAt   types.Instant // when the last of them failed
 	rejectedAt     types.Instant // when the target last rejected a connection because of its limit, or zero
 	extraExchanges int           // exchanges allowed beyond those of the share's slots
+	counts         types.ConnCounts
 
 	failedOrganisation types.OrganisationName // that the last failed dial was for
 	turnBegan          types.Instant          // when a connection that was needed was last closed for another organisation
@@ -129,6 +130,9 @@
 // Share returns the share that Update last set.
 func (t *Target) Share() types.Share { return t.share }
 
+// Counts returns the counts of the connections so far.
+func (t *Target) Counts() types.ConnCounts { return t.counts }
+
 // Open returns the number of connections that are open or being dialed.
 func (t *Target) Open() int { return len(t.conns) }
 
@@ -251,6 +255,7 @@
 // failed since the last success.
 func (t *Target) Connected(c *Conn, now types.Instant) int {
 	c.state, c.idleSince = Idle, now
+	t.counts.Opened++
 	failed := t.dialFailures
 	t.dialFailures = 0
 	return failed
@@ -262,6 +267,7 @@
 func (t *Target) DialFailed(c *Conn, full bool, now types.Instant) bool {
 	t.Drop(c)
 	if full {
+		t.counts.Rejected++
 		t.rejectedAt = now
 	}
 	t.dialFailures++
--- a/core/session/report.go
+++ b/core/session/report.go
@@ -121,6 +121,7 @@
 		Demand:         make(map[types.TargetRef]int), Connections: make(map[types.TargetRef]int),
 		Full:        make(map[types.TargetRef]bool),
 		SilentSince: make(map[types.ServiceName]types.Instant), AnsweredAt: make(map[types.TargetRef]types.Instant),
+		ConnCounts: make(map[types.TargetRef]types.ConnCounts),
 	}
 	for _, name := range sortedKeys(s.services) {
 		svc := s.services[name]
@@ -152,6 +153,9 @@
 		if open := t.pool.Open(); open > 0 {
 			r.Connections[t.pool.Ref] = open
 		}
+		if counts := t.pool.Counts(); counts != (types.ConnCounts{}) {
+			r.ConnCounts[t.pool.Ref] = counts
+		}
 		if t.pool.Full(s.now) {
 			r.Full[t.pool.Ref] = true
 		}
@@ -161,8 +165,8 @@
 	}
 }
 
-// sameReport compares reports without AnsweredAt, which changes with every answer
-// and is sent along with other changes only.
+// sameReport compares reports without AnsweredAt, which changes with every answer, and
+// ConnCounts. These are sent along with other changes only.
 func sameReport(a, b event.ShardReport) bool {
 	return a.AppliedVersion == b.AppliedVersion && a.Sessions == b.Sessions && a.BusySessions == b.BusySessions &&
 		slices.Equal(a.WaitingServices, b.WaitingServices) && slices.Equal(a.SuspectServices, b.SuspectServices) && slices.Equal(a.WritingServices, b.WritingServices) &&
--- a/core/types/view.go
+++ b/core/types/view.go
@@ -8,6 +8,13 @@
 	Contended   bool // the target has no free connections: what is idle is closed soon
 }
 
+// ConnCounts counts connections to one target since a shard started.
+type ConnCounts struct {
+	Opened   uint64
+	Rejected uint64 // by the target, because of its limit
+	Replaced uint64 // idle ones that were closed for one of another organisation
+}
+
 // Fleet is the place of a proxy among those that share the targets.
 type Fleet struct {
 	Proxies int // number of proxies; zero if it isn't known
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -125,9 +125,11 @@
 		addKeys(refs, report.Connections)
 		addKeys(refs, report.Demand)
 		addKeys(refs, report.Full)
+		addKeys(refs, report.ConnCounts)
 	}
 	for ref := range refs {
 		setTarget(scope, ref, r)
+		countConns(scope, ref, last.ConnCounts[ref], r.ConnCounts[ref])
 	}
 	m.lastReports[r.Shard] = *r
 }
@@ -147,6 +149,15 @@
 	scope.Gauge("target_full").Update(boolToFloat(r.Full[ref]))
 }
 
+// countConns adds to the counters of connections to a target what changed since the last
+// report.
+func countConns(scope tally.Scope, ref types.TargetRef, last, now types.ConnCounts) {
+	scope = scope.Tagged(map[string]string{"service": string(ref.Service), "target": string(ref.Name)})
+	scope.Counter("target_connections_opened_total").Inc(int64(now.Opened - last.Opened))
+	scope.Counter("target_connections_rejected_total").Inc(int64(now.Rejected - last.Rejected))
+	scope.Counter("target_connections_replaced_total").Inc(int64(now.Replaced - last.Replaced))
+}
+
 // boolToFloat returns 1 for true and 0 for false.
 func boolToFloat(b bool) float64 {
 	if b {
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -153,7 +153,11 @@
 	r.Decision(effect.Decide{Kind: effect.DecideRequeue, Service: "ledger", Basis: &effect.Basis{Cause: effect.CauseBehind}})
 	first, second := types.TargetRef{Service: "ledger", Name: "a"}, types.TargetRef{Service: "ledger", Name: "b"}
 	r.ShardReport(event.ShardReport{Shard: 1, Sessions: 5, Connections: map[types.TargetRef]int{first: 2}})
-	r.ShardReport(event.ShardReport{Shard: 1, Sessions: 4, Connections: map[types.TargetRef]int{second: 3}})
+	r.ShardReport(event.ShardReport{Shard: 1, Sessions: 4, ConnCounts: map[types.TargetRef]types.ConnCounts{second: {Opened: 4}}})
+	r.ShardReport(event.ShardReport{
+		Shard: 1, Sessions: 4, Connections: map[types.TargetRef]int{second: 3},
+		ConnCounts: map[types.TargetRef]types.ConnCounts{second: {Opened: 6, Rejected: 2, Replaced: 1}},
+	})
 	stopRecorder(t, r)
 	text := scrape(r)
 	for _, want := range []string{
@@ -167,6 +171,9 @@
 		`camphorpaddle_sessions{availability_zone="az-1",host="proxy-1",region="north",role="proxy",shard="1"} 4`,
 		`role="proxy",service="ledger",shard="1",target="a"} 0`,
 		`role="proxy",service="ledger",shard="1",target="b"} 3`,
+		`camphorpaddle_target_connections_opened_total{availability_zone="az-1",host="proxy-1",region="north",role="proxy",service="ledger",shard="1",target="b"} 6`,
+		`camphorpaddle_target_connections_rejected_total{availability_zone="az-1",host="proxy-1",region="north",role="proxy",service="ledger",shard="1",target="b"} 2`,
+		`camphorpaddle_target_connections_replaced_total{availability_zone="az-1",host="proxy-1",region="north",role="proxy",service="ledger",shard="1",target="b"} 1`,
 	} {
 		assert.Assert(t, strings.Contains(text, want), "%s not in\n%s", want, text)
 	}
