An organisation with many requests leaves others their connections

Cause: at a full target an organisation without a connection waited for the backoff of the rejected dials of another one, up to its timeout, and then lost its connection to the other's waiting requests as soon as that was idle. Change: a rejected dial is tried again at once where an idle connection is closed for it; an organisation that has connections gets none of the others that was used within 50 ms; while one of them is about to come free for an overdue request, none is dialed in vain. Tests of pool, session and limits pass.

--- a/core/pool/dial.go
+++ b/core/pool/dial.go
@@ -52,22 +52,24 @@
 // connection of another organisation is closed for it.
 func (t *Target) PlanDials(d Demand, now types.Instant) Plan {
 	var p Plan
-	if t.address == "" || now < t.NextDialAt(d.ServiceWaiting) {
+	backingOff := now < t.NextDialAt(d.ServiceWaiting)
+	if t.address == "" || backingOff && !t.lastRejected() {
 		return p
 	}
 	for _, o := range t.missing(d) {
 		if t.dialFailures > 0 && t.countState(Dialing)+len(p.Open) > 0 {
 			break
 		}
-		if room := t.share.Connections - len(t.conns) - len(p.Open); room <= 0 || t.Full(now) {
+		hasRoom := t.share.Connections > len(t.conns)+len(p.Open)
+		if !hasRoom || backingOff || t.Full(now) {
 			c := t.replaceable(o, d, now)
-			if c == nil && room <= 0 {
-				continue
-			}
-			if c != nil {
+			switch {
+			case c != nil:
 				t.Drop(c)
 				t.counts.Replaced++
 				p.Close = append(p.Close, c)
+			case !hasRoom, backingOff, d.overdue(o) && t.Starved(o, now) && t.freesSoon(o):
+				continue
 			}
 		}
 		p.Open = append(p.Open, o)
@@ -75,6 +77,12 @@
 	return p
 }
 
+// freesSoon reports whether a connection of another organisation comes free when its
+// exchange ends.
+func (t *Target) freesSoon(organisation types.OrganisationName) bool {
+	return slices.ContainsFunc(t.conns, func(c *Conn) bool { return c.inFlight && c.Organisation != organisation })
+}
+
 // missing returns the organisation of each connection that is wanted beyond those that are
 // idle or being opened.
 func (t *Target) missing(d Demand) []types.OrganisationName {
@@ -139,10 +147,13 @@
 
 // replaceable returns the connection to close for one of the given organisation, or nil:
 // the least recently used one of the others that no waiting request needs. An organisation
-// that is starved and overdue gets one that is needed, but not before that has been used.
+// that has connections gets none that was used within Turn. One that is starved and overdue
+// gets one that is needed, but not before that has been used.
 func (t *Target) replaceable(organisation types.OrganisationName, d Demand, now types.Instant) *Conn {
+	hasOthers := t.progresses(organisation)
 	c := t.leastRecentlyUsed(func(c *Conn) bool {
-		return c.Organisation != organisation && t.count(c.Organisation, Idle) > d.requests(c.Organisation)
+		return c.Organisation != organisation && t.count(c.Organisation, Idle) > d.requests(c.Organisation) &&
+			!(hasOthers && now.Sub(c.idleSince) < Turn)
 	})
 	if c != nil || !d.overdue(organisation) || !t.Starved(organisation, now) {
 		return c
@@ -157,7 +168,7 @@
 // closed for one of its own: it has none that will be free, there is no room, and each
 // connection that was opened lately has been used.
 func (t *Target) Starved(organisation types.OrganisationName, now types.Instant) bool {
-	if t.address == "" || now < t.NextDialAt(true) || t.progresses(organisation) {
+	if t.address == "" || now < t.NextDialAt(true) && !t.lastRejected() || t.progresses(organisation) {
 		return false
 	}
 	full := t.share.Connections > 0 && len(t.conns) >= t.share.Connections || t.Full(now)
--- a/core/session/own_connection_test.go
+++ b/core/session/own_connection_test.go
@@ -183,3 +183,42 @@
 	assert.Assert(t, answered["mill"] > 4*turns/2 && answered["yard"] > 4*turns/2, "%v", answered)
 	assert.Assert(t, len(o.opened) <= turns+2, "%d connections for %v", len(o.opened), answered)
 }
+
+// TestHotOrganisationLeavesRoomForOthers covers an organisation with forty times the callers
+// of another one, all of which send without a pause, at a target that opens no connection
+// beyond its limit.
+func TestHotOrganisationLeavesRoomForOthers(t *testing.T) {
+	const limit, round = 3, 5 * time.Millisecond
+	o := newConnectionOracle(t, types.Share{Connections: 8, Shared: 8, Slots: 2})
+	o.openCallers(1)
+	for id := types.SessionID(3); id <= 42; id++ {
+		o.callers[id] = "mill"
+		o.openWithKey(id, millKey)
+	}
+	var longest time.Duration
+	waits := 0
+	for range 300 {
+		for _, id := range o.ids() {
+			if o.shard.sessions[id].request == nil {
+				o.send(id, types.Request{DiscardedOnClose: true, MayCommit: true})
+			}
+		}
+		o.observe()
+		o.advance(round)
+		for len(o.dialing) > 0 {
+			o.connectOne(0, o.openConns("a") > limit)
+		}
+		o.observe()
+		for len(o.running) > 0 {
+			if o.running[0].Operations[0].Payload == types.OrganisationName("yard") {
+				longest = max(longest, o.now.Sub(o.shard.sessions[2].request.arrived))
+				waits++
+			}
+			o.answerOne(0, types.TxIdle)
+		}
+	}
+	assert.Assert(t, waits > 60, "%d answers", waits)
+	assert.Assert(t, longest <= 3*pool.Turn, "a request of the small organisation took %s", longest)
+	counts := o.shard.services[svcName].target("a").pool.Counts()
+	assert.Assert(t, counts.Opened <= 2*limit && counts.Replaced <= limit, "%+v", counts)
+}
