--- a/core/pool/dial.go
+++ b/core/pool/dial.go
@@ -91,8 +91,13 @@
 	for _, w := range d.Waiting {
 		n := min(w.Requests, free)
 		free -= max(0, n)
-		if n <= 0 && w.Requests > 0 && !t.progresses(w.Organisation) && t.countState(Dialing)+len(out) == 0 {
-			n = 1 // it is open by the time that an exchange in flight has ended
+		if n <= 0 && w.Requests > 0 {
+			if t.countState(Dialing)+len(out) > 0 {
+				break
+			}
+			if !t.progresses(w.Organisation) {
+				n = 1 // it is open by the time that an exchange in flight has ended
+			}
 		}
 		for range n - t.available(w.Organisation) {
 			out = append(out, w.Organisation)
