A waiting read opens one connection, not one at every replica

Cause: a request that several targets may serve counted at each of them, so that every one opened a connection for it; all but one were closed again without use. A replica that refuses the connection is left for the other at once. Tests of session, pool, limits, systemtest and core pass.

--- a/core/pool/dial.go
+++ b/core/pool/dial.go
@@ -123,6 +123,20 @@
 	return nil
 }
 
+// Usable returns how many requests of an organisation could start on its connections that
+// are idle or being opened.
+func (t *Target) Usable(organisation types.OrganisationName) int {
+	return max(0, min(t.available(organisation), t.Limit()-t.InFlight()))
+}
+
+// Openable returns how many more of them could start if connections were opened.
+func (t *Target) Openable(organisation types.OrganisationName, now types.Instant) int {
+	if t.address == "" || now < t.NextDialAt(true) {
+		return 0
+	}
+	return max(0, min(t.Limit()-t.InFlight(), t.share.Connections)-t.available(organisation))
+}
+
 // available returns how many connections of an organisation are idle or being opened.
 func (t *Target) available(organisation types.OrganisationName) int {
 	return t.count(organisation, Idle) + t.count(organisation, Dialing)
--- a/core/session/connection.go
+++ b/core/session/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -37,6 +38,9 @@
 			}
 		}
 	}
+	if at := s.now.Add(pool.Turn); demand.ServiceWaiting && (next == 0 || at < next) {
+		next = at // requests may be overdue then
+	}
 	if next != 0 {
 		s.emit(effect.ArmTimer{ID: event.TimerID{Domain: event.DomainPool, Key: svc.timerKey}, At: next})
 	}
@@ -51,7 +55,7 @@
 	s.emit(effect.DialTarget{Conn: c.ID, Ref: c.Ref, Address: c.Address, Organisation: organisation, Timeout: dialTimeout})
 }
 
-// waitingPerTarget returns the queued requests that each target could serve.
+// waitingPerTarget returns the queued requests that each target is to have connections for.
 func (s *Shard) waitingPerTarget(svc *service) map[types.TargetName][]pool.Waiting {
 	out := make(map[types.TargetName][]pool.Waiting)
 	for _, key := range sortedKeys(svc.queues) {
@@ -59,14 +63,48 @@
 		if q.len() == 0 {
 			continue
 		}
-		waiting := q.waiting(s.now)
-		for _, name := range s.queueTargets(svc, q) {
-			out[name] = append(out[name], waiting...)
+		targets := s.queueTargets(svc, q)
+		for _, w := range q.waiting(s.now) {
+			for name, n := range s.spread(svc, targets, w) {
+				out[name] = append(out[name], pool.Waiting{Organisation: w.Organisation, Requests: n, Overdue: w.Overdue})
+			}
 		}
 	}
 	return out
 }
 
+// spread returns how many of the requests that wait for any of several targets each of them
+// is to have connections for: those that have some, and then one after the other as the
+// routing policy picks them. An overdue request counts at all, since what it waits for may
+// never come.
+func (s *Shard) spread(svc *service, targets []types.TargetName, w pool.Waiting) map[types.TargetName]int {
+	counts := make(map[types.TargetName]int)
+	left := w.Requests
+	var open []types.TargetName
+	for _, name := range targets {
+		t := svc.target(name).pool
+		counts[name] = min(w.Requests, t.Usable(w.Organisation))
+		left -= counts[name]
+		if t.Openable(w.Organisation, s.now) > 0 && !svc.departures.Leaving(name) {
+			open = append(open, name)
+		}
+	}
+	if w.Overdue || len(targets) == 1 || len(open) == 0 {
+		for _, name := range targets {
+			counts[name] = w.Requests
+		}
+		return counts
+	}
+	for left > 0 && len(open) > 0 {
+		name := s.pickTarget(svc, open)
+		n := min(left, svc.target(name).pool.Openable(w.Organisation, s.now))
+		counts[name] += n
+		left -= n
+		open = slices.DeleteFunc(open, func(o types.TargetName) bool { return o == name })
+	}
+	return counts
+}
+
 // queuedPerTarget returns how many queued requests each target could serve.
 func (s *Shard) queuedPerTarget(svc *service) map[types.TargetName]int {
 	n := make(map[types.TargetName]int)
