Metrics and logs by organisation

Cause: an operator could not see which organisation sends what, and is refused why. Change: counters of operations and refusals by organisation, with at most 50 organisations that have series of their own; log lines name the organisation; explain shows key_revoked beside a request.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -35,6 +35,8 @@
 		Reason  string
 		Request string // id that the caller gave the request, for a decision about a request
 		Basis   *Basis // set for a decision about a request
+
+		Organisation types.OrganisationName // whose caller or limit it is about; empty without one
 	}
 )
 
@@ -229,10 +231,15 @@
 	DoneAt       types.Instant // when the caller was answered
 	Retries      int
 	Trace        types.TraceContext
-	Request      string        // id that the caller gave the request
-	Floor        types.LogPos  // position that a replica had to hold
-	Late         time.Duration // time beyond the profile's objective; zero if in time
-	ViewVersion  uint64        // version of the cluster view at the end
+	Organisation types.OrganisationName // of the caller; empty without one
+	Request      string                 // id that the caller gave the request
+	Floor        types.LogPos           // position that a replica had to hold
+	Late         time.Duration          // time beyond the profile's objective; zero if in time
+	ViewVersion  uint64                 // version of the cluster view at the end
+
+	// BeginsOperation says that the request is a single statement or the first of a
+	// transaction.
+	BeginsOperation bool
 
 	// PositionAge is Basis.PositionAge at the end; negative if no position is known.
 	PositionAge time.Duration
--- a/core/session/explain.go
+++ b/core/session/explain.go
@@ -17,7 +17,7 @@
 	basis.Cause = cause
 	s.emit(effect.Decide{
 		Kind: kind, Service: r.session.service, Target: r.target, Host: s.options.Host,
-		Reason: reason, Request: r.Label, Basis: basis,
+		Reason: reason, Request: r.Label, Basis: basis, Organisation: r.organisation,
 	})
 }
 
--- a/core/session/organisation.go
+++ b/core/session/organisation.go
@@ -1,8 +1,6 @@
 package session
 
 import (
-	"fmt"
-
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/organisation"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
@@ -46,10 +44,10 @@
 
 // endRevoked ends a transaction whose key is revoked.
 func (s *Shard) endRevoked(c *session) {
-	reason := fmt.Sprintf("the key of the transaction does not belong to organisation %q any more", c.organisation)
+	const reason = "the key of the transaction was taken away from its organisation"
 	s.emit(effect.Decide{
 		Kind: effect.DecideKeyRevoked, Service: c.service, Target: c.conn.Ref.Name, Host: s.options.Host,
-		Version: s.viewVersion(), Reason: reason,
+		Version: s.viewVersion(), Reason: reason, Organisation: c.organisation,
 	})
 	s.endSession(c, refusal(types.RefuseUnknownKey, types.NotRun, reason))
 }
--- a/core/session/organisation_test.go
+++ b/core/session/organisation_test.go
@@ -66,6 +66,27 @@
 	assert.Equal(t, h.shard.sessions[1].request.organisation, types.OrganisationName("mill"))
 	h.answerManaged(1)
 	assert.Assert(t, h.answered(seq))
+	assert.Equal(t, h.lastObservation().Organisation, types.OrganisationName("mill"))
+}
+
+// TestOperationsAreObservedOnce checks that a transaction counts as one operation.
+func TestOperationsAreObservedOnce(t *testing.T) {
+	h := newOrganisationHarness(t)
+	h.openWithKey(1, millKey)
+	h.begin(1)
+	assert.Assert(t, h.lastObservation().BeginsOperation)
+	h.sendRequest(1, types.Request{MayCommit: true, Fenced: true, Payload: "commit"})
+	h.answerManaged(1)
+	assert.Assert(t, !h.lastObservation().BeginsOperation)
+	h.sendManagedWrite(1)
+	h.answerManaged(2)
+	assert.Assert(t, h.lastObservation().BeginsOperation)
+}
+
+func (h *harness) lastObservation() effect.Observation {
+	h.t.Helper()
+	assert.Assert(h.t, len(h.observations) > 0)
+	return h.observations[len(h.observations)-1]
 }
 
 func TestUnknownKeyIsRefused(t *testing.T) {
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -312,6 +312,7 @@
 	o.Retries, o.Trace = r.retries, r.Trace
 	o.Request, o.Floor, o.Late, o.ViewVersion = r.Label, r.floor, r.lateBy(s.now), s.viewVersion()
 	o.PositionAge = s.positionAge(r.service)
+	o.Organisation, o.BeginsOperation = r.organisation, !r.inTx
 	s.emit(effect.Observe{Observation: o})
 	r.session.request = nil
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -24,7 +24,7 @@
 	"leader_found": true, "primary_suspected": true, "view_applied": true, "lease_lost": true, "lease_gained": true,
 	"term_begun": true, "term_serving": true, "promotion_waits": true, "promotion_called": true, "member_changed": true,
 	"target_lost": true, "target_found": true, "control_log_waits": true, "control_log_written": true,
-	"drain": true, "starting": true, "stopping": true, "drained": true, "sessions_cut_off": true, "reloaded": true,
+	"drain": true, "starting": true, "stopping": true, "drained": true, "sessions_cut_off": true, "reloaded": true, "key_revoked": true,
 	"leader_elected": true, "leader_stepped_down": true, "voters_changed": true, "config_accepted": true,
 	"peer_connected": true, "peer_disconnected": true, "records_dropped": true, "log_lines_dropped": true,
 }
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -60,6 +60,9 @@
 	if d.Host != "" {
 		out = append(out, "about_host", d.Host)
 	}
+	if d.Organisation != "" {
+		out = append(out, "organisation", d.Organisation)
+	}
 	if d.Term != 0 {
 		out = append(out, "term", uint64(d.Term))
 	}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -35,6 +35,8 @@
 	handler     http.Handler
 	dropped     tally.Counter
 	lastReports map[int]event.ShardReport // of each shard
+
+	organisations *organisationLabels
 }
 
 func newMetrics(o Options) *metrics {
@@ -68,6 +70,8 @@
 		handler:     promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		dropped:     scope.Counter("records_dropped_total"),
 		lastReports: make(map[int]event.ShardReport),
+
+		organisations: newOrganisationLabels(),
 	}
 }
 
@@ -156,6 +160,7 @@
 }
 
 func (m *metrics) recordRequest(o *effect.Observation) {
+	m.recordOperation(o)
 	scope := m.scope.Tagged(map[string]string{
 		"service": string(o.Service), "profile": string(o.Profile), "class": className(o.Class),
 	})
