paddlectl lists organisations with their limits and use

Cause: an operator could not see how near an organisation is to its limit. Change: the leader sums what proxies report of organisations near their limit in lease requests; GET /v1/organisations and paddlectl organisation list show it beside the limit. Proxies don't report uses yet.

--- a/cmd/paddlectl/main.go
+++ b/cmd/paddlectl/main.go
@@ -45,7 +45,7 @@
 			&cli.DurationFlag{Name: "timeout", Value: defaultTimeout, Usage: "maximum run time of the command"},
 		},
 		Commands: []*cli.Command{
-			configCommand(), profileCommand(), statusCommand(), serviceCommand(),
+			configCommand(), profileCommand(), organisationCommand(), statusCommand(), serviceCommand(),
 			targetCommand(), promoteCommand(), hostCommand(), explainCommand(),
 		},
 	}
--- a/cmd/paddlectl/main_test.go
+++ b/cmd/paddlectl/main_test.go
@@ -51,6 +51,11 @@
 		f.writeJSON(w, f.config)
 	case r.URL.Path == api.PathConfig:
 		f.writeJSON(w, api.Config{Version: 4, Source: validConfig})
+	case r.URL.Path == api.PathOrganisations:
+		f.writeJSON(w, []api.Organisation{
+			{Name: "mill", Keys: 2, Priority: 1, Rate: 266, Burst: 40, Use: &api.OrganisationUse{Admitted: 250.04, Demand: 400}},
+			{Name: "yard"},
+		})
 	case r.URL.Path == api.PathStatus:
 		f.writeJSON(w, f.status)
 	default:
@@ -173,6 +178,11 @@
 	assert.Equal(t, out, ""+
 		"PROFILE  FRESHNESS  MAX AGE  IDEMPOTENT  DURABILITY  WEIGHT  SERVICES\n"+
 		"strict   primary    0s       reads       majority    1       1\n")
+	out, _ = ctl(t, &fakeControl{}, "organisation", "list")
+	assert.Equal(t, out, ""+
+		"ORGANISATION  KEYS  PRIORITY  RATE  BURST  ADMITTED  DEMAND\n"+
+		"mill          2     1         266   40     250.0     400.0\n"+
+		"yard          0     0         -     -      -         -\n")
 	out, _ = ctl(t, &fakeControl{status: api.Status{Host: "control-1", Term: 3}}, "-o", "json", "status")
 	var st api.Status
 	assert.NilError(t, json.Unmarshal([]byte(out), &st))
@@ -202,7 +212,7 @@
 }
 
 func TestEveryCommandHasHelp(t *testing.T) {
-	for _, args := range [][]string{{}, {"config"}, {"config", "apply"}, {"target", "drain"}, {"host", "add"}, {"promote"}} {
+	for _, args := range [][]string{{}, {"config"}, {"config", "apply"}, {"target", "drain"}, {"host", "add"}, {"promote"}, {"organisation", "list"}} {
 		out, code := ctl(t, &fakeControl{}, append(args, "--help")...)
 		assert.Equal(t, code, 0)
 		assert.Assert(t, strings.Contains(out, "USAGE:"), out)
--- a/core/operator/operator.go
+++ b/core/operator/operator.go
@@ -24,6 +24,7 @@
 	role    role.Role
 	waiting map[uint64]waiter
 	reports map[types.TargetRef]receivedReport // while this host leads
+	uses    map[types.HostID]receivedUses      // by proxy, while this host leads
 }
 
 // waiter returns the reply to a pending call if the committed command c
@@ -32,7 +33,10 @@
 
 // New returns a handler with no pending calls.
 func New(self types.HostID, state *cluster.State, leases *lease.Table) *Handler {
-	return &Handler{self: self, state: state, leases: leases, waiting: make(map[uint64]waiter), reports: make(map[types.TargetRef]receivedReport)}
+	return &Handler{
+		self: self, state: state, leases: leases, waiting: make(map[uint64]waiter),
+		reports: make(map[types.TargetRef]receivedReport), uses: make(map[types.HostID]receivedUses),
+	}
 }
 
 // Step handles one event.
@@ -43,6 +47,7 @@
 	case event.LeaseRequested:
 		if h.role.Leading {
 			h.recordReports(in.Now, e.Request.Reports)
+			h.recordUses(in.Now, e.Request)
 		}
 	case event.OperatorCalled:
 		return h.handleCall(in.Now, e.Call, e.Request)
@@ -60,6 +65,7 @@
 		return nil
 	}
 	clear(h.reports)
+	clear(h.uses)
 	if !wasLeading {
 		return nil
 	}
@@ -145,6 +151,7 @@
 		Host: h.self, Leader: h.role.Leader, Authoritative: h.leases.ConfirmedLeader(), Term: h.role.Term,
 		Commit: h.state.Applied(), Applied: h.state.Applied(), ConfigSince: h.state.ConfigSince(),
 		Voters: h.state.Voters(), State: h.state.Snapshot(), Proxies: h.leases.Status(),
+		Organisations: h.organisationUses(now),
 	}
 	st.Targets = h.targetReports(now, st.State.Groups)
 	return st
--- a/core/operator/operator_test.go
+++ b/core/operator/operator_test.go
@@ -42,9 +42,11 @@
 	h.step(e)
 }
 
-func (h *host) step(ev event.Event) {
-	h.state.Step(event.Input{Event: ev})
-	for _, eff := range h.handler.Step(event.Input{Event: ev}) {
+func (h *host) step(ev event.Event) { h.stepAt(0, ev) }
+
+func (h *host) stepAt(now types.Instant, ev event.Event) {
+	h.state.Step(event.Input{Now: now, Event: ev})
+	for _, eff := range h.handler.Step(event.Input{Now: now, Event: ev}) {
 		switch e := eff.(type) {
 		case effect.Propose:
 			h.proposed = append(h.proposed, e.Command)
--- a/core/proto/operator.go
+++ b/core/proto/operator.go
@@ -71,6 +71,15 @@
 	State       ClusterState
 	Proxies     []ProxyStatus
 	Targets     []TargetReport
+	// Organisations are those near their limit.
+	Organisations []OrganisationUse
+}
+
+// OrganisationUse is what the callers of an organisation ask of all proxies.
+type OrganisationUse struct {
+	Organisation types.OrganisationName
+	Admitted     float64 // operations a second
+	Demand       float64 // operations a second
 }
 
 // ProxyStatus is the state of a proxy as the leader knows it.
--- a/daemon/api/api.go
+++ b/daemon/api/api.go
@@ -22,6 +22,8 @@
 	PathHealth   = "/healthz"
 	PathReady    = "/readyz"
 	PathMetrics  = "/metrics"
+
+	PathOrganisations = "/v1/organisations"
 )
 
 // DrainPath returns PathDrain for a target.
@@ -66,6 +68,24 @@
 	Organisations int    `json:"organisations"` // number of organisations
 }
 
+// Organisation is an organisation with its limit and its use.
+type Organisation struct {
+	Name     string  `json:"name"`
+	Keys     int     `json:"keys"` // number of keys
+	Priority int     `json:"priority"`
+	Rate     float64 `json:"rate"` // operations a second; 0 means no limit
+	Burst    int     `json:"burst"`
+	// Use is given for organisations near their limit.
+	Use *OrganisationUse `json:"use,omitempty"`
+}
+
+// OrganisationUse is what the callers of an organisation ask of all proxies, in operations
+// a second.
+type OrganisationUse struct {
+	Admitted float64 `json:"admitted"`
+	Demand   float64 `json:"demand"`
+}
+
 // Promote requests an ordered change of primary.
 type Promote struct {
 	Service string `json:"service"`
--- a/daemon/convert.go
+++ b/daemon/convert.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
@@ -135,3 +137,22 @@
 	}
 	return out
 }
+
+// apiOrganisations returns the organisations of the configuration in order of their names.
+func apiOrganisations(st *proto.Status) []api.Organisation {
+	out := []api.Organisation{}
+	if st.State.Config == nil {
+		return out
+	}
+	uses := make(map[types.OrganisationName]*api.OrganisationUse)
+	for _, u := range st.Organisations {
+		uses[u.Organisation] = &api.OrganisationUse{Admitted: u.Admitted, Demand: u.Demand}
+	}
+	for _, name := range slices.Sorted(maps.Keys(st.State.Config.Organisations)) {
+		o := st.State.Config.Organisations[name]
+		out = append(out, api.Organisation{
+			Name: string(name), Keys: len(o.Keys), Priority: o.Priority, Rate: o.Rate, Burst: o.Burst, Use: uses[name],
+		})
+	}
+	return out
+}
--- a/daemon/names_test.go
+++ b/daemon/names_test.go
@@ -21,11 +21,11 @@
 	lines := []string{
 		api.PathAnnounce, api.PathConfig, api.PathHistory, api.PathStatus, api.PathPromote, api.PathHosts,
 		api.PathDrain, api.PathHost, api.PathHealth, api.PathReady, api.PathMetrics,
-		api.DrainPath("s", "t"), api.HostPath("h"),
+		api.DrainPath("s", "t"), api.HostPath("h"), api.PathOrganisations,
 	}
 	for i, v := range []any{
 		api.Announcement{}, api.ConfigChange{}, api.ChangeResult{}, api.Config{}, api.Promote{}, api.Status{},
-		api.ProxyStatus{}, api.Error{},
+		api.ProxyStatus{}, api.Error{}, api.Organisation{},
 	} {
 		lines = append(lines, outernames.Describe(fmt.Sprint("message ", i), reflect.TypeOf(v), outernames.JSON)...)
 	}
@@ -51,8 +51,8 @@
 	add("message: pre-vote, its reply, vote, its reply, append, its reply, snapshot, join",
 		proto.MsgPreVote, proto.MsgPreVoteReply, proto.MsgVote, proto.MsgVoteReply, proto.MsgAppend,
 		proto.MsgAppendReply, proto.MsgSnapshot, proto.MsgJoin)
-	add("item: group, service, profile, route",
-		proto.ItemGroup, proto.ItemService, proto.ItemProfile, proto.ItemRoute)
+	add("item: group, service, profile, route, organisation",
+		proto.ItemGroup, proto.ItemService, proto.ItemProfile, proto.ItemRoute, proto.ItemOrganisation)
 	add("outcome: not run, unknown", types.NotRun.String(), types.Unknown.String())
 	add("role of settings: control, proxy", settings.RoleControl.String(), settings.RoleProxy.String())
 	add("phase: forming, quiescing, fencing, serving", phaseNames[types.GroupForming],
@@ -67,7 +67,7 @@
 		effect.DecidePromotionWaits, effect.DecideLeaseLost, effect.DecideLeaseGained, effect.DecideShare,
 		effect.DecideRefuse, effect.DecideRetry, effect.DecideRequeue, effect.DecidePrimaryFound, effect.DecideSuspect,
 		effect.DecideTargetLost, effect.DecideTargetFound, effect.DecideView, effect.DecideDrain, effect.DecideJoin,
-		effect.DecideControlLost, effect.DecideViewStarted, effect.DecidePrimaryConfirmed)
+		effect.DecideControlLost, effect.DecideViewStarted, effect.DecidePrimaryConfirmed, effect.DecideKeyRevoked)
 	for _, c := range types.RefusalCodes() {
 		lines = append(lines, fmt.Sprintf("refusal code %d", c))
 	}
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -28,6 +28,7 @@
 	r.DELETE(api.PathDrain, c.drain(false))
 	r.GET(api.PathHosts, c.hosts)
 	r.DELETE(api.PathHost, c.removeHost)
+	r.GET(api.PathOrganisations, c.organisations)
 }
 
 // ready reports whether the control loop answers in time and knows a leader.
@@ -209,3 +210,11 @@
 	}
 	return ctx.Result(200, struct{}{})
 }
+
+func (c *Control) organisations(ctx khttp.Context) error {
+	st, err := c.leaderStatus(ctx)
+	if err != nil {
+		return err
+	}
+	return ctx.Result(200, apiOrganisations(st))
+}
