Parts of a view count the keys of organisations

Cause: the size of a part of a view was estimated without keys: a part with organisations of 8 keys took 37,462 bytes, and a slow link needs more than the 200 ms for it after which a proxy turns to another control host. Change: the estimate counts each key. The tests of parts and of their assembly have organisations whose keys change. Result: tests of core/cluster pass; without the change TestPartsPassSlowLinks fails with the size above.

--- a/core/cluster/parts_test.go
+++ b/core/cluster/parts_test.go
@@ -33,6 +33,20 @@
 	return c
 }
 
+// organisations returns organisations with the given number of keys each. The keys differ
+// between generations.
+func organisations(count, keys int, generation byte) map[types.OrganisationName]types.Organisation {
+	out := make(map[types.OrganisationName]types.Organisation)
+	for i := range count {
+		o := types.Organisation{Name: types.OrganisationName(fmt.Sprintf("organisation-%04d", i)), Rate: 250, Burst: 250}
+		for k := range keys {
+			o.Keys = append(o.Keys, types.KeyDigest{generation, byte(i), byte(i >> 8), byte(k), 30: 0xff, 31: 0xff})
+		}
+		out[o.Name] = o
+	}
+	return out
+}
+
 func (l *log) configure(c *types.Config) {
 	l.apply(change(fmt.Sprint("change-", l.index), l.state.Config().Version, c))
 }
@@ -62,6 +76,7 @@
 	for i := range 24 {
 		service := types.ServiceName(fmt.Sprintf("service-%d", i))
 		c := routedConfig(0, 1400)
+		c.Organisations = organisations(300, 8, 0)
 		for n := range i + 1 {
 			name := types.ServiceName(fmt.Sprintf("service-%d", n))
 			c.Services[name] = types.Service{Name: name, Members: 3}
@@ -146,6 +161,8 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"configure": func(t *rapid.T) {
 				c := routedConfig(100*rapid.IntRange(0, 9).Draw(t, "first"), rapid.IntRange(0, 900).Draw(t, "count"))
+				c.Organisations = organisations(rapid.IntRange(0, 100).Draw(t, "organisations"),
+					rapid.IntRange(0, 3).Draw(t, "keys"), rapid.Byte().Draw(t, "generation"))
 				commit(change(fmt.Sprint("change-", l.index), l.state.Config().Version, c))
 			},
 			"change": func(t *rapid.T) { commit(randomCommand(t, l)) },
--- a/core/cluster/update.go
+++ b/core/cluster/update.go
@@ -16,6 +16,8 @@
 	// from its name, in the format of package wire.
 	itemBytes  = 64
 	groupBytes = 640
+	// keyBytes is the encoded size of a key of an organisation.
+	keyBytes = 34
 )
 
 // NextPart returns the next part of the update for a proxy that holds version have
@@ -70,7 +72,7 @@
 		}
 		u.Through.Last = next
 		if s.addItem(u, next) {
-			size += estimateItemBytes(next.Item)
+			size += s.estimateItemBytes(next.Item)
 		}
 	}
 	return u
@@ -124,9 +126,13 @@
 	return make(map[K]V)
 }
 
-func estimateItemBytes(item proto.ViewItem) int {
-	if item.Kind == proto.ItemGroup {
+func (s *State) estimateItemBytes(item proto.ViewItem) int {
+	switch item.Kind {
+	case proto.ItemGroup:
 		return groupBytes
+	case proto.ItemOrganisation:
+		keys := s.ledger.Config().Organisations[types.OrganisationName(item.Name)].Keys
+		return itemBytes + len(item.Name) + len(keys)*keyBytes
 	}
 	return itemBytes + len(item.Name)
 }
