--- a/core/organisation/organisation.go
+++ b/core/organisation/organisation.go
@@ -12,7 +12,7 @@
 	if c == nil || len(c.Organisations) == 0 {
 		return nil
 	}
-	holders := make(map[types.KeyDigest]types.OrganisationName)
+	holders := make(map[types.KeyDigest]types.OrganisationName, len(c.Organisations))
 	for name, o := range c.Organisations {
 		for _, key := range o.Keys {
 			holders[key] = name
