A standalone proxy knows the keys of its configuration

Cause: the control component of in-process proxies published no index of keys, so that a configuration with organisations would refuse everybody.

--- a/front/inproc/control.go
+++ b/front/inproc/control.go
@@ -5,6 +5,7 @@
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/organisation"
 	"github.com/camphorpaddle/camphorpaddle/core/probe"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -15,6 +16,7 @@
 type Control struct {
 	cluster *types.ClusterView
 	shares  map[types.TargetRef]types.Share
+	holders map[types.KeyDigest]types.OrganisationName
 	prober  *probe.Prober
 }
 
@@ -24,6 +26,7 @@
 	c := &Control{
 		cluster: &types.ClusterView{Version: 1, Config: config, Groups: make(map[types.ServiceName]*types.Group)},
 		shares:  make(map[types.TargetRef]types.Share),
+		holders: organisation.KeyHolders(config),
 		prober:  probe.New(),
 	}
 	for _, g := range groups {
@@ -56,7 +59,7 @@
 func (c *Control) view() *types.NodeView {
 	return &types.NodeView{
 		Cluster: c.cluster, LeaseUntil: math.MaxInt64,
-		Health: c.prober.Health(), Shares: c.shares,
+		Health: c.prober.Health(), Shares: c.shares, KeyHolders: c.holders,
 	}
 }
 
--- a/front/inproc/inproc_test.go
+++ b/front/inproc/inproc_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"testing"
 
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/front/inproc"
 	"github.com/camphorpaddle/camphorpaddle/runtime"
@@ -91,3 +93,16 @@
 	assert.Assert(t, errors.As(err, &refusal))
 	assert.Equal(t, refusal.Outcome, types.NotRun)
 }
+
+func TestStandaloneProxyKnowsKeys(t *testing.T) {
+	config := &types.Config{Version: 1, Organisations: map[types.OrganisationName]types.Organisation{
+		"mill": {Name: "mill", Keys: []types.KeyDigest{{1}}},
+	}}
+	for _, eff := range inproc.NewControl(config).Step(event.Input{Event: event.Start{}}) {
+		if e, ok := eff.(effect.PublishView); ok {
+			assert.DeepEqual(t, e.View.KeyHolders, map[types.KeyDigest]types.OrganisationName{{1}: "mill"})
+			return
+		}
+	}
+	t.Fatal("no view was published")
+}
