A change costs a leader and a proxy what changed, not all groups

Cause: while groups were in a new term, each lease request advanced all of them, and each compared all proxies, sorted anew: services x proxies x log proxies for one request. Each committed change sorted all items of the view and copied all groups, and a proxy that applied it sorted all targets by strings made for each comparison.

Change: the fenced version and the count of leases are kept until a lease or an applied version changes; a request advances only the groups whose version was fenced since the last one. Groups are judged once a majority suspects the primary. The order of items is kept up, the list of proxies is cached, and a prober applies the groups that differ from the last view.

--- a/core/cluster/apply.go
+++ b/core/cluster/apply.go
@@ -49,8 +49,8 @@
 	}
 	s.setVersion(index)
 	s.configVersion = index
-	s.items.recordConfigChange(before, s.ledger.Config(), index)
 	s.reconcileGroups(index)
+	s.items.recordConfigChange(before, s.ledger.Config(), index)
 	return recordDecision(effect.Decide{
 		Kind: effect.DecideConfig, Version: result.Version,
 		Reason: "change " + string(c.ID) + " was committed",
@@ -218,6 +218,7 @@
 }
 
 func (s *State) applyProxy(c proto.SetProxy) {
+	s.proxyOrder = nil
 	if c.Remove {
 		delete(s.proxies, c.Host)
 		return
--- a/core/cluster/items.go
+++ b/core/cluster/items.go
@@ -16,13 +16,16 @@
 // of routes in the largest known configuration.
 const maxRemovedItems = 4096
 
+// maxOrderFactor bounds the entries of itemVersions.order for each item.
+const maxOrderFactor = 2
+
 // itemVersions tracks the version at which each item of the view last changed. It
 // is part of the replicated state: every control host has the same versions.
 type itemVersions struct {
 	since   uint64 // changes after this version are known
 	changed map[proto.ViewItem]uint64
 	removed map[proto.ViewItem]uint64
-	order   []proto.ItemVersion // cache of all items, sorted by version; nil after a change
+	order   []proto.ItemVersion // sorted by version; also holds earlier versions of items
 }
 
 func newItemVersions() itemVersions {
@@ -34,27 +37,66 @@
 }
 
 func (v *itemVersions) markChanged(item proto.ViewItem, version uint64) {
+	if v.changed[item] == version {
+		return
+	}
 	v.changed[item] = version
 	delete(v.removed, item)
-	v.order = nil
+	v.insert(proto.ItemVersion{Item: item, Version: version})
 }
 
 func (v *itemVersions) markRemoved(item proto.ViewItem, version uint64) {
 	delete(v.changed, item)
 	v.removed[item] = version
-	v.order = nil
+	v.insert(proto.ItemVersion{Item: item, Version: version})
+}
+
+// insert adds an item to the order. Nearly always it follows all others.
+func (v *itemVersions) insert(item proto.ItemVersion) {
+	v.order = append(v.order, item)
+	for i := len(v.order) - 1; i > 0 && compareVersions(v.order[i-1], v.order[i]) > 0; i-- {
+		v.order[i-1], v.order[i] = v.order[i], v.order[i-1]
+	}
+	if len(v.order) > maxOrderFactor*(len(v.changed)+len(v.removed)) {
+		v.pruneOrder()
+	}
+}
+
+// sortAll sets the order of all items.
+func (v *itemVersions) sortAll() {
+	v.order = append(sortedVersions(v.changed), sortedVersions(v.removed)...)
+	slices.SortFunc(v.order, compareVersions)
+}
+
+// pruneOrder drops the earlier versions of items.
+func (v *itemVersions) pruneOrder() {
+	v.order = slices.DeleteFunc(v.order, func(item proto.ItemVersion) bool { return !v.isCurrent(item) })
+}
+
+// isCurrent reports whether an item has not changed since.
+func (v *itemVersions) isCurrent(item proto.ItemVersion) bool {
+	return v.changed[item.Item] == item.Version || v.removed[item.Item] == item.Version
 }
 
 // recordConfigChange marks the items in which two configurations differ.
 func (v *itemVersions) recordConfigChange(before, after *types.Config, version uint64) {
 	old, now := configItems(before), configItems(after)
+	var differ []proto.ViewItem
 	for item, content := range now {
 		if was, ok := old[item]; !ok || !itemsEqual(was, content) {
-			v.markChanged(item, version)
+			differ = append(differ, item)
 		}
 	}
 	for item := range old {
 		if _, ok := now[item]; !ok {
+			differ = append(differ, item)
+		}
+	}
+	slices.SortFunc(differ, compareItems)
+	for _, item := range differ {
+		if _, ok := now[item]; ok {
+			v.markChanged(item, version)
+		} else {
 			v.markRemoved(item, version)
 		}
 	}
@@ -70,7 +112,7 @@
 	}
 	v.since = sortedVersions(v.removed)[extra-1].Version
 	maps.DeleteFunc(v.removed, func(_ proto.ViewItem, version uint64) bool { return version <= v.since })
-	v.order = nil
+	v.pruneOrder()
 }
 
 // configItems returns the services, profiles, routes and organisations of a configuration
@@ -116,15 +158,17 @@
 // itemsAfter returns the changed and removed items that follow last, sorted by
 // version.
 func (v *itemVersions) itemsAfter(last proto.ItemVersion) iter.Seq[proto.ItemVersion] {
-	if v.order == nil {
-		v.order = append(sortedVersions(v.changed), sortedVersions(v.removed)...)
-		slices.SortFunc(v.order, compareVersions)
-	}
 	first, found := slices.BinarySearchFunc(v.order, last, compareVersions)
 	if found {
 		first++
 	}
-	return slices.Values(v.order[first:])
+	return func(yield func(proto.ItemVersion) bool) {
+		for _, item := range v.order[first:] {
+			if v.isCurrent(item) && !yield(item) {
+				return
+			}
+		}
+	}
 }
 
 func sortedVersions(versions map[proto.ViewItem]uint64) []proto.ItemVersion {
@@ -137,9 +181,9 @@
 }
 
 func compareVersions(a, b proto.ItemVersion) int {
-	return cmp.Or(
-		cmp.Compare(a.Version, b.Version),
-		cmp.Compare(a.Item.Kind, b.Item.Kind),
-		strings.Compare(a.Item.Name, b.Item.Name),
-	)
+	return cmp.Or(cmp.Compare(a.Version, b.Version), compareItems(a.Item, b.Item))
+}
+
+func compareItems(a, b proto.ViewItem) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), strings.Compare(a.Name, b.Name))
 }
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -27,7 +27,8 @@
 	configVersion uint64 // index of the entry that set the current configuration
 	items         itemVersions
 
-	view *types.ClusterView // built on demand; nil after a change
+	view       *types.ClusterView // built on demand; nil after a change
+	proxyOrder []proto.SetProxy   // proxies sorted by host, built on demand; nil after a change
 }
 
 // New returns the empty state.
@@ -52,6 +53,9 @@
 	return s.view
 }
 
+// Version returns the version of the view.
+func (s *State) Version() uint64 { return s.version }
+
 // Config returns the current configuration.
 func (s *State) Config() *types.Config { return s.ledger.Config() }
 
@@ -102,13 +106,16 @@
 	return p, ok
 }
 
-// Proxies returns the proxies that may hold a lease, sorted by host.
+// Proxies returns the proxies that may hold a lease, sorted by host. The caller must not
+// modify the result.
 func (s *State) Proxies() []proto.SetProxy {
-	out := make([]proto.SetProxy, 0, len(s.proxies))
-	for _, host := range slices.Sorted(maps.Keys(s.proxies)) {
-		out = append(out, s.proxies[host])
+	if s.proxyOrder == nil {
+		s.proxyOrder = make([]proto.SetProxy, 0, len(s.proxies))
+		for _, host := range slices.Sorted(maps.Keys(s.proxies)) {
+			s.proxyOrder = append(s.proxyOrder, s.proxies[host])
+		}
 	}
-	return out
+	return s.proxyOrder
 }
 
 // Step handles event.Committed and event.Restored and ignores other events.
@@ -136,7 +143,7 @@
 	}
 	s.ledger = configuration.Restore(snap.State.Config, snap.State.Source, snap.State.Changes)
 	s.groups = make(map[types.ServiceName]*types.Group)
-	s.proxies = make(map[types.HostID]proto.SetProxy)
+	s.proxies, s.proxyOrder = make(map[types.HostID]proto.SetProxy), nil
 	for _, g := range snap.State.Groups {
 		s.groups[g.Service] = g
 	}
@@ -163,11 +170,12 @@
 	if v.Version == 0 {
 		s.version, s.configVersion, s.items.since = index, index, index
 		for name := range s.groups {
-			s.items.markChanged(groupItem(name), index)
+			s.items.changed[groupItem(name)] = index
 		}
 		for item := range configItems(s.ledger.Config()) {
-			s.items.markChanged(item, index)
+			s.items.changed[item] = index
 		}
+		s.items.sortAll()
 		return
 	}
 	s.version, s.configVersion, s.items.since = v.Version, v.ConfigSince, v.Since
@@ -177,4 +185,5 @@
 	for _, r := range v.Removed {
 		s.items.removed[r.Item] = r.Version
 	}
+	s.items.sortAll()
 }
--- a/core/lease/fence.go
+++ b/core/lease/fence.go
@@ -1,14 +1,43 @@
 package lease
 
 import (
+	"math"
+
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
+// fenceCache is the last computed fenced version.
+type fenceCache struct {
+	version    uint64        // a version up to which all are fenced
+	computedAt types.Instant // when version was the highest such version, or zero
+}
+
+// countCache is the last count of the proxies that may hold a lease.
+type countCache struct {
+	count     int
+	countedAt types.Instant // zero if a lease has changed since
+}
+
 // Fenced reports whether every registered proxy has applied at least version of the
 // view or holds no lease, so that no proxy serves by an older view.
 func (t *Table) Fenced(version uint64, now types.Instant) bool {
-	return t.role.Leading && now >= t.FencedAt(version)
+	return t.role.Leading && (t.fence.version >= version || t.FencedVersion(now) >= version)
+}
+
+// FencedVersion returns the highest version of the view that is fenced: the lowest one
+// that a proxy with a lease may act on.
+func (t *Table) FencedVersion(now types.Instant) uint64 {
+	if t.fence.computedAt == now {
+		return t.fence.version
+	}
+	t.fence = fenceCache{version: math.MaxUint64, computedAt: now}
+	for _, reg := range t.state.Proxies() {
+		if p := t.proxies[reg.Host]; p != nil && now < p.until {
+			t.fence.version = min(t.fence.version, p.appliedVersion)
+		}
+	}
+	return t.fence.version
 }
 
 // FencedAt returns the instant at which version becomes fenced even if no proxy
@@ -82,13 +111,16 @@
 
 // LiveLeases returns the number of proxies that may hold a lease.
 func (t *Table) LiveLeases(now types.Instant) int {
-	live := 0
+	if t.live.countedAt == now {
+		return t.live.count
+	}
+	t.live = countCache{countedAt: now}
 	for host := range t.proxies {
 		if t.LeaseLive(host, now) {
-			live++
+			t.live.count++
 		}
 	}
-	return live
+	return t.live.count
 }
 
 // LeaseLive reports whether a proxy may hold a lease.
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -38,6 +38,8 @@
 	role        role.Role
 	leaderSince types.Instant // when this host became leader
 	proxies     map[types.HostID]*proxyRecord
+	fence       fenceCache
+	live        countCache
 }
 
 // proxyRecord holds the last request and the lease of one proxy.
@@ -93,6 +95,7 @@
 		return nil
 	}
 	t.proxies = make(map[types.HostID]*proxyRecord)
+	t.fence, t.live = fenceCache{}, countCache{}
 	if !e.Leading {
 		return nil
 	}
@@ -119,7 +122,10 @@
 		return nil
 	}
 	p.request, p.lastContact = r, t.now
-	p.appliedVersion = max(p.appliedVersion, r.AppliedVersion)
+	if r.AppliedVersion > p.appliedVersion {
+		p.appliedVersion = r.AppliedVersion
+		t.fence.computedAt = 0
+	}
 	if reg, ok := t.state.Proxy(r.Proxy); !ok || reg.AvailabilityZone != r.AvailabilityZone {
 		return t.proposeRegistration(p)
 	}
@@ -170,6 +176,7 @@
 
 func (t *Table) handleRegistration(c proto.SetProxy) []effect.Effect {
 	p := t.proxies[c.Host]
+	t.fence.computedAt, t.live.countedAt = 0, 0
 	switch {
 	case !t.role.Leading || p == nil:
 		return nil
@@ -199,11 +206,13 @@
 	complete := g.View == nil || !g.View.More
 	p.sentVersion = p.request.ViewVersion
 	if complete {
-		p.sentVersion = t.state.View().Version
+		p.sentVersion = t.state.Version()
 	}
 	if complete && !p.request.Draining && t.appliesViewsInTime(p) {
 		g.Duration = Duration
 		p.until = t.now.Add(Duration + driftMargin)
+		t.fence.version = min(t.fence.version, p.appliedVersion)
+		t.live.countedAt = 0
 	}
 	if t.shares != nil {
 		g.Shares = t.shares.Shares(p.request.Proxy)
@@ -219,7 +228,7 @@
 // viewApplyTimeout. Otherwise a shard that hangs would block every promotion.
 func (t *Table) appliesViewsInTime(p *proxyRecord) bool {
 	if p.appliedVersion >= p.dueVersion {
-		p.dueVersion = t.state.View().Version
+		p.dueVersion = t.state.Version()
 		p.dueAt = t.now.Add(viewApplyTimeout)
 	}
 	return p.appliedVersion >= p.dueVersion || t.now < p.dueAt
@@ -232,7 +241,7 @@
 	if !t.ConfirmedLeader() {
 		return nil
 	}
-	version := t.state.View().Version
+	version := t.state.Version()
 	var out []effect.Effect
 	for _, reg := range t.state.Proxies() {
 		p := t.proxies[reg.Host]
--- a/core/limits/managed.go
+++ b/core/limits/managed.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/capacity"
@@ -190,17 +189,10 @@
 		}
 		return false
 	})
-	slices.SortFunc(out, compareRefs)
+	slices.SortFunc(out, types.TargetRef.Compare)
 	return out
 }
 
-func compareRefs(a, b types.TargetRef) int {
-	if c := strings.Compare(string(a.Service), string(b.Service)); c != 0 {
-		return c
-	}
-	return strings.Compare(string(a.Name), string(b.Name))
-}
-
 // occupied returns the connections in use at a target. A proxy that reported nothing
 // holds what it keeps while idle.
 func (a *Allocator) occupied(p *managedPool, svc types.Service) int {
--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -6,7 +6,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
@@ -275,7 +274,5 @@
 
 // refs returns the targets with an announcement, in order.
 func (t *Tracker) refs() []types.TargetRef {
-	return slices.SortedFunc(maps.Keys(t.announced), func(a, b types.TargetRef) int {
-		return strings.Compare(a.String(), b.String())
-	})
+	return slices.SortedFunc(maps.Keys(t.announced), types.TargetRef.Compare)
 }
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
@@ -198,7 +197,5 @@
 }
 
 func sortedRefs[V any](m map[types.TargetRef]V) []types.TargetRef {
-	return slices.SortedFunc(maps.Keys(m), func(a, b types.TargetRef) int {
-		return strings.Compare(a.String(), b.String())
-	})
+	return slices.SortedFunc(maps.Keys(m), types.TargetRef.Compare)
 }
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -5,7 +5,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -134,30 +133,70 @@
 	return nil
 }
 
-// SetView applies the members and primaries of a new cluster view.
+// SetView applies what a new cluster view changes of the members and primaries.
 func (p *Prober) SetView(view *types.ClusterView, now types.Instant) []effect.Effect {
+	old := p.view
+	if old == nil {
+		old = &types.ClusterView{}
+	}
 	p.view = view
+	known := len(p.targets)
+	removed := p.dropTargets(old)
+	var changed []types.ServiceName
+	for name, g := range view.Groups {
+		if g != old.Groups[name] || view.Config != old.Config {
+			changed = append(changed, name)
+		}
+	}
+	slices.Sort(changed)
+	var out []effect.Effect
+	for _, name := range changed {
+		out = append(out, p.setGroup(view.Groups[name], now)...)
+	}
+	if removed > 0 || len(p.targets) != known {
+		p.refs = sortedRefs(p.targets)
+	}
+	return out
+}
+
+// setGroup applies the members and the primary of a group.
+func (p *Prober) setGroup(g *types.Group, now types.Instant) []effect.Effect {
+	if p.samples[g.Service] == nil {
+		p.samples[g.Service] = new(freshness.Samples)
+	}
+	p.samples[g.Service].SetPrimary(g.Primary, g.TargetTerm())
 	var out []effect.Effect
-	seen := make(map[types.TargetRef]bool)
-	for _, name := range slices.Sorted(maps.Keys(view.Groups)) {
-		g := view.Groups[name]
-		if p.samples[name] == nil {
-			p.samples[name] = new(freshness.Samples)
+	for _, m := range g.Members {
+		ref := types.TargetRef{Service: g.Service, Name: m.Name}
+		out = append(out, p.addMember(ref, m, p.memberInterval(g, m), now)...)
+		if t := p.targets[ref]; t.term != g.Term {
+			t.term, t.termSince = g.Term, now
 		}
-		p.samples[name].SetPrimary(g.Primary, g.TargetTerm())
-		for _, m := range g.Members {
-			ref := types.TargetRef{Service: name, Name: m.Name}
-			seen[ref] = true
-			out = append(out, p.addMember(ref, m, p.memberInterval(g, m), now)...)
-			if t := p.targets[ref]; t.term != g.Term {
-				t.term, t.termSince = g.Term, now
+	}
+	return out
+}
+
+// dropTargets drops the targets of an earlier view that are no longer members, and
+// returns their number.
+func (p *Prober) dropTargets(old *types.ClusterView) int {
+	dropped := 0
+	for name, before := range old.Groups {
+		g := p.view.Groups[name]
+		if g == before {
+			continue
+		}
+		if g == nil {
+			delete(p.samples, name)
+			g = &types.Group{}
+		}
+		for _, m := range before.Members {
+			if _, ok := g.Target(m.Name); !ok {
+				delete(p.targets, types.TargetRef{Service: name, Name: m.Name})
+				dropped++
 			}
 		}
 	}
-	maps.DeleteFunc(p.samples, func(name types.ServiceName, _ *freshness.Samples) bool { return view.Groups[name] == nil })
-	maps.DeleteFunc(p.targets, func(ref types.TargetRef, _ *target) bool { return !seen[ref] })
-	p.refs = sortedRefs(p.targets)
-	return out
+	return dropped
 }
 
 // memberInterval returns the time between two probes of a member, or zero if it
@@ -200,9 +239,7 @@
 }
 
 func sortedRefs(targets map[types.TargetRef]*target) []types.TargetRef {
-	return slices.SortedFunc(maps.Keys(targets), func(a, b types.TargetRef) int {
-		return strings.Compare(a.String(), b.String())
-	})
+	return slices.SortedFunc(maps.Keys(targets), types.TargetRef.Compare)
 }
 
 func (p *Prober) handleTimer(now types.Instant, key uint64) []effect.Effect {
--- a/core/promotion/attempt.go
+++ b/core/promotion/attempt.go
@@ -108,6 +108,7 @@
 		a.stage = stageRead
 		return m.readPositions(now, g, gr)
 	}
+	m.fencing[g.Service], m.fencedVersion = a.viewVersion, 0
 	out := a.reportWait(now, g, func() string { return m.unfencedProxies(now, a) })
 	at := min(m.leases.FencedAt(a.viewVersion), a.nextWaitReportAt())
 	return append(out, armTimer(g.Service, max(at, now+1)))
--- a/core/promotion/detect.go
+++ b/core/promotion/detect.go
@@ -76,6 +76,10 @@
 func (m *Manager) primaryFailure(now types.Instant, g *types.Group, gr *group) string {
 	var unreachableCount, supersededCount int
 	live := m.leases.LiveLeases(now)
+	if live == 0 || len(gr.suspicions) < types.Quorum(live) {
+		gr.supersededSince = 0
+		return ""
+	}
 	version := m.state.GroupVersion(g.Service)
 	for host, s := range gr.suspicions {
 		if s.report.Ref.Name != g.Primary || now.Sub(s.receivedAt) > reportMaxAge || !m.leases.LeaseLive(host, now) {
@@ -88,10 +92,10 @@
 			supersededCount++
 		}
 	}
-	if live > 0 && unreachableCount >= types.Quorum(live) {
+	if unreachableCount >= types.Quorum(live) {
 		return fmt.Sprintf("%d of %d proxies can't reach the primary", unreachableCount, live)
 	}
-	if live == 0 || supersededCount < types.Quorum(live) {
+	if supersededCount < types.Quorum(live) {
 		gr.supersededSince = 0
 		return ""
 	}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -66,15 +66,17 @@
 
 // Manager advances the promotions of all groups while this host leads.
 type Manager struct {
-	state           *cluster.State
-	leases          *lease.Table
-	role            role.Role
-	groups          map[types.ServiceName]*group
-	timers          map[uint64]types.ServiceName
-	calls           map[uint64]call
-	awaitingProxies map[types.ServiceName]bool          // groups whose next step depends on reports of proxies
-	lastCall        uint64                              // ID of the last call to a target
-	failing         map[types.ServiceName]types.Instant // when a proxy last reported that the primary fails
+	state         *cluster.State
+	leases        *lease.Table
+	role          role.Role
+	groups        map[types.ServiceName]*group
+	timers        map[uint64]types.ServiceName
+	calls         map[uint64]call
+	quiescing     map[types.ServiceName]bool          // groups whose next step depends on what proxies have under way
+	fencing       map[types.ServiceName]uint64        // groups that wait until a version of the view is fenced
+	fencedVersion uint64                              // at the last check of fencing; zero after one was added
+	lastCall      uint64                              // ID of the last call to a target
+	failing       map[types.ServiceName]types.Instant // when a proxy last reported that the primary fails
 }
 
 // group is the leader's state for one group besides the replicated state.
@@ -118,8 +120,9 @@
 		timers: make(map[uint64]types.ServiceName),
 		calls:  make(map[uint64]call),
 
-		awaitingProxies: make(map[types.ServiceName]bool),
-		failing:         make(map[types.ServiceName]types.Instant),
+		quiescing: make(map[types.ServiceName]bool),
+		fencing:   make(map[types.ServiceName]uint64),
+		failing:   make(map[types.ServiceName]types.Instant),
 	}
 }
 
@@ -149,7 +152,8 @@
 	clear(m.groups)
 	clear(m.timers)
 	clear(m.calls)
-	clear(m.awaitingProxies)
+	clear(m.quiescing)
+	clear(m.fencing)
 	clear(m.failing)
 	return m.advanceAll(now)
 }
@@ -250,21 +254,20 @@
 // advance takes the next step that the group's phase requires. It may be
 // called at any time.
 func (m *Manager) advance(now types.Instant, service types.ServiceName) []effect.Effect {
+	delete(m.quiescing, service)
+	delete(m.fencing, service)
 	g := m.state.Group(service)
 	if !m.role.Leading || g == nil {
 		return nil
 	}
 	gr := m.group(service)
-	delete(m.awaitingProxies, service)
-	if g.Phase == types.GroupQuiescing || g.Phase == types.GroupFencing {
-		m.awaitingProxies[service] = true
-	}
 	switch g.Phase {
 	case types.GroupForming:
 		return m.advanceForming(now, g, gr)
 	case types.GroupServing:
 		return m.advanceServing(now, g, gr)
 	case types.GroupQuiescing:
+		m.quiescing[service] = true
 		return m.advanceQuiescing(now, g, gr)
 	case types.GroupFencing:
 		return m.advanceFencing(now, g, gr)
--- a/core/promotion/suspect.go
+++ b/core/promotion/suspect.go
@@ -24,7 +24,8 @@
 	if !m.role.Leading {
 		return nil
 	}
-	affected := maps.Clone(m.awaitingProxies)
+	affected := maps.Clone(m.quiescing)
+	m.addFenced(now, affected)
 	for _, report := range r.Reports {
 		g := m.state.Group(report.Ref.Service)
 		if g == nil || g.Phase == types.GroupForming {
@@ -43,6 +44,24 @@
 	return m.advanceEach(now, slices.Sorted(maps.Keys(affected)))
 }
 
+// addFenced adds the groups that waited for a version of the view that has been fenced
+// since the last call.
+func (m *Manager) addFenced(now types.Instant, affected map[types.ServiceName]bool) {
+	if len(m.fencing) == 0 {
+		return
+	}
+	version := m.leases.FencedVersion(now)
+	if version == m.fencedVersion {
+		return
+	}
+	m.fencedVersion = version
+	for name, awaited := range m.fencing {
+		if awaited <= version {
+			affected[name] = true
+		}
+	}
+}
+
 // updateSuspicion records or removes a proxy's suspicion of a primary. It
 // reports whether there was one before or is one now.
 func (m *Manager) updateSuspicion(now types.Instant, g *types.Group, r proto.LeaseRequest, report proto.TargetReport) bool {
--- a/core/types/types.go
+++ b/core/types/types.go
@@ -2,7 +2,11 @@
 // independent of protocols and encodings.
 package types
 
-import "time"
+import (
+	"cmp"
+	"strings"
+	"time"
+)
 
 // HostID identifies one process of the system on one host. A process whose data
 // folder was lost restarts under a new identity.
@@ -61,3 +65,8 @@
 
 // String returns service/name.
 func (r TargetRef) String() string { return string(r.Service) + "/" + string(r.Name) }
+
+// Compare orders references by service, then by name.
+func (r TargetRef) Compare(other TargetRef) int {
+	return cmp.Or(strings.Compare(string(r.Service), string(other.Service)), strings.Compare(string(r.Name), string(other.Name)))
+}
