--- a/core/coretest/cluster.go
+++ b/core/coretest/cluster.go
@@ -44,7 +44,8 @@
 	// View returns the view that a traffic shard uses.
 	View func() *types.NodeView
 
-	run     int // counts starts and crashes; events of an earlier run are dropped
+	run     int       // counts starts and crashes; events of an earlier run are dropped
+	work    *workload // nil if the host handles events at once
 	frozen  bool
 	pending []event.Event // received while frozen
 	timers  map[event.TimerID]timer
@@ -202,7 +203,14 @@
 		h.pending = append(h.pending, q.event)
 		return
 	}
-	c.Step(h, q.event)
+	if h.work == nil {
+		c.Step(h, q.event)
+		return
+	}
+	if _, done := q.event.(finished); !done {
+		h.work.add(q.event)
+	}
+	c.stepQueued(h)
 }
 
 // Step lets a host handle an event now and executes the effects.
