Views are pushed together while many changes are committed

Cause: each committed change was sent to each proxy by itself, and each proxy answered it with an early request, while a fleet starts some thousands of times.

Change: a leader pushes at most 4,000 views a second, all changes since the last one in each; proxies with the same version share the update. Early requests of all proxies are bounded alike.

--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -77,9 +77,10 @@
 func (h *Holder) SharesVersion() uint64 { return h.sharesVersion }
 
 // RequestSoon sends a request before the regular interval ends, but not within
-// minRequestInterval of the last one.
+// minRequestInterval of the last one, or longer if there are many proxies.
 func (h *Holder) RequestSoon(now types.Instant) []effect.Effect {
-	if next := h.sentAt.Add(minRequestInterval); h.sentAt != 0 && now < next {
+	interval := max(minRequestInterval, time.Duration(h.fleet.Proxies)*time.Second/messagesPerSecond)
+	if next := h.sentAt.Add(interval); h.sentAt != 0 && now < next {
 		return []effect.Effect{h.arm(timerRequest, next)}
 	}
 	return h.sendRequest(now)
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -27,6 +27,9 @@
 	// minRequestInterval is the minimum time between a request and one that is
 	// sent early.
 	minRequestInterval = 20 * time.Millisecond
+	// messagesPerSecond bounds the views that a leader pushes and, apart from that, the
+	// early requests of all proxies together. A leader handles three times as many.
+	messagesPerSecond = 4000
 	// viewApplyTimeout is how long the shards of a proxy may take to apply a
 	// view. After that the proxy's lease is not extended.
 	viewApplyTimeout = time.Second
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"time"
+
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
@@ -40,6 +42,8 @@
 	proxies     map[types.HostID]*proxyRecord
 	fence       fenceCache
 	live        countCache
+	pushedAt    types.Instant // when a new view was last sent to the proxies, or zero
+	pushArmed   bool          // the timer of the next time is armed
 }
 
 // proxyRecord holds the last request and the lease of one proxy.
@@ -79,10 +83,13 @@
 		if e.Entry.Command.Proxy != nil {
 			return t.handleRegistration(*e.Entry.Command.Proxy)
 		}
-		return t.pushView()
+		return t.viewChanged()
 	case event.TimerFired:
-		if e.ID.Domain == event.DomainLeaseTable {
+		switch e.ID {
+		case tableTimer(timerSweep):
 			return t.removeProxies()
+		case tableTimer(timerPush):
+			return t.pushView()
 		}
 	}
 	return nil
@@ -95,7 +102,7 @@
 		return nil
 	}
 	t.proxies = make(map[types.HostID]*proxyRecord)
-	t.fence, t.live = fenceCache{}, countCache{}
+	t.fence, t.live, t.pushArmed = fenceCache{}, countCache{}, false
 	if !e.Leading {
 		return nil
 	}
@@ -234,21 +241,42 @@
 	return p.appliedVersion >= p.dueVersion || t.now < p.dueAt
 }
 
+// viewChanged sends a new view to the proxies at once, or a moment later together with
+// further changes, so that many changes don't take the time that leases need.
+func (t *Table) viewChanged() []effect.Effect {
+	if !t.ConfirmedLeader() || t.pushArmed {
+		return nil
+	}
+	interval := time.Duration(len(t.state.Proxies())) * time.Second / messagesPerSecond
+	if next := t.pushedAt.Add(interval); t.pushedAt != 0 && t.now < next {
+		t.pushArmed = true
+		return []effect.Effect{effect.ArmTimer{ID: tableTimer(timerPush), At: next}}
+	}
+	return t.pushView()
+}
+
 // pushView sends a new view to the proxies that hold a lease, as another answer to
 // their last request, without an extension of the lease and without shares. A view
 // in several parts isn't pushed: proxies request each part.
 func (t *Table) pushView() []effect.Effect {
+	t.pushArmed = false
 	if !t.ConfirmedLeader() {
 		return nil
 	}
+	t.pushedAt = t.now
 	version := t.state.Version()
+	updates := make(map[uint64]*proto.ViewUpdate) // by the version that they build on
 	var out []effect.Effect
 	for _, reg := range t.state.Proxies() {
 		p := t.proxies[reg.Host]
 		if p == nil || p.lastContact == 0 || t.now >= p.until || p.sentVersion >= version {
 			continue
 		}
-		update := t.state.NextPart(p.sentVersion, proto.ViewCursor{})
+		update, ok := updates[p.sentVersion]
+		if !ok {
+			update = t.state.NextPart(p.sentVersion, proto.ViewCursor{})
+			updates[p.sentVersion] = update
+		}
 		if update.More {
 			continue
 		}
@@ -260,10 +288,18 @@
 	return out
 }
 
+// Keys of the table's timers.
+const (
+	timerSweep uint64 = iota
+	timerPush
+)
+
+func tableTimer(key uint64) event.TimerID {
+	return event.TimerID{Domain: event.DomainLeaseTable, Key: key}
+}
+
 func (t *Table) armSweep() effect.Effect {
-	return effect.ArmTimer{
-		ID: event.TimerID{Domain: event.DomainLeaseTable}, At: t.now.Add(sweepInterval),
-	}
+	return effect.ArmTimer{ID: tableTimer(timerSweep), At: t.now.Add(sweepInterval)}
 }
 
 // removeProxies proposes the removal of proxies whose lease has ended and that drain
