Writes of the control log that wait are synced together

Cause: each step of a control host that changed its log took a sync of its own, also when others waited. Result: runtime passes; merged writes leave the same state as single ones (TestMergedWritesHaveTheSameEffect), 50 waiting writes take one sync.

--- a/runtime/control.go
+++ b/runtime/control.go
@@ -76,22 +76,24 @@
 	return <-written
 }
 
-// writeLog writes and syncs the reducer's log writes in order. It returns when ctx
-// ends or at the first error.
+// writeLog writes and syncs the reducer's log writes in order, those that wait together.
+// It returns when ctx ends or at the first error.
 func (h *ControlHost) writeLog(ctx context.Context) error {
 	for {
 		batch := h.writes.takeAll(ctx)
 		if batch == nil {
 			return nil
 		}
-		for _, p := range batch {
-			if err := h.persist(ctx, p); err != nil {
+		for _, group := range groupWrites(batch) {
+			if err := h.persist(ctx, mergeWrites(group)); err != nil {
 				return trace.Wrap(err, "writing the control log")
 			}
 			if ctx.Err() != nil {
 				return nil
 			}
-			h.loop.post(event.Persisted{Seq: p.Seq})
+			for _, p := range group {
+				h.loop.post(event.Persisted{Seq: p.Seq})
+			}
 		}
 	}
 }
