--- a/core/event/event.go
+++ b/core/event/event.go
@@ -127,20 +127,24 @@
 	SilentSince     map[types.ServiceName]types.Instant // since when a primary has not answered requests
 	// AnsweredAt is when a primary last answered a request, even by rejecting it. A
 	// change of this field alone causes no report.
-	AnsweredAt   map[types.TargetRef]types.Instant
-	Demand       map[types.TargetRef]int  // connections that the shard could use now
-	Connections  map[types.TargetRef]int  // connections that the shard holds or opens
-	Full         map[types.TargetRef]bool // targets that recently rejected a connection because of their limit
+	AnsweredAt  map[types.TargetRef]types.Instant
+	Demand      map[types.TargetRef]int  // connections that the shard could use now
+	Connections map[types.TargetRef]int  // connections that the shard holds or opens
+	Full        map[types.TargetRef]bool // targets that recently rejected a connection because of their limit
+	// ConnCounts counts the connections to each target. A change of this field alone
+	// causes no report.
+	ConnCounts   map[types.TargetRef]types.ConnCounts
 	Sessions     int
 	BusySessions int // sessions with a request or a transaction in progress
 
-	QuotaUse map[types.OrganisationName]QuotaUse // of the organisations near this proxy's part of their limit
+	QuotaUse map[types.OrganisationName]QuotaUse // of the organisations with operations within the window
 }
 
 // QuotaUse is what callers of an organisation asked of a shard.
 type QuotaUse struct {
-	Admitted float64 // operations a second that were admitted
-	Demand   float64 // operations a second that arrived
+	Used    int // operations that began within the window
+	Waiting int // operations that wait for a right
+	Refused int // operations that were refused lately for want of a right
 }
 
 // Events of a traffic shard.
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -66,6 +66,9 @@
 // Shares returns this proxy's share of each target.
 func (h *Holder) Shares() map[types.TargetRef]types.Share { return h.shares }
 
+// SharesSeq returns the number of the request whose grant brought the last shares.
+func (h *Holder) SharesSeq() uint64 { return h.sharesSeq }
+
 // Fleet returns the place of this proxy among those with a lease, as of the last grant.
 func (h *Holder) Fleet() types.Fleet { return h.fleet }
 
@@ -77,14 +80,24 @@
 func (h *Holder) SharesVersion() uint64 { return h.sharesVersion }
 
 // RequestSoon sends a request before the regular interval ends, but not within
-// minRequestInterval of the last one.
+// minRequestInterval of the last one, or longer if there are many proxies.
 func (h *Holder) RequestSoon(now types.Instant) []effect.Effect {
-	if next := h.sentAt.Add(minRequestInterval); h.sentAt != 0 && now < next {
+	interval := max(minRequestInterval, time.Duration(h.fleet.Proxies)*time.Second/messagesPerSecond)
+	if next := h.sentAt.Add(interval); h.sentAt != 0 && now < next {
 		return []effect.Effect{h.arm(timerRequest, next)}
 	}
 	return h.sendRequest(now)
 }
 
+// RequestWhenAnswered sends a request early, but not before the last one was answered.
+func (h *Holder) RequestWhenAnswered(now types.Instant) []effect.Effect {
+	if h.waitsSince != 0 {
+		h.overdue = true
+		return nil
+	}
+	return h.RequestSoon(now)
+}
+
 // Step processes one event.
 func (h *Holder) Step(in event.Input) []effect.Effect {
 	switch e := in.Event.(type) {
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"time"
+
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
@@ -26,6 +28,13 @@
 	Suspects(now types.Instant) []types.ServiceName
 }
 
+// QuotaSource divides the limits of organisations.
+type QuotaSource interface {
+	// Quotas returns the parts that change for the proxy, and whether its next request has
+	// to name all that it holds.
+	Quotas(proxy types.HostID) ([]proto.QuotaGrant, bool)
+}
+
 // Table holds the leases that this control host granted as leader.
 type Table struct {
 	self       types.HostID
@@ -33,11 +42,16 @@
 	leadership Leadership
 	shares     ShareSource
 	suspects   SuspectSource
+	quotas     QuotaSource
 
 	now         types.Instant // time of the event in progress
 	role        role.Role
 	leaderSince types.Instant // when this host became leader
 	proxies     map[types.HostID]*proxyRecord
+	fence       fenceCache
+	live        countCache
+	pushedAt    types.Instant // when a new view was last sent to the proxies, or zero
+	pushArmed   bool          // the timer of the next time is armed
 }
 
 // proxyRecord holds the last request and the lease of one proxy.
@@ -65,6 +79,9 @@
 // SetSuspects sets the source of the suspects in grants.
 func (t *Table) SetSuspects(s SuspectSource) { t.suspects = s }
 
+// SetQuotas sets the source of the parts of limits in grants.
+func (t *Table) SetQuotas(s QuotaSource) { t.quotas = s }
+
 // Step processes one event and returns the grants and proposals that follow from it.
 func (t *Table) Step(in event.Input) []effect.Effect {
 	t.now = in.Now
@@ -77,10 +94,13 @@
 		if e.Entry.Command.Proxy != nil {
 			return t.handleRegistration(*e.Entry.Command.Proxy)
 		}
-		return t.pushView()
+		return t.viewChanged()
 	case event.TimerFired:
-		if e.ID.Domain == event.DomainLeaseTable {
+		switch e.ID {
+		case tableTimer(timerSweep):
 			return t.removeProxies()
+		case tableTimer(timerPush):
+			return t.pushView()
 		}
 	}
 	return nil
@@ -93,6 +113,7 @@
 		return nil
 	}
 	t.proxies = make(map[types.HostID]*proxyRecord)
+	t.fence, t.live, t.pushArmed = fenceCache{}, countCache{}, false
 	if !e.Leading {
 		return nil
 	}
@@ -119,7 +140,10 @@
 		return nil
 	}
 	p.request, p.lastContact = r, t.now
-	p.appliedVersion = max(p.appliedVersion, r.AppliedVersion)
+	if r.AppliedVersion > p.appliedVersion {
+		p.appliedVersion = r.AppliedVersion
+		t.fence.computedAt = 0
+	}
 	if reg, ok := t.state.Proxy(r.Proxy); !ok || reg.AvailabilityZone != r.AvailabilityZone {
 		return t.proposeRegistration(p)
 	}
@@ -170,6 +194,7 @@
 
 func (t *Table) handleRegistration(c proto.SetProxy) []effect.Effect {
 	p := t.proxies[c.Host]
+	t.fence.computedAt, t.live.countedAt = 0, 0
 	switch {
 	case !t.role.Leading || p == nil:
 		return nil
@@ -199,16 +224,21 @@
 	complete := g.View == nil || !g.View.More
 	p.sentVersion = p.request.ViewVersion
 	if complete {
-		p.sentVersion = t.state.View().Version
+		p.sentVersion = t.state.Version()
 	}
 	if complete && !p.request.Draining && t.appliesViewsInTime(p) {
 		g.Duration = Duration
 		p.until = t.now.Add(Duration + driftMargin)
+		t.fence.version = min(t.fence.version, p.appliedVersion)
+		t.live.countedAt = 0
 	}
 	if t.shares != nil {
 		g.Shares = t.shares.Shares(p.request.Proxy)
 		g.Fleet = t.shares.Fleet(p.request.Proxy)
 	}
+	if t.quotas != nil && g.Duration > 0 {
+		g.Quotas, g.NameQuotas = t.quotas.Quotas(p.request.Proxy)
+	}
 	if t.suspects != nil {
 		g.Suspects = t.suspects.Suspects(t.now)
 	}
@@ -219,27 +249,48 @@
 // viewApplyTimeout. Otherwise a shard that hangs would block every promotion.
 func (t *Table) appliesViewsInTime(p *proxyRecord) bool {
 	if p.appliedVersion >= p.dueVersion {
-		p.dueVersion = t.state.View().Version
+		p.dueVersion = t.state.Version()
 		p.dueAt = t.now.Add(viewApplyTimeout)
 	}
 	return p.appliedVersion >= p.dueVersion || t.now < p.dueAt
 }
 
+// viewChanged sends a new view to the proxies at once, or a moment later together with
+// further changes, so that many changes don't take the time that leases need.
+func (t *Table) viewChanged() []effect.Effect {
+	if !t.ConfirmedLeader() || t.pushArmed {
+		return nil
+	}
+	interval := time.Duration(len(t.state.Proxies())) * time.Second / messagesPerSecond
+	if next := t.pushedAt.Add(interval); t.pushedAt != 0 && t.now < next {
+		t.pushArmed = true
+		return []effect.Effect{effect.ArmTimer{ID: tableTimer(timerPush), At: next}}
+	}
+	return t.pushView()
+}
+
 // pushView sends a new view to the proxies that hold a lease, as another answer to
 // their last request, without an extension of the lease and without shares. A view
 // in several parts isn't pushed: proxies request each part.
 func (t *Table) pushView() []effect.Effect {
+	t.pushArmed = false
 	if !t.ConfirmedLeader() {
 		return nil
 	}
-	version := t.state.View().Version
+	t.pushedAt = t.now
+	version := t.state.Version()
+	updates := make(map[uint64]*proto.ViewUpdate) // by the version that they build on
 	var out []effect.Effect
 	for _, reg := range t.state.Proxies() {
 		p := t.proxies[reg.Host]
 		if p == nil || p.lastContact == 0 || t.now >= p.until || p.sentVersion >= version {
 			continue
 		}
-		update := t.state.NextPart(p.sentVersion, proto.ViewCursor{})
+		update, ok := updates[p.sentVersion]
+		if !ok {
+			update = t.state.NextPart(p.sentVersion, proto.ViewCursor{})
+			updates[p.sentVersion] = update
+		}
 		if update.More {
 			continue
 		}
@@ -251,10 +302,18 @@
 	return out
 }
 
+// Keys of the table's timers.
+const (
+	timerSweep uint64 = iota
+	timerPush
+)
+
+func tableTimer(key uint64) event.TimerID {
+	return event.TimerID{Domain: event.DomainLeaseTable, Key: key}
+}
+
 func (t *Table) armSweep() effect.Effect {
-	return effect.ArmTimer{
-		ID: event.TimerID{Domain: event.DomainLeaseTable}, At: t.now.Add(sweepInterval),
-	}
+	return effect.ArmTimer{ID: tableTimer(timerSweep), At: t.now.Add(sweepInterval)}
 }
 
 // removeProxies proposes the removal of proxies whose lease has ended and that drain
--- a/core/session/even_load_test.go
+++ b/core/session/even_load_test.go
@@ -158,7 +158,7 @@
 func TestCrowdedPolicy(t *testing.T) {
 	for proxies, want := range map[int]routing.Policy{0: routing.LowestLatency{}, 7: routing.LowestLatency{}, 8: routing.RecentLatency{}} {
 		s := NewShard(Options{Policy: routing.LowestLatency{}, CrowdedPolicy: routing.RecentLatency{}})
-		s.view = &types.NodeView{Cluster: &types.ClusterView{Config: testConfig()}, Fleet: types.Fleet{Proxies: proxies}}
+		s.view = &types.NodeView{Cluster: &types.ClusterView{Config: testConfig()}, Proxies: proxies}
 		g := &types.Group{Members: []types.Target{{Name: "a", Slots: 4}}}
 		assert.Equal(t, s.policy(&service{name: svcName}, g), want, "%d proxies", proxies)
 	}
--- a/core/session/fleet_test.go
+++ b/core/session/fleet_test.go
@@ -59,7 +59,7 @@
 
 	policy    routing.Policy                                         // of the proxies
 	delay     func(proxy int, member types.TargetName) time.Duration // one way; networkDelay if not set
-	connLimit int                                                    // connections that a member accepts; no limit if not set
+	connLimit int                                                    // connections that a member accepts, with handshake; no limit if not set
 	handshake time.Duration                                          // of a slot, for a new connection
 	swing     func(proxy int, at types.Instant) float64              // relative number of callers of a proxy
 }
@@ -374,7 +374,11 @@
 			c.delay = f.config.delay(p.index, e.Ref.Name)
 		}
 		p.conns[e.Conn] = c
-		f.after(c.delay, func() { f.accept(p, c, e.Conn) })
+		if f.config.handshake == 0 {
+			f.after(2*c.delay, func() { p.step(event.TargetConnected{Conn: e.Conn}) })
+		} else {
+			f.after(c.delay, func() { f.accept(p, c, e.Conn) })
+		}
 	case effect.CloseConn:
 		if c := p.conns[e.Conn]; c != nil && c.open {
 			c.member.conns--
@@ -441,12 +445,9 @@
 	m.conns++
 	m.opened++
 	c.open = true
-	connected := func() { f.after(c.delay, func() { p.step(event.TargetConnected{Conn: id}) }) }
-	if f.config.handshake == 0 {
-		connected()
-		return
-	}
-	f.occupy(m, func() time.Duration { return f.config.handshake }, connected)
+	f.occupy(m, func() time.Duration { return f.config.handshake }, func() {
+		f.after(c.delay, func() { p.step(event.TargetConnected{Conn: id}) })
+	})
 }
 
 var errFull = errors.New("the member has too many connections")
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/capacity"
+	"github.com/camphorpaddle/camphorpaddle/core/pool"
 	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -16,10 +17,6 @@
 	// floorTimeout is how long a request waits for positions that may lower
 	// its session's first floor. A lower floor lets more replicas serve it.
 	floorTimeout = 10 * time.Millisecond
-	// overtakingLimit is how long a request that waits for a connection of its
-	// organisation is overtaken by those of others. Opening one takes 12 ms of a slot
-	// and two round trips.
-	overtakingLimit = 50 * time.Millisecond
 )
 
 // place moves a request to its next waiting stage: for the session's floor, or
@@ -232,10 +229,10 @@
 	return r, ready
 }
 
-// starved reports whether a request has been overtaken for too long: none of the targets
-// opens a connection for it while those of other organisations are used again.
+// starved reports whether a request has been overtaken for too long: no target opens a
+// connection for it while those of other organisations are used again.
 func (s *Shard) starved(svc *service, q *queue, r *request) bool {
-	if s.now.Sub(r.arrived) < overtakingLimit {
+	if !r.overdue(s.now) {
 		return false
 	}
 	targets := s.queueTargets(svc, q)
@@ -244,6 +241,9 @@
 	})
 }
 
+// overdue reports whether others may no longer go before the request.
+func (r *request) overdue(now types.Instant) bool { return now.Sub(r.arrived) >= pool.Turn }
+
 // precedes orders the heads of two queues: timely requests first, then by
 // arrival.
 func (r *request) precedes(o *request) bool {
@@ -282,7 +282,7 @@
 		return s.options.Policy
 	}
 	slots := capacity.SlotsOf(s.view.Cluster.Config.Services[svc.name], g.Members[0])
-	if capacity.Crowded(slots, s.view.Fleet.Proxies) {
+	if capacity.Crowded(slots, s.view.Proxies) {
 		return s.options.CrowdedPolicy
 	}
 	return s.options.Policy
--- a/core/types/view.go
+++ b/core/types/view.go
@@ -8,6 +8,13 @@
 	Contended   bool // the target has no free connections: what is idle is closed soon
 }
 
+// ConnCounts counts connections to one target since a shard started.
+type ConnCounts struct {
+	Opened   uint64
+	Rejected uint64 // by the target, because of its limit
+	Replaced uint64 // idle ones that were closed for one of another organisation
+}
+
 // Fleet is the place of a proxy among those that share the targets.
 type Fleet struct {
 	Proxies int // number of proxies; zero if it isn't known
@@ -46,10 +53,12 @@
 	// KeyHolders are the organisations of the configuration by the digests of their keys.
 	KeyHolders map[KeyDigest]OrganisationName
 
-	// Quotas are this proxy's parts of the limits of organisations. An organisation that
-	// has a limit but no entry has the part that follows from the number of proxies.
+	// Proxies is the number of proxies that share the targets; zero if it isn't known.
+	Proxies int
+
+	// Quotas are this proxy's parts of the limits of organisations; they end some time
+	// after the lease. Of an organisation that has a limit but no entry it has no part.
 	Quotas map[OrganisationName]Quota
-	Fleet  Fleet // place of this proxy among those that share the targets and limits
 }
 
 // LeaseLive reports whether the proxy's lease is valid at now.
