Status shows what the leader knows of the limits of organisations

Change: operator.QuotaSource, which the division of limits implements; organisation list shows limit, held, used and period.

--- a/core/division/divider.go
+++ b/core/division/divider.go
@@ -310,20 +310,15 @@
 		name, d.limits[name].Rights, d.limits[name].Period, len(p.holdings), p.held, p.pastRights(d.limits[name], now), len(d.unheard))})
 }
 
-// Use is how much of an organisation's limit proxies hold.
-type Use struct {
-	Organisation types.OrganisationName
-	Held, Limit  int // rights
-	Used         int // of Held, those of operations that began within the period, as last reported
-	Period       time.Duration
-}
-
-// Uses returns the use of all limits, in order of organisation.
-func (d *Divider) Uses() []Use {
+// Uses returns the use of all limits, in order of organisation, while this host leads.
+func (d *Divider) Uses() []proto.OrganisationUse {
+	if !d.role.Leading {
+		return nil
+	}
 	d.updateLimits()
-	var out []Use
+	var out []proto.OrganisationUse
 	for _, name := range slices.Sorted(maps.Keys(d.limits)) {
-		use := Use{Organisation: name, Limit: d.limits[name].Rights, Period: d.limits[name].Period}
+		use := proto.OrganisationUse{Organisation: name, Limit: d.limits[name].Rights, Period: d.limits[name].Period}
 		if p := d.pools[name]; p != nil {
 			use.Held, use.Used = p.held, p.used
 		}
--- a/core/operator/operator.go
+++ b/core/operator/operator.go
@@ -24,9 +24,17 @@
 	role    role.Role
 	waiting map[uint64]waiter
 	reports map[types.TargetRef]receivedReport // while this host leads
-	uses    map[types.HostID]receivedUses      // by proxy, while this host leads
+	quotas  QuotaSource                        // nil without limits
 }
 
+// QuotaSource knows how much of the limits of organisations is in use.
+type QuotaSource interface {
+	Uses() []proto.OrganisationUse
+}
+
+// SetQuotas sets the source of the use of limits in the status.
+func (h *Handler) SetQuotas(q QuotaSource) { h.quotas = q }
+
 // waiter returns the reply to a pending call if the committed command c
 // completes the call, and reports whether it does.
 type waiter func(c proto.Command) (proto.OperatorReply, bool)
@@ -35,7 +43,7 @@
 func New(self types.HostID, state *cluster.State, leases *lease.Table) *Handler {
 	return &Handler{
 		self: self, state: state, leases: leases, waiting: make(map[uint64]waiter),
-		reports: make(map[types.TargetRef]receivedReport), uses: make(map[types.HostID]receivedUses),
+		reports: make(map[types.TargetRef]receivedReport),
 	}
 }
 
@@ -47,7 +55,6 @@
 	case event.LeaseRequested:
 		if h.role.Leading {
 			h.recordReports(in.Now, e.Request.Reports)
-			h.recordUses(in.Now, e.Request)
 		}
 	case event.OperatorCalled:
 		return h.handleCall(in.Now, e.Call, e.Request)
@@ -65,7 +72,6 @@
 		return nil
 	}
 	clear(h.reports)
-	clear(h.uses)
 	if !wasLeading {
 		return nil
 	}
@@ -151,7 +157,9 @@
 		Host: h.self, Leader: h.role.Leader, Authoritative: h.leases.ConfirmedLeader(), Term: h.role.Term,
 		Commit: h.state.Applied(), Applied: h.state.Applied(), ConfigSince: h.state.ConfigSince(),
 		Voters: h.state.Voters(), State: h.state.Snapshot(), Proxies: h.leases.Status(),
-		Organisations: h.organisationUses(now),
+	}
+	if h.quotas != nil {
+		st.Organisations = h.quotas.Uses()
 	}
 	st.Targets = h.targetReports(now, st.State.Groups)
 	return st
--- a/core/proto/operator.go
+++ b/core/proto/operator.go
@@ -1,6 +1,10 @@
 package proto
 
-import "github.com/camphorpaddle/camphorpaddle/core/types"
+import (
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
 
 // OperatorRequest is a call of an operator. Exactly one field is set.
 type OperatorRequest struct {
@@ -66,20 +70,21 @@
 	Applied       uint64 // index of the last applied entry of the control log
 	// ConfigSince is the first version of the view that includes the
 	// configuration in State.
-	ConfigSince uint64
-	Voters      []Voter
-	State       ClusterState
-	Proxies     []ProxyStatus
-	Targets     []TargetReport
-	// Organisations are those near their limit.
-	Organisations []OrganisationUse
+	ConfigSince   uint64
+	Voters        []Voter
+	State         ClusterState
+	Proxies       []ProxyStatus
+	Targets       []TargetReport
+	Organisations []OrganisationUse // those with a limit; only of the leader
 }
 
-// OrganisationUse is what the callers of an organisation ask of all proxies.
+// OrganisationUse is how much of an organisation's limit the proxies hold and use.
 type OrganisationUse struct {
 	Organisation types.OrganisationName
-	Admitted     float64 // operations a second
-	Demand       float64 // operations a second
+	Limit        int // operations within Period
+	Held         int // of Limit, those that proxies may begin
+	Used         int // of Held, those that began within Period, as last reported
+	Period       time.Duration
 }
 
 // ProxyStatus is the state of a proxy as the leader knows it.
--- a/core/roles.go
+++ b/core/roles.go
@@ -26,6 +26,8 @@
 	leases.SetQuotas(quotas)
 	promotions := promotion.New(state, leases)
 	leases.SetSuspects(promotions)
+	operators := operator.New(self.Host, state, leases)
+	operators.SetQuotas(quotas)
 	return New(
 		raft,
 		state,
@@ -34,7 +36,7 @@
 		quotas,
 		membership.New(state),
 		promotions,
-		operator.New(self.Host, state, leases),
+		operators,
 	)
 }
 
--- a/daemon/api/api.go
+++ b/daemon/api/api.go
@@ -75,15 +75,16 @@
 	Priority int     `json:"priority"`
 	Rate     float64 `json:"rate"` // operations a second; 0 means no limit
 	Burst    int     `json:"burst"`
-	// Use is given for organisations near their limit.
+	// Use is given for organisations with a limit, by the control leader.
 	Use *OrganisationUse `json:"use,omitempty"`
 }
 
-// OrganisationUse is what the callers of an organisation ask of all proxies, in operations
-// a second.
+// OrganisationUse is how much of an organisation's limit is in use.
 type OrganisationUse struct {
-	Admitted float64 `json:"admitted"`
-	Demand   float64 `json:"demand"`
+	Limit  int    `json:"limit"`  // operations within the period
+	Held   int    `json:"held"`   // of the limit, those that proxies may begin
+	Used   int    `json:"used"`   // of those held, the ones that began within the period
+	Period string `json:"period"` // as a duration
 }
 
 // Promote requests an ordered change of primary.
--- a/daemon/convert.go
+++ b/daemon/convert.go
@@ -146,7 +146,7 @@
 	}
 	uses := make(map[types.OrganisationName]*api.OrganisationUse)
 	for _, u := range st.Organisations {
-		uses[u.Organisation] = &api.OrganisationUse{Admitted: u.Admitted, Demand: u.Demand}
+		uses[u.Organisation] = &api.OrganisationUse{Limit: u.Limit, Held: u.Held, Used: u.Used, Period: u.Period.String()}
 	}
 	for _, name := range slices.Sorted(maps.Keys(st.State.Config.Organisations)) {
 		o := st.State.Config.Organisations[name]
