Count sessions that are refused at their start

Cause: callers with an unknown key are refused when they connect, which only the log said. Change: sessions_refused_total by code. Result: tests of runtime, telemetry, daemon and internal/outernames pass.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -37,6 +37,7 @@
 		Basis   *Basis // set for a decision about a request
 
 		Organisation types.OrganisationName // whose caller or limit it is about; empty without one
+		Refusal      types.RefusalCode      // of a session that was refused at its start
 	}
 )
 
--- a/runtime/session.go
+++ b/runtime/session.go
@@ -56,7 +56,9 @@
 	view, now := p.View(), p.Clock()
 	refusal, refused := session.RefuseSession(view, params, now)
 	if refused {
-		p.Recorder.Decision(effect.Decide{Kind: effect.DecideRefuse, Reason: refusal.Reason, Basis: session.ViewBasis(view, now)})
+		p.Recorder.Decision(effect.Decide{
+			Kind: effect.DecideRefuse, Reason: refusal.Reason, Refusal: refusal.Code, Basis: session.ViewBasis(view, now),
+		})
 	}
 	return refusal, refused
 }
--- a/runtime/session_test.go
+++ b/runtime/session_test.go
@@ -154,6 +154,7 @@
 	assert.Equal(t, len(recorder.decisions), 2)
 	last := recorder.decisions[1]
 	assert.Equal(t, last.Kind, effect.DecideRefuse)
+	assert.Equal(t, last.Refusal, types.RefuseUnknownDatabase)
 	assert.Equal(t, last.Basis.ViewVersion, uint64(7))
 	assert.Equal(t, last.Basis.ConfigVersion, uint64(3))
 	assert.Equal(t, last.Basis.LeaseLeft, 10*time.Nanosecond)
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -99,6 +99,9 @@
 			"service": string(d.Service), "cause": string(d.Basis.Cause),
 		}).Counter(name).Inc(1)
 	}
+	if d.Refusal != 0 {
+		m.scope.Tagged(map[string]string{"code": refusalName(d.Refusal)}).Counter("sessions_refused_total").Inc(1)
+	}
 	switch d.Kind {
 	case effect.DecideLeaseLost:
 		m.scope.Gauge("lease_live").Update(0)
--- a/telemetry/organisations_test.go
+++ b/telemetry/organisations_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"gotest.tools/v3/assert"
 )
@@ -56,12 +57,13 @@
 	r.Observation(o)
 	o.Organisation, o.BeginsOperation, o.Refusal = "", true, types.RefuseUnknownKey
 	r.Observation(o)
+	r.Decision(effect.Decide{Kind: effect.DecideRefuse, Refusal: types.RefuseUnknownKey})
 	assert.NilError(t, r.Close(t.Context()))
 	rec := httptest.NewRecorder()
 	r.Metrics().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	var lines []string
 	for line := range strings.Lines(rec.Body.String()) {
-		if strings.HasPrefix(line, metricPrefix+"_organisation_") {
+		if strings.HasPrefix(line, metricPrefix+"_organisation_") || strings.HasPrefix(line, metricPrefix+"_sessions_refused") {
 			lines = append(lines, strings.TrimSpace(line))
 		}
 	}
@@ -71,5 +73,6 @@
 		metricPrefix + "_organisation_operations_total{" + common + fmt.Sprintf(rest, restOfOrganisations),
 		metricPrefix + "_organisation_refusals_total{" + common + `code="over_quota",` + fmt.Sprintf(rest, restOfOrganisations),
 		metricPrefix + "_organisation_refusals_total{" + common + `code="unknown_key",` + fmt.Sprintf(rest, noOrganisation),
+		metricPrefix + "_sessions_refused_total{" + common + `code="unknown_key",host="proxy-1",region="north",role="proxy"} 1`,
 	})
 }
