--- a/core/cluster/parts_test.go
+++ b/core/cluster/parts_test.go
@@ -219,29 +219,54 @@
 	assert.DeepEqual(t, a.View().Config, l.state.Config())
 }
 
-// BenchmarkFirstView reports the uncompressed frame sizes of a first view of 1,400
-// routes, and of the update after one more route.
+// BenchmarkFirstView reports the uncompressed frame sizes of a first view, and of the
+// update after one more route or one key less.
 func BenchmarkFirstView(b *testing.B) {
-	l := &log{state: cluster.New()}
-	l.configure(routedConfig(0, 1400))
-	var first, parts, update int
-	for b.Loop() {
-		first, parts = 0, 0
-		var a cluster.ViewAssembly
-		for u := l.state.NextPart(a.Version(), a.Cursor()); u != nil; u = l.state.NextPart(a.Version(), a.Cursor()) {
-			frame, err := wire.Encode(wire.Frame{LeaseGrant: &proto.LeaseGrant{View: u}})
-			assert.NilError(b, err)
-			first += len(frame)
-			parts++
-			a.Apply(u)
-		}
+	withOrganisations := func(count int) *types.Config {
+		c := routedConfig(0, 1)
+		c.Organisations = organisations(count, 2, 0)
+		return c
+	}
+	withoutKey := func(c *types.Config) *types.Config {
+		o := c.Organisations["organisation-0007"]
+		o.Keys = o.Keys[:1]
+		c.Organisations[o.Name] = o
+		return c
 	}
-	have := l.state.View().Version
-	l.configure(routedConfig(0, 1401))
-	frame, err := wire.Encode(wire.Frame{LeaseGrant: &proto.LeaseGrant{View: l.state.NextPart(have, proto.ViewCursor{})}})
+	for _, size := range []struct {
+		name          string
+		before, after *types.Config
+	}{
+		{"1400 routes", routedConfig(0, 1400), routedConfig(0, 1401)},
+		{"100 organisations", withOrganisations(100), withoutKey(withOrganisations(100))},
+		{"10000 organisations", withOrganisations(10_000), withoutKey(withOrganisations(10_000))},
+	} {
+		b.Run(size.name, func(b *testing.B) {
+			l := &log{state: cluster.New()}
+			l.configure(size.before)
+			var first, parts int
+			for b.Loop() {
+				first, parts = 0, 0
+				var a cluster.ViewAssembly
+				for u := l.state.NextPart(a.Version(), a.Cursor()); u != nil; u = l.state.NextPart(a.Version(), a.Cursor()) {
+					first += frameBytes(b, u)
+					parts++
+					a.Apply(u)
+				}
+			}
+			have := l.state.View().Version
+			l.configure(size.after)
+			b.ReportMetric(float64(first), "B/view")
+			b.ReportMetric(float64(parts), "parts")
+			b.ReportMetric(float64(frameBytes(b, l.state.NextPart(have, proto.ViewCursor{}))), "B/update")
+		})
+	}
+}
+
+// frameBytes returns the encoded size of an update.
+func frameBytes(b *testing.B, u *proto.ViewUpdate) int {
+	b.Helper()
+	frame, err := wire.Encode(wire.Frame{LeaseGrant: &proto.LeaseGrant{View: u}})
 	assert.NilError(b, err)
-	update = len(frame)
-	b.ReportMetric(float64(first), "B/view")
-	b.ReportMetric(float64(parts), "parts")
-	b.ReportMetric(float64(update), "B/update")
+	return len(frame)
 }
--- /dev/null
+++ b/internal/key/bench_test.go
@@ -0,0 +1,9 @@
+package key
+
+import "testing"
+
+func BenchmarkDigest(b *testing.B) {
+	for b.Loop() {
+		Digest("a-key-of-an-organisation")
+	}
+}
