Idle connections close sooner at a target that rejects connections

Change: each connection that a target rejects because of its limit halves a proxy's idle timeouts there, down to 50 ms; each accepted one adds 5 ms. Tests of pool, limits, capacity, lease, node and session pass.

--- a/core/limits/managed.go
+++ b/core/limits/managed.go
@@ -26,7 +26,7 @@
 	reservedFraction = 1.0 / 8
 	// dividedSlack is how many connections beyond its part a proxy may open. Which proxies
 	// need theirs changes faster than grants; the target refuses what is too much.
-	dividedSlack = 2
+	dividedSlack = 3
 )
 
 // managedPool is the use of one managed target by all proxies.
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -20,6 +20,10 @@
 	idleTimeout          = 300 * time.Millisecond
 	keptNoneIdleTimeout  = time.Second
 	contendedIdleTimeout = 100 * time.Millisecond
+	// Each connection that a target rejects because of its limit halves the idle
+	// timeout, down to minIdleTimeout, and each that it accepts adds idleTimeoutStep.
+	minIdleTimeout  = 50 * time.Millisecond
+	idleTimeoutStep = 5 * time.Millisecond
 	// fullDuration is how long a target counts as full after it rejected a connection.
 	fullDuration = 500 * time.Millisecond
 	// minDialBackoff and maxDialBackoff bound the backoff after failed dials.
@@ -43,12 +47,16 @@
 	extraExchanges int           // exchanges allowed beyond those of the share's slots
 	counts         types.ConnCounts
 
+	learntIdleTimeout time.Duration // as long as other proxies find room at the target
+
 	failedOrganisation types.OrganisationName // that the last failed dial was for
 	turnBegan          types.Instant          // when a connection that was needed was last closed for another organisation
 }
 
 // NewTarget returns a target without a share.
-func NewTarget(ref types.TargetRef) *Target { return &Target{Ref: ref} }
+func NewTarget(ref types.TargetRef) *Target {
+	return &Target{Ref: ref, learntIdleTimeout: keptNoneIdleTimeout}
+}
 
 // Update sets the target's address and the proxy's share of it. It drops and returns
 // the connections that must be closed.
@@ -117,11 +125,11 @@
 func (t *Target) idleTimeout() time.Duration {
 	switch {
 	case t.share.Contended:
-		return contendedIdleTimeout
+		return min(contendedIdleTimeout, t.learntIdleTimeout)
 	case t.kept() == 0:
-		return keptNoneIdleTimeout
+		return t.learntIdleTimeout
 	}
-	return idleTimeout
+	return min(idleTimeout, t.learntIdleTimeout)
 }
 
 // kept returns how many connections stay open without use.
@@ -256,6 +264,7 @@
 func (t *Target) Connected(c *Conn, now types.Instant) int {
 	c.state, c.idleSince = Idle, now
 	t.counts.Opened++
+	t.learntIdleTimeout = min(keptNoneIdleTimeout, t.learntIdleTimeout+idleTimeoutStep)
 	failed := t.dialFailures
 	t.dialFailures = 0
 	return failed
@@ -268,6 +277,7 @@
 	t.Drop(c)
 	if full {
 		t.counts.Rejected++
+		t.learntIdleTimeout = max(minIdleTimeout, t.learntIdleTimeout/2)
 		t.rejectedAt = now
 	}
 	t.dialFailures++
--- a/core/pool/target_test.go
+++ b/core/pool/target_test.go
@@ -82,3 +82,25 @@
 	target.Acquire(1, "", nil)
 	assert.Equal(t, dials(target, 0, false, 0), 1, "it may keep two")
 }
+
+// TestRejectedConnectionsShortenTheIdleTimeout covers many proxies before a target with few
+// connections, which each of them finds full.
+func TestRejectedConnectionsShortenTheIdleTimeout(t *testing.T) {
+	target := NewTarget(types.TargetRef{Service: "a", Name: "t1"})
+	target.Update("10.0.0.1:1", types.Share{Connections: 40, Shared: 40, Slots: 2})
+	assert.Equal(t, target.idleTimeout(), keptNoneIdleTimeout)
+	for range 20 {
+		target.DialFailed(target.Dial(1, ""), false, 0)
+	}
+	assert.Equal(t, target.idleTimeout(), keptNoneIdleTimeout, "these failed for another reason")
+	for range 2 {
+		target.DialFailed(target.Dial(1, ""), true, 0)
+	}
+	assert.Equal(t, target.idleTimeout(), keptNoneIdleTimeout/4)
+	target.Connected(target.Dial(1, ""), 0)
+	assert.Equal(t, target.idleTimeout(), keptNoneIdleTimeout/4+idleTimeoutStep)
+	for range 20 {
+		target.DialFailed(target.Dial(1, ""), true, 0)
+	}
+	assert.Equal(t, target.idleTimeout(), minIdleTimeout)
+}
