--- a/core/session/connection.go
+++ b/core/session/connection.go
@@ -18,8 +18,11 @@
 // in advance, and closes those that have been idle for too long. It reports whether it
 // closed one for a request of another organisation.
 func (s *Shard) dial(svc *service) bool {
-	waiting := s.waitingPerTarget(svc)
 	demand := pool.Demand{ServiceWaiting: svc.queued() > 0, Organisations: len(s.view.Cluster.Config.Organisations) > 0}
+	var waiting map[types.TargetName][]pool.Waiting
+	if demand.ServiceWaiting {
+		waiting = s.waitingPerTarget(svc)
+	}
 	madeRoom := false
 	var next types.Instant
 	for _, name := range sortedKeys(svc.targets) {
