Rights after restarts: processes of one host, pace and parts that end

Cause: a proxy has a new identity at each start, so that a new leader took the identities of all earlier processes for proxies that may still use rights, and gave out none for 14 s after a restart of all. A request that was sent in the step in which a grant arrived named parts without that grant, but confirmed it. Change: HostID.Name is what all processes of a host have in common; a new process ends the rights of the earlier one, and what that began is free again at three quarters of the organisation's rate, since rights are paced. The holder applies the parts of a grant before it sends the next request. Parts that control sends are always confirmed. Properties with lost, repeated and late messages, freezes, cuts, changes of leader, restarts and clocks 0.5% off hold; they fail without the count of open grants, of unheard proxies, and with silent proxies forgotten early. Tests of core/division, core/node, core/quota, core/lease, core, core/types, core/operator, wire and internal pass.

--- a/core/division/divider.go
+++ b/core/division/divider.go
@@ -52,7 +52,8 @@
 	decisions []effect.Effect // since the last step
 }
 
-// proxyRecord is the process that a proxy's requests come from.
+// proxyRecord is the process that a proxy's requests come from. Proxies are known by their
+// configured names: a new process of the same name shows that the earlier one has ended.
 type proxyRecord struct {
 	process     uint64
 	earlier     []uint64 // processes that it replaced; their late requests don't count
@@ -95,7 +96,7 @@
 	d.leadingSince, d.restartedAt = now, now.Add(-forgottenAfter)
 	d.updateLimits()
 	for _, reg := range d.state.Proxies() {
-		d.unheard[reg.Host] = now.Add(quota.HeldFor(lease.Duration, d.window))
+		d.unheard[reg.Host.Name()] = now.Add(quota.HeldFor(lease.Duration, d.window))
 	}
 }
 
@@ -132,6 +133,7 @@
 	if !ok {
 		return nil, false
 	}
+	proxy = proxy.Name()
 	now := d.leases.Now()
 	d.updateLimits()
 	d.expire(now)
@@ -170,7 +172,8 @@
 // isn't known what the process holds, or if a later process has replaced it. A process
 // that appears under this leader has no rights of an earlier one.
 func (d *Divider) recordProcess(r proto.LeaseRequest, now types.Instant) bool {
-	p := d.proxies[r.Proxy]
+	name := r.Proxy.Name()
+	p := d.proxies[name]
 	if p != nil && p.process == r.Process {
 		p.lastContact = now
 		return true
@@ -178,16 +181,16 @@
 	if p != nil && slices.Contains(p.earlier, r.Process) {
 		return false
 	}
-	if _, unheard := d.unheard[r.Proxy]; unheard && !r.QuotasFull {
+	if _, unheard := d.unheard[name]; unheard && !r.QuotasFull {
 		return false
 	}
 	next := &proxyRecord{process: r.Process, lastContact: now}
 	if p != nil {
 		next.earlier = append(p.earlier, p.process)
 		next.earlier = next.earlier[max(0, len(next.earlier)-maxEarlier):]
-		d.retire(r.Proxy, now)
+		d.retire(name, now)
 	}
-	d.proxies[r.Proxy] = next
+	d.proxies[name] = next
 	return true
 }
 
@@ -205,26 +208,27 @@
 // follow one of which this leader knows nothing.
 func (d *Divider) recordFull(r proto.LeaseRequest, now types.Instant) {
 	named := make(map[types.OrganisationName]bool, len(r.QuotaUses))
-	_, unheard := d.unheard[r.Proxy]
+	proxy := r.Proxy.Name()
+	_, unheard := d.unheard[proxy]
 	for _, use := range r.QuotaUses {
 		named[use.Organisation] = true
 		if p := d.pool(use.Organisation); p != nil {
-			p.withdraw(r.Proxy)
+			p.withdraw(proxy)
 			if unheard {
-				p.reported += p.holdings[r.Proxy].counted
+				p.reported += p.holdings[proxy].counted
 			}
 		}
 	}
 	for name, p := range d.pools {
 		if !named[name] {
-			p.drop(r.Proxy)
+			p.drop(proxy)
 		}
 	}
 	if !unheard {
 		return
 	}
 	d.restartedAt = max(d.restartedAt, now.Add(-r.Uptime))
-	delete(d.unheard, r.Proxy)
+	delete(d.unheard, proxy)
 }
 
 // expire forgets what can't be held or used within the window any more.
@@ -253,6 +257,7 @@
 // that it names, and of those whose limit is lower than what is held.
 func (d *Divider) divide(r proto.LeaseRequest, now types.Instant) []proto.QuotaGrant {
 	var out []proto.QuotaGrant
+	proxy := r.Proxy.Name()
 	named := make(map[types.OrganisationName]bool, len(r.QuotaUses))
 	for _, use := range r.QuotaUses {
 		named[use.Organisation] = true
@@ -261,23 +266,23 @@
 			continue
 		}
 		limit := d.limits[use.Organisation]
-		part := p.part(r.Proxy, use, limit, d.available(p, limit, now), now)
+		part := p.part(proxy, use, limit, d.available(p, limit, now), now)
 		lacks := part < use.Used+use.Waiting
 		spent := lacks && p.spent(limit, now)
 		if part != use.Part || spent {
-			p.grant(r.Proxy, r.Seq, part)
+			p.grant(proxy, r.Seq, part)
 			out = append(out, proto.QuotaGrant{Organisation: use.Organisation, Rights: part, Spent: spent})
 		}
 		d.recordDivision(use.Organisation, p, spent, now)
 	}
 	for _, name := range d.lowered {
 		p := d.pools[name]
-		if p == nil || named[name] || p.holdings[r.Proxy] == nil {
+		if p == nil || named[name] || p.holdings[proxy] == nil {
 			continue
 		}
-		h := p.holdings[r.Proxy]
+		h := p.holdings[proxy]
 		if part := p.scaled(h.part(), d.limits[name].Rights); part < h.part() {
-			p.grant(r.Proxy, r.Seq, part)
+			p.grant(proxy, r.Seq, part)
 			out = append(out, proto.QuotaGrant{Organisation: name, Rights: part})
 		}
 	}
--- a/core/division/fleet_test.go
+++ b/core/division/fleet_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"maps"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -73,6 +73,7 @@
 	waiting   []operation
 	reported  time.Duration
 	seed      uint64
+	started   int // processes
 
 	frozenUntil, downUntil, cutUntil time.Duration
 	held                             []message // that arrive while it is frozen
@@ -172,7 +173,7 @@
 }
 
 func (f *fleet) numberOf(id types.HostID) int {
-	return slices.IndexFunc(f.proxies, func(p *proxy) bool { return p.id == id })
+	return slices.IndexFunc(f.proxies, func(p *proxy) bool { return p.id.Name() == id.Name() })
 }
 
 // send puts a message on the network, which may lose, delay or repeat it.
@@ -198,6 +199,8 @@
 
 // startProxy starts a new process of a proxy.
 func (f *fleet) startProxy(p *proxy) {
+	p.started++
+	p.id = types.HostID(fmt.Sprintf("%s.%d", p.id.Name(), p.started))
 	p.node = node.New(node.Options{Host: p.id, AvailabilityZone: "z", Shards: 1})
 	p.timers = map[event.TimerID]types.Instant{}
 	p.published, p.view, p.waiting, p.held = nil, nil, nil, nil
@@ -256,10 +259,10 @@
 			f.network = append(f.network, m)
 		case m.request != nil:
 			f.stepHost(m.host, event.LeaseRequested{Request: *m.request})
-		case f.now < p.downUntil || f.now < p.cutUntil:
+		case p.node == nil || f.now < p.cutUntil:
 		case f.now < p.frozenUntil:
 			p.held = append(p.held, m)
-		default:
+		case m.grant.Proxy == p.id:
 			f.stepProxy(p, event.LeaseGranted{From: m.host, Grant: *m.grant})
 		}
 	}
@@ -278,17 +281,25 @@
 		f.stepProxy(p, event.LeaseGranted{From: m.host, Grant: *m.grant})
 	}
 	p.held = nil
-	ids := slices.SortedFunc(maps.Keys(p.timers), func(a, b event.TimerID) int {
+	f.fireTimers(p)
+	p.view = p.published
+	f.report(p)
+}
+
+func (f *fleet) fireTimers(p *proxy) {
+	var due []event.TimerID
+	for id, at := range p.timers {
+		if at <= f.clock(p) {
+			due = append(due, id)
+		}
+	}
+	slices.SortFunc(due, func(a, b event.TimerID) int {
 		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Key, b.Key))
 	})
-	for _, id := range ids {
-		if at, ok := p.timers[id]; ok && at <= f.clock(p) {
-			delete(p.timers, id)
-			f.stepProxy(p, event.TimerFired{ID: id})
-		}
+	for _, id := range due {
+		delete(p.timers, id)
+		f.stepProxy(p, event.TimerFired{ID: id})
 	}
-	p.view = p.published
-	f.report(p)
 }
 
 // serveCallers admits operations, those that wait for a right first.
--- a/core/division/pool.go
+++ b/core/division/pool.go
@@ -188,7 +188,7 @@
 // the sum of all parts, or others lack rights while it has more than an equal part.
 func (p *pool) keeps(have, limit int, now types.Instant) int {
 	kept := p.scaled(have, limit)
-	equal := limit / max(1, len(p.holdings))
+	equal := max(1, limit/max(1, len(p.holdings)))
 	if p.lackedAt != 0 && now.Sub(p.lackedAt) < levelTime && kept > equal {
 		kept = max(equal, kept-1-kept/levelDivisor)
 	}
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -28,6 +28,8 @@
 	self types.HostID
 	zone types.AvailabilityZone
 	fill func(*proto.LeaseRequest)
+	// apply is called with each grant whose shares are applied, unless it is nil.
+	apply func(proto.LeaseGrant)
 
 	seq         uint64
 	firstSeq    uint64                   // Seq of the first request of this process
@@ -66,8 +68,9 @@
 // Shares returns this proxy's share of each target.
 func (h *Holder) Shares() map[types.TargetRef]types.Share { return h.shares }
 
-// SharesSeq returns the number of the request whose grant brought the last shares.
-func (h *Holder) SharesSeq() uint64 { return h.sharesSeq }
+// SetApply sets what else is done with a grant whose shares are applied, before the next
+// request is sent.
+func (h *Holder) SetApply(apply func(proto.LeaseGrant)) { h.apply = apply }
 
 // Fleet returns the place of this proxy among those with a lease, as of the last grant.
 func (h *Holder) Fleet() types.Fleet { return h.fleet }
@@ -367,6 +370,9 @@
 		h.granted[s.Ref] = s.Share
 	}
 	h.updateShares()
+	if h.apply != nil {
+		h.apply(g)
+	}
 }
 
 // extendLease sets the end of the lease, counted from the time of the request on
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/lease"
 	"github.com/camphorpaddle/camphorpaddle/core/organisation"
 	"github.com/camphorpaddle/camphorpaddle/core/probe"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
@@ -58,6 +59,7 @@
 		announcements: newAnnouncements(),
 	}
 	n.holder = lease.NewHolder(o.Host, o.AvailabilityZone, n.fillRequest)
+	n.holder.SetApply(n.applyQuotas)
 	return n
 }
 
@@ -77,9 +79,6 @@
 	if granted && g.Grant.NotLeader {
 		n.quotas.refused(g.Grant)
 	}
-	if granted && g.Grant.Duration > 0 && n.holder.SharesSeq() == g.Grant.Seq && n.quotas.apply(g.Grant, n.now, n.leaseUntil) {
-		n.changed = true
-	}
 	out = append(out, n.updateFromHolder(granted)...)
 	return append(out, n.publish()...)
 }
@@ -169,6 +168,11 @@
 	}}
 }
 
+// applyQuotas applies the parts of limits in a grant.
+func (n *Node) applyQuotas(g proto.LeaseGrant) {
+	n.changed = n.quotas.apply(g, n.now, n.leaseUntil) || n.changed
+}
+
 // publish publishes a new view to the shards if anything in it changed. Positions for
 // which no shard waits are batched until publishInterval has passed.
 func (n *Node) publish() []effect.Effect {
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -232,3 +232,60 @@
 	publish(6, types.KeyDigest{2})
 	assert.DeepEqual(t, p.view().KeyHolders, map[types.KeyDigest]types.OrganisationName{{2}: "mill"})
 }
+
+const limited = types.OrganisationName("north")
+
+// grantQuota grants a lease and rights of an organisation for a request.
+func (p *proxy) grantQuota(r proto.LeaseRequest, rights int) {
+	p.step(event.LeaseGranted{From: "c1", Grant: proto.LeaseGrant{
+		Proxy: "p1", Seq: r.Seq, SentAt: r.SentAt, Duration: lease.Duration, Term: 1,
+		View: &proto.ViewUpdate{Version: 1, Config: &types.Config{
+			Version: 1, QuotaWindow: 5 * time.Second,
+			Organisations: map[types.OrganisationName]types.Organisation{limited: {Name: limited, Rate: 4}},
+			Services:      map[types.ServiceName]types.Service{service: {Name: service, Managed: true}},
+		}},
+		Quotas: []proto.QuotaGrant{{Organisation: limited, Rights: rights}},
+	}})
+}
+
+// TestLateGrantOfAnEarlierLeaderBringsNoRights covers a grant for a request that was sent
+// before the proxy told a new leader all that it holds.
+func TestLateGrantOfAnEarlierLeaderBringsNoRights(t *testing.T) {
+	p := newProxy(t)
+	p.grantQuota(p.request(), 2)
+	assert.Equal(t, p.view().Quotas[limited].Rights, 2)
+	late := p.advance(300 * ms)
+	current := p.advance(50 * ms)
+	p.step(event.LeaseGranted{From: "c1", Grant: proto.LeaseGrant{
+		Proxy: "p1", Seq: current.Seq, SentAt: current.SentAt, Duration: lease.Duration, Term: 1, NameQuotas: true,
+	}})
+	all := p.advance(300 * ms)
+	assert.Assert(t, all.QuotasFull)
+	assert.DeepEqual(t, all.QuotaUses, []proto.QuotaUse{{Organisation: limited, Part: 2}})
+	p.grantQuota(late, 9)
+	assert.Equal(t, p.view().Quotas[limited].Rights, 2)
+	p.grantQuota(all, 9)
+	assert.Equal(t, p.view().Quotas[limited].Rights, 9)
+}
+
+// TestReplacedPartIsReportedWhileShardsMayActOnIt covers a part that becomes smaller.
+func TestReplacedPartIsReportedWhileShardsMayActOnIt(t *testing.T) {
+	p := newProxy(t)
+	p.grantQuota(p.request(), 5)
+	p.advance(300 * ms)
+	p.grantQuota(p.request(), 2)
+	assert.Equal(t, p.advance(20 * ms).QuotaUses[0].Part, 5)
+	assert.Equal(t, p.advance(40 * ms).QuotaUses[0].Part, 2)
+}
+
+// TestPartsEndSomeTimeAfterTheLease covers a proxy that was cut off: afterwards it tells
+// control that it holds nothing.
+func TestPartsEndSomeTimeAfterTheLease(t *testing.T) {
+	p := newProxy(t)
+	p.grantQuota(p.request(), 5)
+	p.advance(300 * ms)
+	assert.Assert(t, !p.request().QuotasFull)
+	back := p.advance(10000 * ms)
+	assert.Assert(t, back.QuotasFull)
+	assert.Equal(t, len(back.QuotaUses), 0)
+}
--- a/core/node/quotas.go
+++ b/core/node/quotas.go
@@ -136,9 +136,10 @@
 func (q *quotas) set(g proto.QuotaGrant, now types.Instant) {
 	r := q.record(g.Organisation)
 	if g.Rights != r.rights {
-		r.replaced, r.replacedAt = max(r.rights, r.lately(now)), now
-		r.rights, r.unconfirmed, r.namedSeq = g.Rights, true, 0
+		r.replaced, r.replacedAt = r.lately(now), now
+		r.rights = g.Rights
 	}
+	r.unconfirmed, r.namedSeq = true, 0 // control sends what differs from what it was told
 	part := types.Quota{Rights: g.Rights}
 	if g.Spent {
 		part.SpentUntil = now.Add(spentDuration)
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -17,7 +17,7 @@
 	// minPeriod is the shortest period.
 	minPeriod = time.Second
 	// minBurstDivisor is the part of the rights that may be used at once at least.
-	minBurstDivisor = 8
+	minBurstDivisor = 3
 	// maxRights bounds the rights of one organisation, so that sums of them fit an int.
 	maxRights = 1 << 30
 )
@@ -50,7 +50,10 @@
 }
 
 // pacedRights is how many rights an organisation may have whose operations are not paced.
-const pacedRights = 48
+const pacedRights = 24
+
+// regainedPart is the part of an organisation's rate at which rights come back.
+const regainedPart = 0.75
 
 // Paced reports whether rights are given out in step with the rate, so that an
 // organisation that begins to ask for more does not use up its limit at once. The rights of
@@ -58,11 +61,10 @@
 func (l Limit) Paced() bool { return l.Rights > pacedRights }
 
 // Regained returns how many rights count as free again some time after their use by
-// processes that have ended, of which only the period is known. They come back at the
-// organisation's rate, as they were paced, so that a fleet that restarts is served at that
-// rate.
+// processes that have ended, of which only the period is known. They come back more slowly
+// than they were paced, but fast enough that a fleet that restarts serves its callers.
 func (l Limit) Regained(after time.Duration) int {
-	return int(min(l.Rate*max(after, 0).Seconds(), maxRights))
+	return int(min(l.Rate*regainedPart*max(after, 0).Seconds(), maxRights))
 }
 
 // Occupied returns for how long an operation uses its right.
--- a/core/types/types.go
+++ b/core/types/types.go
@@ -12,6 +12,18 @@
 // folder was lost restarts under a new identity.
 type HostID string
 
+// ProcessSeparator stands between the configured name of a host and what tells its
+// processes apart.
+const ProcessSeparator = "."
+
+// Name returns the configured name, which all processes on the host have in common.
+func (h HostID) Name() HostID {
+	if at := strings.LastIndex(string(h), ProcessSeparator); at > 0 {
+		return h[:at]
+	}
+	return h
+}
+
 // AvailabilityZone names a failure domain within a region.
 type AvailabilityZone string
 
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -21,5 +21,5 @@
 	if _, err := rand.Read(b); err != nil {
 		return "", trace.Wrap(err, "reading random bytes")
 	}
-	return name + "." + types.HostID(hex.EncodeToString(b)), nil
+	return name + types.ProcessSeparator + types.HostID(hex.EncodeToString(b)), nil
 }
