Rights used at the limit: instants in 10 ms, and unused ones given back sooner

Cause: an organisation at its limit was served 8% less than it allows: rights were counted up to 50 ms too long, and came back late from proxies that did not need them. Change: instants are rounded up to 10 ms; a proxy names an organisation once it has more free rights than it should hold ahead.

--- a/core/node/quotas.go
+++ b/core/node/quotas.go
@@ -227,5 +227,5 @@
 	}
 	ahead := quota.Ahead(use.Used)
 	free := part - use.Used
-	return 2*free <= ahead || free > 2*ahead || max(part, use.Used) < r.namedHeld
+	return 2*free <= ahead || free > ahead || max(part, use.Used) < r.namedHeld
 }
--- a/core/quota/history.go
+++ b/core/quota/history.go
@@ -9,7 +9,7 @@
 const (
 	// granularity is the unit in which instants are counted, rounded up. It bounds the
 	// entries of a history.
-	granularity = 50 * time.Millisecond
+	granularity = 10 * time.Millisecond
 	// driftDivisor is the part of a period by which it is counted longer, since the clock
 	// of a proxy may be faster than others.
 	driftDivisor = 100
