Outlier detection for replicas that fail part of their requests

Cause: a replica that fails or loses a part of the requests and answers the rest is never withheld, as each answer clears what was held against it; its errors count as quick answers and draw further requests. A lost answer is waited for until the request's timeout if the target has answered anything since. Change: core/outlier judges replicas by the results of the proxy's own requests with a sequential test, ejects them for growing times, at most half of a service at once, and lets them return by a trickle. Reads that failed or were lost go to another member within the retry budget. In effect before targets with two proxies or more for a slot.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -99,6 +99,8 @@
 	DecideViewStarted      Decision = "view_begun"          // the first of several parts of a view arrived
 	DecideQuotaReached     Decision = "quota_reached"       // an organisation is at this proxy's part of its limit
 	DecideQuota            Decision = "quota_divided"       // the leader divided the limit of an organisation anew
+	DecideEjected          Decision = "target_ejected"      // a shard sends a target that fails part of its requests none for a while
+	DecideReturned         Decision = "target_returned"     // an ejected target has answered again
 	DecideKeyRevoked       Decision = "key_revoked"         // a session's key was removed from the configuration
 )
 
--- a/core/session/attempt.go
+++ b/core/session/attempt.go
@@ -28,7 +28,13 @@
 // the request to another member, and whether the request may be sent again.
 func (s *Shard) attemptDeadline(r *request) (types.Instant, bool) {
 	t := r.service.target(r.target)
-	if !r.replica || r.inTx || r.slowChecked || !r.repeatable() || !t.steady(s.now) || !r.service.managed(s.view) || !r.service.budget.Available() {
+	if !r.replica || r.inTx || r.slowChecked || !r.repeatable() || !r.service.managed(s.view) || !r.service.budget.Available() {
+		return 0, false
+	}
+	if s.judges(r) && t.lastRunAt != 0 {
+		return r.sentAt.Add(max(r.lossTimeout(), attemptLatencyFactor*t.stats.Latency())), true
+	}
+	if !t.steady(s.now) {
 		return 0, false
 	}
 	return r.sentAt.Add(max(attemptTimeout, attemptLatencyFactor*t.stats.Latency())), true
@@ -37,7 +43,7 @@
 // attemptTimedOut sends a read to another member after a replica has not answered
 // it in time. A replica that has answered other requests since then keeps it.
 func (s *Shard) attemptTimedOut(r *request) {
-	if r.service.target(r.target).lastContact > r.sentAt {
+	if r.service.target(r.target).lastContact > r.sentAt && !s.judges(r) {
 		r.slowChecked = true
 		s.armSessionTimer(r.session)
 		return
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -181,6 +181,7 @@
 		if r.replica && r.service.target(r.target).lastContact <= r.sentAt {
 			r.service.target(r.target).eject(s.now)
 		}
+		s.recordFailure(r)
 		r.mayHaveRun = true
 		s.suspectIfPrimary(r)
 		s.refuse(r, types.RefuseTimeout, r.outcome(), fmt.Sprintf("target %s did not answer within %s", r.target, s.now.Sub(r.sentAt)))
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -28,6 +28,7 @@
 func (s *Shard) start(r *request, name types.TargetName) {
 	c := r.service.target(name).pool.Acquire(r.session.id, r.organisation, r.Setup)
 	r.conn, r.target, r.replica = c, name, name != s.primaryOf(r.service)
+	r.service.outliers.Sent(name, s.now)
 	if !r.replica {
 		r.floor = types.LogPos{}
 	}
@@ -163,7 +164,8 @@
 	if r.target == r.service.primary.name {
 		r.service.silence.answerReceived(executed(e.Results[0]))
 	}
-	if executed(e.Results[0]) {
+	s.recordResult(r, e.Results[0])
+	if executed(e.Results[0]) && !s.failedByTarget(r, e.Results[0]) {
 		t := r.service.target(r.target)
 		t.recordAnswer(s.now, e.Latency)
 		r.service.recordLatency(r.profile.Name, e.Latency)
@@ -237,6 +239,9 @@
 		s.beginFailed(r, res)
 		return
 	}
+	if s.failedByTarget(r, res) && s.retryElsewhere(r, res) {
+		return
+	}
 	r.answer = types.Answer{Payload: res.Payload, Tx: res.Tx}
 	s.bindOrReleaseConn(r, res.Tx)
 	s.acknowledge(r)
@@ -281,6 +286,9 @@
 	if sent && r.replica && r.service.target(r.target).lastContact <= r.sentAt {
 		r.service.target(r.target).eject(s.now)
 	}
+	if sent && r.stage == stageRunning {
+		s.recordFailure(r)
+	}
 	lostTx := r.inTx || r.session.inTransaction()
 	again := !lostTx && (!sent || r.repeatable())
 	r.mayHaveRun = r.mayHaveRun || sent
--- a/core/session/fleet_test.go
+++ b/core/session/fleet_test.go
@@ -36,6 +36,7 @@
 	exchanges       int
 	regionCrossings int // exchanges between regions
 	zoneCrossings   int // exchanges between availability zones of one region
+	decisions       map[effect.Decision]int
 }
 
 // fleetConfig holds the size of a fleet and its load.
@@ -56,6 +57,8 @@
 	priorityOrder  bool          // Config.PriorityOrder
 	surge          surge
 	slow           slowness
+	grey           greyness
+	crowded        bool // the proxies know how many they are
 
 	policy    routing.Policy                                         // of the proxies
 	delay     func(proxy int, member types.TargetName) time.Duration // one way; networkDelay if not set
@@ -83,6 +86,21 @@
 	return s.at > 0 && since >= 0 && (s.duration == 0 || since < s.duration) && (s.member == "" || s.member == m.name)
 }
 
+// greyness is a span of time in which a member fails part of the statements.
+type greyness struct {
+	member       types.TargetName
+	at, duration time.Duration
+	part         float64
+	mute         bool                 // it gives no answer, instead of an error
+	proxies      func(proxy int) bool // whose statements it fails; all if not set
+}
+
+// applies reports whether a member fails a part of the statements of a proxy now.
+func (g greyness) applies(m *fleetMember, proxy int, now types.Instant) bool {
+	since := now.Sub(types.Instant(time.Second).Add(g.at))
+	return g.member == m.name && since >= 0 && since < g.duration && (g.proxies == nil || g.proxies(proxy))
+}
+
 // factorAt returns by what the arrival rates are multiplied.
 func (s surge) factorAt(at types.Instant) float64 {
 	since := at.Sub(types.Instant(time.Second).Add(s.at))
@@ -168,6 +186,7 @@
 	f := &fleet{
 		config: c, now: types.Instant(time.Second), rand: rand.New(rand.NewPCG(seed, 1)),
 		members: make(map[types.TargetName]*fleetMember), callers: make(map[types.SessionID]*fleetCaller),
+		decisions: make(map[effect.Decision]int),
 	}
 	config := testConfig()
 	config.PriorityOrder = c.priorityOrder
@@ -212,6 +231,9 @@
 		LeaseUntil: f.now.Add(time.Hour), Health: make(map[types.TargetRef]types.TargetHealth),
 		Shares: make(map[types.TargetRef]types.Share),
 	}
+	if f.config.crowded {
+		p.view.Proxies = f.config.proxies
+	}
 	for _, m := range g.Members {
 		p.view.Health[ref(m.Name)] = types.TargetHealth{Term: logTerm, Primary: m.Name == "a", LastContact: f.now}
 		p.view.Shares[ref(m.Name)] = f.share(index, slots)
@@ -312,11 +334,15 @@
 	caller.proxy.step(event.RequestArrived{Session: id, Request: r})
 }
 
-func (f *fleet) handleAnswer(id types.SessionID) {
+func (f *fleet) handleAnswer(id types.SessionID, failed bool) {
 	caller := f.callers[id]
 	if caller == nil {
 		return
 	}
+	if failed {
+		f.handleRefusal(id, types.Refusal{})
+		return
+	}
 	if len(caller.remaining) > 0 {
 		f.after(0, func() {
 			if f.callers[id] == caller {
@@ -391,11 +417,13 @@
 			f.after(c.delay, func() { f.receive(p, c, e, sentAt) })
 		}
 	case effect.AnswerCaller:
-		f.handleAnswer(e.Session)
+		f.handleAnswer(e.Session, e.Answer.Payload == errStatementFailed)
 	case effect.RefuseCaller:
 		f.handleRefusal(e.Session, e.Refusal)
 	case effect.EndSession:
 		f.handleRefusal(e.Session, e.Refusal)
+	case effect.Decide:
+		f.decisions[e.Kind]++
 	case effect.ArmTimer:
 		p.arm(e)
 	case effect.StopTimer:
@@ -450,7 +478,10 @@
 	})
 }
 
-var errFull = errors.New("the member has too many connections")
+var (
+	errStatementFailed = errors.New("the member failed the statement")
+	errFull            = errors.New("the member has too many connections")
+)
 
 // receive handles an exchange that has arrived at a member.
 func (f *fleet) receive(p *fleetProxy, c *fleetConn, e effect.SendTarget, sentAt types.Instant) {
@@ -462,6 +493,14 @@
 	reply := func(kind types.TargetErrorKind) {
 		f.after(c.delay, func() { f.reply(p, c, e, sentAt, kind) })
 	}
+	if f.config.grey.applies(m, p.index, f.now) && f.rand.Float64() < f.config.grey.part {
+		f.occupy(m, func() time.Duration { return time.Millisecond }, func() {
+			if !f.config.grey.mute {
+				reply(types.TargetErrFailed)
+			}
+		})
+		return
+	}
 	switch {
 	case op.Kind == types.OpBegin:
 		c.inTx = true
@@ -563,6 +602,9 @@
 	}
 	results := make([]types.Result, len(e.Operations))
 	results[0].Err = kind
+	if kind == types.TargetErrFailed {
+		results[0].Payload = errStatementFailed
+	}
 	if op := e.Operations[0]; kind == types.TargetErrNone && op.Kind == types.OpCaller {
 		stmt := op.Payload.(*simStatement)
 		c.inTx = (c.inTx || stmt.begin) && !stmt.write
--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -88,7 +88,7 @@
 // fencedDone handles the answer to a read within the proxy's own transaction.
 func (s *Shard) fencedDone(r *request, results []types.Result) {
 	res, end := results[0], results[1]
-	if res.Err != types.TargetErrNone && res.Err != types.TargetErrStatement || end.Tx != types.TxIdle {
+	if !executed(res) || end.Tx != types.TxIdle {
 		s.attemptFailed(r, false, types.RefuseReplaced, fmt.Sprintf("target %s did not complete the transaction of a read", r.target))
 		return
 	}
@@ -135,7 +135,7 @@
 	var names []types.TargetName
 	for _, m := range g.Members {
 		t := r.service.target(m.Name)
-		if m.Name == primary || m.State != types.TargetActive || !t.pool.Reachable(s.now) || t.behind.lacks(floor, s.now) || s.now < t.ejectedUntil {
+		if m.Name == primary || m.State != types.TargetActive || !t.pool.Reachable(s.now) || t.behind.lacks(floor, s.now) || s.now < t.ejectedUntil || !s.allows(r, m.Name) {
 			continue
 		}
 		names = append(names, m.Name)
@@ -199,7 +199,7 @@
 
 // executed reports whether the target executed an operation.
 func executed(res types.Result) bool {
-	return res.Err == types.TargetErrNone || res.Err == types.TargetErrStatement
+	return res.Err == types.TargetErrNone || res.Err == types.TargetErrStatement || res.Err == types.TargetErrFailed
 }
 
 // addProbeSample records the primary's position from its last probe. A replaced
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -278,12 +278,17 @@
 
 // policy returns the routing policy for a service.
 func (s *Shard) policy(svc *service, g *types.Group) routing.Policy {
-	if g == nil || len(g.Members) == 0 {
-		return s.options.Policy
-	}
-	slots := capacity.SlotsOf(s.view.Cluster.Config.Services[svc.name], g.Members[0])
-	if capacity.Crowded(slots, s.view.Proxies) {
+	if s.crowded(svc, g) {
 		return s.options.CrowdedPolicy
 	}
 	return s.options.Policy
 }
+
+// crowded reports whether this proxy gets only a few of the answers of the service's targets.
+func (s *Shard) crowded(svc *service, g *types.Group) bool {
+	if g == nil || len(g.Members) == 0 {
+		return false
+	}
+	slots := capacity.SlotsOf(s.view.Cluster.Config.Services[svc.name], g.Members[0])
+	return capacity.Crowded(slots, s.view.Proxies)
+}
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -73,8 +73,9 @@
 	statusKnown bool               // status is known
 	admitted    bool               // a queue has accepted it once
 	retries     int
-	mayHaveRun  bool // an attempt without a known outcome was sent
-	inTx        bool // it arrived within an open transaction
+	failedOn    types.TargetName // that failed its last attempt; another one is preferred
+	mayHaveRun  bool             // an attempt without a known outcome was sent
+	inTx        bool             // it arrived within an open transaction
 
 	observed effect.Observation
 }
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -9,6 +9,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/admission"
 	"github.com/camphorpaddle/camphorpaddle/core/drain"
 	"github.com/camphorpaddle/camphorpaddle/core/freshness"
+	"github.com/camphorpaddle/camphorpaddle/core/outlier"
 	"github.com/camphorpaddle/camphorpaddle/core/pool"
 	"github.com/camphorpaddle/camphorpaddle/core/retry"
 	"github.com/camphorpaddle/camphorpaddle/core/routing"
@@ -28,6 +29,7 @@
 	group          *types.Group // group in the last view that was applied
 	samples        freshness.Samples
 	classes        serviceClasses
+	outliers       *outlier.Detector
 	statementStats map[types.ProfileName]*routing.Stats // latency of the statements of each profile
 
 	// Of a managed service.
@@ -86,6 +88,7 @@
 			queues:         make(map[string]*queue),
 			waiting:        make(map[*request]bool),
 			budget:         retry.NewBudget(),
+			outliers:       outlier.NewDetector(),
 			statementStats: make(map[types.ProfileName]*routing.Stats),
 		}
 		s.services[name] = svc
--- a/core/types/operation.go
+++ b/core/types/operation.go
@@ -46,6 +46,7 @@
 	TargetErrStaleTerm                 // the target is in a later term
 	TargetErrBusy                      // the target has no free capacity; it did not run the operation
 	TargetErrBehind                    // the target lacks Operation.Floor; it did not run the operation
+	TargetErrFailed                    // the target failed to run the statement, which is not to blame; the answer holds the error
 )
 
 // String describes the error.
--- a/daemon/names_test.go
+++ b/daemon/names_test.go
@@ -67,7 +67,7 @@
 		effect.DecidePromotionWaits, effect.DecideLeaseLost, effect.DecideLeaseGained, effect.DecideShare,
 		effect.DecideRefuse, effect.DecideRetry, effect.DecideRequeue, effect.DecidePrimaryFound, effect.DecideSuspect,
 		effect.DecideTargetLost, effect.DecideTargetFound, effect.DecideView, effect.DecideDrain, effect.DecideJoin,
-		effect.DecideControlLost, effect.DecideViewStarted, effect.DecidePrimaryConfirmed, effect.DecideKeyRevoked)
+		effect.DecideControlLost, effect.DecideViewStarted, effect.DecidePrimaryConfirmed, effect.DecideEjected, effect.DecideReturned, effect.DecideKeyRevoked)
 	for _, c := range types.RefusalCodes() {
 		lines = append(lines, fmt.Sprintf("refusal code %d", c))
 	}
