Test a fleet of whole shards with organisations

Cause: the ways in core/limits know one target, and nothing showed how many connections whole shards open for organisations, or what callers see of it. Change: the fleet has organisations with keys, whose callers come through some proxies each. Tests of session pass.

--- a/core/session/fleet_test.go
+++ b/core/session/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/capacity"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/organisation"
 	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -62,6 +63,8 @@
 	connLimit int                                                    // connections that a member accepts, with handshake; no limit if not set
 	handshake time.Duration                                          // of a slot, for a new connection
 	swing     func(proxy int, at types.Instant) float64              // relative number of callers of a proxy
+
+	organisations organisationLoad // none if not set
 }
 
 // surge is a span of time in which the arrival rates are multiplied.
@@ -150,14 +153,15 @@
 // fleetCaller is a caller with one operation, which it may attempt several
 // times.
 type fleetCaller struct {
-	class      *requestClass
-	proxy      *fleetProxy
-	arrived    types.Instant
-	counted    bool // whether the operation counts in the results of its class
-	retries    int
-	remaining  []types.Request // not sent yet in this attempt
-	statements []types.Request // of the whole operation
-	seq        types.RequestSeq
+	organisation int
+	class        *requestClass
+	proxy        *fleetProxy
+	arrived      types.Instant
+	counted      bool // whether the operation counts in the results of its class
+	retries      int
+	remaining    []types.Request // not sent yet in this attempt
+	statements   []types.Request // of the whole operation
+	seq          types.RequestSeq
 }
 
 // maxCallerRetries bounds how often a caller retries an operation that was not
@@ -181,6 +185,7 @@
 		config.Routes[class.database] = types.Route{Database: class.database, Service: svcName, Profile: class.profile.Name}
 		f.classes = append(f.classes, &class)
 	}
+	config.Organisations = c.organisations.configuration()
 	g := &types.Group{
 		Service: svcName, Term: 1, LogTerm: logTerm, Phase: types.GroupServing, Primary: "a",
 		History: types.TermHistory{{Term: logTerm}},
@@ -213,6 +218,7 @@
 		Shares: make(map[types.TargetRef]types.Share),
 	}
 	for _, m := range g.Members {
+		p.view.KeyHolders = organisation.KeyHolders(config)
 		p.view.Health[ref(m.Name)] = types.TargetHealth{Term: logTerm, Primary: m.Name == "a", LastContact: f.now}
 		p.view.Shares[ref(m.Name)] = f.share(index, slots)
 	}
@@ -257,7 +263,7 @@
 		if f.now >= end {
 			return
 		}
-		caller := &fleetCaller{class: c, arrived: f.now, statements: f.drawOperation(c), counted: f.lagRaised() || f.config.lagRaisedAt == 0}
+		caller := &fleetCaller{organisation: f.config.organisations.draw(f.rand), class: c, arrived: f.now, statements: f.drawOperation(c), counted: f.lagRaised() || f.config.lagRaisedAt == 0}
 		if caller.counted {
 			c.sent++
 			c.second(f.now).sent++
@@ -287,8 +293,13 @@
 	f.lastSession++
 	id := f.lastSession
 	caller.proxy, caller.remaining = f.pickProxy(), caller.statements
+	params := types.SessionParams{Database: caller.class.database}
+	if o := f.config.organisations; o.names > 0 {
+		params.Key = o.key(caller.organisation)
+		caller.proxy = f.proxies[o.pickProxy(f.rand, caller.organisation, len(f.proxies))]
+	}
 	f.callers[id] = caller
-	caller.proxy.step(event.SessionOpened{Session: id, Params: types.SessionParams{Database: caller.class.database}})
+	caller.proxy.step(event.SessionOpened{Session: id, Params: params})
 	f.sendNext(id, caller)
 }
 
