A request doesn't hold up others while the one attempt to open a connection is under way

Cause: at a target that rejects connections one is opened at a time; an overdue request of another organisation held back those with a connection meanwhile, although nothing would be opened for it. Change: it counts as starved only when a connection could be opened.

--- a/core/pool/dial.go
+++ b/core/pool/dial.go
@@ -190,6 +190,9 @@
 	if t.address == "" || now < t.NextDialAt(true) && !t.lastRejected() || t.progresses(organisation) {
 		return false
 	}
+	if t.dialFailures > 0 && t.countState(Dialing) > 0 {
+		return false // one attempt at a time
+	}
 	full := t.share.Connections > 0 && len(t.conns) >= t.share.Connections || t.Full(now)
 	return full && now.Sub(t.turnBegan) >= Turn && !slices.ContainsFunc(t.conns, func(c *Conn) bool { return c.state == Idle && c.seq == 0 })
 }
