Changes that are proposed while appends are under way are sent together

Cause: each proposed command was an append of its own to each follower. A link holds 256 messages and drops the oldest; a follower that misses an append rejects all that follow it, and each rejection was answered with 64 entries.

Change: at most 16 appends with entries wait for a follower's answer; what is proposed meanwhile goes with the next.

--- a/core/consensus/failure_test.go
+++ b/core/consensus/failure_test.go
@@ -391,7 +391,7 @@
 // followers, while changes are proposed. All changes are committed meanwhile, and long
 // after the last disk has room again every host holds all of them and votes.
 func TestDisksFullInTurn(t *testing.T) {
-	for seed := range uint64(5) {
+	for seed := range uint64(40) {
 		c := newHarness(t, seed+1, "a", "b", "c", "d", "e")
 		c.cluster.Network.DelayMin, c.cluster.Network.DelayMax = 5*time.Millisecond, 10*time.Millisecond
 		for _, h := range c.cluster.Hosts {
@@ -413,6 +413,7 @@
 			c.awaitCommit(time.Second, fmt.Sprint("after all, change ", i))
 			c.cluster.Run(100 * time.Millisecond)
 		}
+		c.cluster.Run(consensus.HeartbeatInterval) // followers learn of the last commit with a heartbeat
 		l := c.leader()
 		for id, n := range c.nodes {
 			assert.Equal(t, n.state, l.state, "seed %d, host %s", seed, id)
--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -14,6 +14,9 @@
 	maxEntriesPerAppend = 64
 	maxBytesPerAppend   = 1 << 20
 	maxInFlightEntries  = 512 // sent to a follower and not acknowledged yet
+	// maxInFlightAppends is how many appends with entries a follower may have to
+	// acknowledge. Entries that are proposed meanwhile are sent together.
+	maxInFlightAppends = 16
 )
 
 // leaderState is the volatile state of a leader.
@@ -39,6 +42,7 @@
 	probing        bool          // next is unconfirmed; send one append at a time
 	ackedRound     uint64        // newest round that the follower acknowledged
 	lastActive     types.Instant // last reply that advanced match, or showed all committed entries synced
+	inFlight       []uint64      // last entry of each append that is not acknowledged yet
 	snapshotSentAt types.Instant // when the last snapshot was sent; zero if none is in flight
 }
 
@@ -132,11 +136,11 @@
 	}
 }
 
-// maybeSendEntries sends a follower its next entries, up to the limit on entries
-// in flight.
+// maybeSendEntries sends a follower its next entries, up to the limits on entries and
+// appends in flight.
 func (n *Node) maybeSendEntries(h types.HostID) {
 	p := n.peer(h)
-	for !p.probing && p.next <= n.log.last() && p.next-p.match <= maxInFlightEntries && p.next > n.log.base {
+	for !p.probing && len(p.inFlight) < maxInFlightAppends && p.next <= n.log.last() && p.next-p.match <= maxInFlightEntries && p.next > n.log.base {
 		n.sendEntries(h, p)
 	}
 }
@@ -170,8 +174,9 @@
 	if p.next <= n.log.last() && p.next-p.match <= maxInFlightEntries {
 		m.Entries = n.batch(p.next)
 	}
-	if !p.probing {
+	if !p.probing && len(m.Entries) > 0 {
 		p.next += uint64(len(m.Entries))
+		p.inFlight = append(p.inFlight, p.next-1)
 	}
 	n.send(m)
 }
@@ -203,7 +208,7 @@
 	n.advanceLease()
 	if m.Reject {
 		p.next = max(p.match, min(m.Hint, n.log.last())) + 1
-		p.probing = true
+		p.probing, p.inFlight = true, nil
 		n.retryAppend(m.From, p)
 		return
 	}
@@ -214,6 +219,9 @@
 		p.match = m.Match
 		p.snapshotSentAt = 0
 	}
+	for len(p.inFlight) > 0 && p.inFlight[0] <= p.match {
+		p.inFlight = p.inFlight[1:]
+	}
 	if p.probing || p.next <= p.match {
 		p.probing = false
 		p.next = p.match + 1
