A control host that is behind handles leases before calls

Cause: calls of targets and operators waited in the queue of consensus messages. While it was full, senders of both blocked without a limit, and answers came after the callers had turned to another host.

Change: calls have a queue of their own, of which more than 512 are refused at once. The loop takes consensus messages, syncs and timers first, then lease requests, then calls, and begins each fourth time with the last.

Result: runtime passes, TestLoopThatIsBehind among it.

--- a/runtime/control.go
+++ b/runtime/control.go
@@ -21,6 +21,10 @@
 // maxControlEvents is how many events may wait for a control loop.
 const maxControlEvents = 1024
 
+// maxWaitingCalls is how many calls of operators and targets may wait for a control loop.
+// More are refused at once: their senders turn to another control host, or call again.
+const maxWaitingCalls = 512
+
 // ControlOptions configures a ControlHost.
 type ControlOptions struct {
 	Reducer  *core.Reducer
@@ -39,6 +43,7 @@
 	loop     *loop
 	writes   *diskQueue
 	requests *leaseQueue
+	calls    chan event.Event
 	targets  *targetCalls
 	ctx      context.Context // ends with Run; target calls use it
 
@@ -52,11 +57,12 @@
 		ControlOptions: o,
 		writes:         newDiskQueue(),
 		requests:       newLeaseQueue(),
+		calls:          make(chan event.Event, maxWaitingCalls),
 		targets:        newTargetCalls(o.Targets),
 	}
 	h.loop = newLoop(loopOptions{
 		reducer: o.Reducer, executor: h, clock: o.Clock, seed: o.Seed,
-		maxEvents: maxControlEvents, lockThread: true, source: h.requests,
+		maxEvents: maxControlEvents, lockThread: true, source: h.requests, calls: h.calls,
 	})
 	return h
 }
@@ -132,14 +138,17 @@
 // earlier one of the proxy that still waits.
 func (h *ControlHost) HandleLeaseRequest(r proto.LeaseRequest) { h.requests.add(r) }
 
-// Call posts an operator's request to the reducer and waits for the reply.
+// Call queues the request of an operator or a target for the reducer and waits for the
+// reply.
 func (h *ControlHost) Call(ctx context.Context, r proto.OperatorRequest) (proto.OperatorReply, error) {
 	call := h.lastCall.Add(1)
 	reply := make(chan proto.OperatorReply, 1)
 	h.pendingCalls.Store(call, reply)
 	defer h.pendingCalls.Delete(call)
-	if !h.loop.post(event.OperatorCalled{Call: call, Request: r}) {
-		return proto.OperatorReply{}, trace.ConnectionProblem(nil, "this control host has stopped")
+	select {
+	case h.calls <- event.OperatorCalled{Call: call, Request: r}:
+	default:
+		return proto.OperatorReply{}, trace.LimitExceeded("%d calls wait for this control host", maxWaitingCalls)
 	}
 	select {
 	case rep := <-reply:
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -34,6 +34,7 @@
 	maxEvents  int                    // capacity of the event queue
 	lockThread bool                   // lock the goroutine to an OS thread
 	source     eventSource            // may be nil
+	calls      <-chan event.Event     // less urgent than events and source; may be nil
 }
 
 // loop owns a reducer and passes it one event at a time.
@@ -42,6 +43,7 @@
 	events     chan event.Event
 	viewSignal chan struct{} // holds a token while a changed view is not processed
 	timers     timerQueue
+	polls      int // number of calls of poll
 	done       chan struct{}
 }
 
@@ -87,16 +89,19 @@
 	if l.source != nil {
 		sourceReady = l.source.ready()
 	}
-	for {
+	for ctx.Err() == nil {
 		l.fireTimers()
+		if ev, ok := l.poll(); ok {
+			l.step(ev)
+			continue
+		}
 		timer.Reset(l.timers.untilNext(l.clock()))
 		select {
 		case ev := <-l.events:
 			l.step(ev)
-		case <-sourceReady:
-			if ev, ok := l.source.next(); ok {
-				l.step(ev)
-			}
+		case <-sourceReady: // poll takes the event
+		case ev := <-l.calls:
+			l.step(ev)
 		case <-l.viewSignal:
 			l.step(event.ViewChanged{})
 		case <-timer.C:
@@ -106,6 +111,44 @@
 	}
 }
 
+// fairShare is how often poll begins with the least urgent events, so that a loop that is
+// behind gets on with all of them.
+const fairShare = 4
+
+// poll returns an event of a loop with several queues, if one waits: those of events come
+// first, then those of source, then calls.
+func (l *loop) poll() (event.Event, bool) {
+	if l.source == nil {
+		return nil, false
+	}
+	l.polls++
+	if l.polls%fairShare == 0 {
+		if ev, ok := receive(l.calls); ok {
+			return ev, true
+		}
+		if ev, ok := l.source.next(); ok {
+			return ev, true
+		}
+	}
+	if ev, ok := receive(l.events); ok {
+		return ev, true
+	}
+	if ev, ok := l.source.next(); ok {
+		return ev, true
+	}
+	return receive(l.calls)
+}
+
+// receive returns an event that waits in a channel, if there is one.
+func receive(events <-chan event.Event) (event.Event, bool) {
+	select {
+	case ev := <-events:
+		return ev, true
+	default:
+		return nil, false
+	}
+}
+
 // fireTimers passes the reducer an event for each timer that is due.
 func (l *loop) fireTimers() {
 	now := l.clock()
