A proxy gets its first view from the follower that it asked

Cause: all proxies of a fleet that starts had their views sent by the leader, though each follower knows the same view; the first part came from a follower. Change: while parts are missing, the follower that sent one is asked for the next; then the leader.

--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -214,7 +214,7 @@
 	sentAt, pending := h.outstanding[g.Seq]
 	pending = pending && sentAt == g.SentAt
 	if pending && g.NotLeader {
-		out = append(out, h.followRedirect(now, g)...)
+		return append(out, h.followRedirect(now, e, progress)...)
 	}
 	if !pending || g.NotLeader || g.Term < h.latestTerm || now >= sentAt.Add(Duration-driftMargin) {
 		return append(out, h.requestNextPart(now, progress)...)
@@ -341,18 +341,25 @@
 }
 
 // followRedirect sends the next request to the leader that a follower named. If the
-// follower named no other leader, any control host is tried after redirectDelay.
-func (h *Holder) followRedirect(now types.Instant, g proto.LeaseGrant) []effect.Effect {
+// follower named no other leader, any control host is tried after redirectDelay. A
+// follower that sends parts of a view is asked for the rest, so that the leader need not
+// send the first views of all proxies when they start.
+func (h *Holder) followRedirect(now types.Instant, e event.LeaseGranted, progress bool) []effect.Effect {
+	g := e.Grant
 	delete(h.outstanding, g.Seq)
 	if g.Seq != h.seq {
-		return nil
+		return h.requestNextPart(now, progress)
 	}
 	h.waitsSince = 0
-	if g.Leader == "" || g.Leader == h.leader {
+	switch {
+	case progress && g.View.More:
+		h.leader = e.From
+	case g.Leader == "" || g.Leader == h.leader:
 		h.leader = ""
 		return []effect.Effect{effect.StopTimer{ID: timerID(timerAnswerTimeout)}, h.arm(timerRequest, now.Add(redirectDelay))}
+	default:
+		h.leader = g.Leader
 	}
-	h.leader = g.Leader
 	return h.RequestSoon(now)
 }
 
--- a/core/lease/holder_test.go
+++ b/core/lease/holder_test.go
@@ -245,3 +245,29 @@
 	assert.Equal(t, a.holder.Until(), types.Instant(0))
 	assert.Equal(t, len(a.holder.Shares()), 0)
 }
+
+// TestFollowerSendsTheWholeFirstView covers a proxy that starts: the follower that it asks
+// first sends all parts of its view, and the leader grants the lease.
+func TestFollowerSendsTheWholeFirstView(t *testing.T) {
+	a := newHolderHarness()
+	now := 1000 * ms
+	through := proto.ViewCursor{FirstVersion: 9, LastVersion: 9}
+	for part := range 5 {
+		r := a.lastRequest()
+		assert.Assert(t, part == 0 || r.To == "c2", "part %d is requested from %q", part, r.To)
+		u := &proto.ViewUpdate{Version: 9, After: through, Through: through, More: part < 4}
+		if part == 0 {
+			u.After = proto.ViewCursor{}
+		}
+		u.Through.Last.Version = uint64(part + 1)
+		through = u.Through
+		now += 30 * ms
+		a.step(now, event.LeaseGranted{From: "c2", Grant: proto.LeaseGrant{
+			Proxy: "p1", Seq: r.Request.Seq, SentAt: r.Request.SentAt, NotLeader: true, Leader: "c1", View: u,
+		}})
+	}
+	assert.Equal(t, a.holder.Cluster().Version, uint64(9))
+	assert.Equal(t, a.lastRequest().To, types.HostID("c1"))
+	a.step(now+30*ms, grant(a.lastRequest().Request, nil))
+	assert.Assert(t, a.holder.Until() > now)
+}
