A renewed lease that changes nothing costs a proxy nothing for its shares

Cause: each grant computed the shares of all targets anew. Change: they are kept while the granted shares and the fleet are the same.

--- a/core/fleet_bench_test.go
+++ b/core/fleet_bench_test.go
@@ -116,37 +116,65 @@
 	})
 }
 
-// BenchmarkFleetViewChange measures what a change of one group costs a proxy.
-func BenchmarkFleetViewChange(b *testing.B) {
+// fleetProxy is the control goroutine of a proxy that knows the views of a fleet.
+type fleetProxy struct {
+	reducer *core.Reducer
+	now     types.Instant
+	groups  []*types.Group
+	request proto.LeaseRequest // the last one
+	version uint64
+}
+
+func newFleetProxy(proxies int) *fleetProxy {
+	st := benchState(int(servicesPerProxy*float64(proxies)), 1, true)
+	p := &fleetProxy{
+		reducer: core.NewProxy(node.Options{Host: "proxy-0", Shards: 1}), now: types.Instant(time.Hour), groups: st.Groups, version: 10,
+	}
+	p.step(event.Start{})
+	p.grant(&proto.ViewUpdate{Version: p.version, Config: st.Config, Groups: st.Groups})
+	return p
+}
+
+func (p *fleetProxy) step(ev event.Event) {
+	for _, eff := range p.reducer.Step(event.Input{Now: p.now, Event: ev}) {
+		if e, ok := eff.(effect.RequestLease); ok {
+			p.request = e.Request
+		}
+	}
+}
+
+// grant answers the last request.
+func (p *fleetProxy) grant(u *proto.ViewUpdate) {
+	p.step(event.LeaseGranted{From: "control-1", Grant: proto.LeaseGrant{
+		Proxy: "proxy-0", Seq: p.request.Seq, SentAt: p.request.SentAt, Duration: 24 * time.Hour, Term: 1, View: u,
+	}})
+}
+
+func benchFleetProxies(b *testing.B, do func(p *fleetProxy, n int)) {
 	for _, proxies := range fleetSizes {
 		b.Run(fmt.Sprintf("proxies=%d", proxies), func(b *testing.B) {
-			services := int(servicesPerProxy * float64(proxies))
-			st := benchState(services, 1, true)
-			r := core.NewProxy(node.Options{Host: "proxy-0", Shards: 1})
-			now := types.Instant(time.Hour)
-			step := func(ev event.Event) []effect.Effect { return r.Step(event.Input{Now: now, Event: ev}) }
-			var request proto.LeaseRequest
-			for _, eff := range step(event.Start{}) {
-				if e, ok := eff.(effect.RequestLease); ok {
-					request = e.Request
-				}
-			}
-			version := uint64(10)
-			grant := func(u *proto.ViewUpdate) {
-				step(event.LeaseGranted{From: "control-1", Grant: proto.LeaseGrant{
-					Proxy: "proxy-0", Seq: request.Seq, SentAt: request.SentAt, Duration: 24 * time.Hour, Term: 1, View: u,
-				}})
-			}
-			grant(&proto.ViewUpdate{Version: version, Config: st.Config, Groups: st.Groups})
+			p := newFleetProxy(proxies)
 			n := 0
 			for b.Loop() {
-				now = now.Add(time.Millisecond)
-				g := *st.Groups[n%services]
-				g.Term = types.Term(n + 2)
-				version++
-				grant(&proto.ViewUpdate{Base: version - 1, Version: version, Groups: []*types.Group{&g}})
+				p.now = p.now.Add(time.Millisecond)
+				do(p, n)
 				n++
 			}
 		})
 	}
 }
+
+// BenchmarkFleetViewChange measures what a change of one group costs a proxy.
+func BenchmarkFleetViewChange(b *testing.B) {
+	benchFleetProxies(b, func(p *fleetProxy, n int) {
+		g := *p.groups[n%len(p.groups)]
+		g.Term = types.Term(n + 2)
+		p.version++
+		p.grant(&proto.ViewUpdate{Base: p.version - 1, Version: p.version, Groups: []*types.Group{&g}})
+	})
+}
+
+// BenchmarkFleetGrant measures what a renewed lease costs a proxy.
+func BenchmarkFleetGrant(b *testing.B) {
+	benchFleetProxies(b, func(p *fleetProxy, _ int) { p.grant(nil) })
+}
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -368,11 +368,15 @@
 	if g.Duration == 0 {
 		return
 	}
-	h.sharesSeq, h.fleet, h.suspects = g.Seq, g.Fleet, g.Suspects
-	h.granted = make(map[types.TargetRef]types.Share, len(g.Shares))
+	h.sharesSeq, h.suspects = g.Seq, g.Suspects
+	granted := make(map[types.TargetRef]types.Share, len(g.Shares))
 	for _, s := range g.Shares {
-		h.granted[s.Ref] = s.Share
+		granted[s.Ref] = s.Share
 	}
+	if g.Fleet == h.fleet && h.granted != nil && maps.Equal(granted, h.granted) {
+		return
+	}
+	h.fleet, h.granted = g.Fleet, granted
 	h.updateShares()
 }
 
