--- a/core/fleet_bench_test.go
+++ b/core/fleet_bench_test.go
@@ -84,6 +84,32 @@
 	benchFleets(b, settled, func(l *fleetLeader, n int) { l.request(n % l.proxies) })
 }
 
+// heldPerProxy is how many targets a proxy uses at a time in BenchmarkFleetRenewalUnderLoad.
+const heldPerProxy = 10
+
+// BenchmarkFleetRenewalUnderLoad measures a lease request that names the targets that the
+// proxy uses. All proxies together use every target.
+func BenchmarkFleetRenewalUnderLoad(b *testing.B) {
+	use := func(l *fleetLeader, proxy int) {
+		l.seq++
+		l.now = l.now.Add(renewInterval / time.Duration(l.proxies))
+		r := proto.LeaseRequest{Proxy: proxyName(proxy), Seq: l.seq, ViewVersion: l.version, AppliedVersion: l.version}
+		for i := range heldPerProxy {
+			at := proxy*heldPerProxy + i
+			r.Held = append(r.Held, proto.ShareHeld{
+				Ref:   types.TargetRef{Service: serviceName(at / benchMembers % l.services), Name: types.TargetName(fmt.Sprintf("member-%d", at%benchMembers))},
+				Share: types.Share{Connections: 2}, Demand: 2,
+			})
+		}
+		l.step(event.LeaseRequested{Request: r})
+	}
+	benchFleets(b, func(l *fleetLeader) {
+		for i := range l.proxies {
+			use(l, i)
+		}
+	}, func(l *fleetLeader, n int) { use(l, n%l.proxies) })
+}
+
 // BenchmarkFleetRenewalWhileFencing measures a lease request while every group is in a new
 // term, as after a start of everything.
 func BenchmarkFleetRenewalWhileFencing(b *testing.B) {
