--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -376,11 +376,10 @@
 	for _, s := range g.Shares {
 		granted[s.Ref] = s.Share
 	}
-	if g.Fleet == h.fleet && h.granted != nil && maps.Equal(granted, h.granted) {
-		return
+	if g.Fleet != h.fleet || h.granted == nil || !maps.Equal(granted, h.granted) {
+		h.fleet, h.granted = g.Fleet, granted
+		h.updateShares()
 	}
-	h.fleet, h.granted = g.Fleet, granted
-	h.updateShares()
 	if h.apply != nil {
 		h.apply(g)
 	}
