A lease request looks at the targets whose uses have changed

Cause: each request walked the pools of all targets in use, and all services to see whether all are managed.

The state keeps whether all services are managed.

--- a/core/cluster/apply.go
+++ b/core/cluster/apply.go
@@ -48,7 +48,7 @@
 		return recordDecision(effect.Decide{Kind: effect.DecideConflict, Version: result.Version, Reason: result.Reason})
 	}
 	s.setVersion(index)
-	s.configVersion = index
+	s.configVersion, s.allManaged = index, s.ledger.Config().AllManaged()
 	s.reconcileGroups(index)
 	s.items.recordConfigChange(before, s.ledger.Config(), index)
 	return recordDecision(effect.Decide{
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -29,6 +29,7 @@
 
 	view       *types.ClusterView // built on demand; nil after a change
 	proxyOrder []proto.SetProxy   // proxies sorted by host, built on demand; nil after a change
+	allManaged bool               // of the current configuration
 }
 
 // New returns the empty state.
@@ -59,6 +60,9 @@
 // Config returns the current configuration.
 func (s *State) Config() *types.Config { return s.ledger.Config() }
 
+// AllManaged reports whether all services of the current configuration are managed.
+func (s *State) AllManaged() bool { return s.allManaged }
+
 // Group returns the group of a service, or nil.
 func (s *State) Group(name types.ServiceName) *types.Group { return s.groups[name] }
 
@@ -142,6 +146,7 @@
 		return
 	}
 	s.ledger = configuration.Restore(snap.State.Config, snap.State.Source, snap.State.Changes)
+	s.allManaged = s.ledger.Config().AllManaged()
 	s.groups = make(map[types.ServiceName]*types.Group)
 	s.proxies, s.proxyOrder = make(map[types.HostID]proto.SetProxy), nil
 	for _, g := range snap.State.Groups {
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -171,7 +171,7 @@
 	if t.role.Leader != t.self {
 		g.Leader = t.role.Leader
 	}
-	if t.state.Config().AllManaged() {
+	if t.state.AllManaged() {
 		// This host's view is committed but may be outdated. Proxies of managed
 		// services may serve by it, since that requires no lease.
 		g.View = t.state.NextPart(r.ViewVersion, r.Cursor)
--- a/core/limits/allocator.go
+++ b/core/limits/allocator.go
@@ -26,6 +26,8 @@
 	fleet  fleet
 
 	pools    map[types.TargetRef]*managedPool
+	near     map[types.TargetRef]bool           // pools that may be nearly full: they were, or a use or the fleet has changed since
+	nearAt   types.Instant                      // count of the fleet at which all pools were added to near
 	reported map[types.HostID][]types.TargetRef // managed targets in each proxy's last request
 
 	// decisions are the changes of shares since the last step.
@@ -38,6 +40,7 @@
 		state: state, leases: leases,
 		usages:   make(map[types.TargetRef]map[types.HostID]*usage),
 		pools:    make(map[types.TargetRef]*managedPool),
+		near:     make(map[types.TargetRef]bool),
 		reported: make(map[types.HostID][]types.TargetRef),
 	}
 }
@@ -49,6 +52,7 @@
 		if a.role.Update(e) {
 			clear(a.usages)
 			clear(a.pools)
+			clear(a.near)
 			clear(a.reported)
 			a.fleet = fleet{}
 		}
@@ -72,7 +76,7 @@
 	}
 	a.updateUses(proxy, request.Held)
 	out := a.managedShares(proxy)
-	if a.state.Config().AllManaged() {
+	if a.state.AllManaged() {
 		return out
 	}
 	return append(out, a.strictShares(proxy)...)
--- a/core/limits/managed.go
+++ b/core/limits/managed.go
@@ -120,6 +120,7 @@
 		}
 		p.add(proxy, use{held: clampCount(h.Share.Connections), demand: clampCount(h.Demand), full: h.Full})
 		a.reported[proxy] = append(a.reported[proxy], h.Ref)
+		a.near[h.Ref] = true
 	}
 }
 
@@ -176,18 +177,29 @@
 }
 
 // busyPools returns the targets that are contended or whose reported uses alone may
-// make them so, in order. It drops the pools of targets that are no longer members.
+// make them so, in order. It drops the pools of targets that are no longer members. It
+// looks at all pools once for each count of the fleet, and otherwise at those of which a
+// use has changed.
 func (a *Allocator) busyPools() []types.TargetRef {
+	if a.nearAt != a.fleet.countedAt {
+		a.nearAt = a.fleet.countedAt
+		for ref := range a.pools {
+			a.near[ref] = true
+		}
+	}
 	var out []types.TargetRef
-	maps.DeleteFunc(a.pools, func(ref types.TargetRef, p *managedPool) bool {
+	maps.DeleteFunc(a.near, func(ref types.TargetRef, _ bool) bool {
 		svc, ok := a.state.Config().Services[ref.Service]
-		if !ok || !svc.Managed || !a.isMember(ref) {
+		p := a.pools[ref]
+		if p == nil || !ok || !svc.Managed || !a.isMember(ref) {
+			delete(a.pools, ref)
 			return true
 		}
-		if p.contended || a.nearlyFull(p, svc) {
+		busy := p.contended || a.nearlyFull(p, svc)
+		if busy {
 			out = append(out, ref)
 		}
-		return false
+		return !busy
 	})
 	slices.SortFunc(out, types.TargetRef.Compare)
 	return out
