A new leader lets operations wait for rights instead of refusing them

Cause: a new leader called limits used up while it had not heard all proxies, and began to pace rights from nothing; proxies refused for two requests then. Change: nothing counts as used up before all proxies are heard; pacing begins with the whole burst unless processes restarted. Operations wait up to 1 s, the time of an election. An answer that there are no more rights counts until the next regular request. Tests of core/division, core/node, core/quota and core/session pass.

--- a/core/division/divider.go
+++ b/core/division/divider.go
@@ -45,9 +45,8 @@
 	proxies map[types.HostID]*proxyRecord
 	unheard map[types.HostID]types.Instant // proxies that may hold rights that this leader doesn't know, until then
 	// restartedAt is when the last process may have ended of which this leader knows nothing.
-	restartedAt  types.Instant
-	leadingSince types.Instant
-	sweptAt      types.Instant
+	restartedAt types.Instant
+	sweptAt     types.Instant
 
 	decisions []effect.Effect // since the last step
 }
@@ -93,7 +92,7 @@
 	if !d.role.Leading {
 		return
 	}
-	d.leadingSince, d.restartedAt = now, now.Add(-forgottenAfter)
+	d.restartedAt = now.Add(-forgottenAfter)
 	d.updateLimits()
 	for _, reg := range d.state.Proxies() {
 		d.unheard[reg.Host.Name()] = now.Add(quota.HeldFor(lease.Duration, d.window))
@@ -160,9 +159,6 @@
 			return nil
 		}
 		p = &pool{holdings: make(map[types.HostID]*holding)}
-		if limit := d.limits[name]; d.leases.Now().Sub(d.leadingSince) >= limit.Occupied() {
-			p.allowance.rights = float64(limit.Burst)
-		}
 		d.pools[name] = p
 	}
 	return p
@@ -268,7 +264,7 @@
 		limit := d.limits[use.Organisation]
 		part := p.part(proxy, use, limit, d.available(p, limit, now), now)
 		lacks := part < use.Used+use.Waiting
-		spent := lacks && p.spent(limit, now)
+		spent := lacks && len(d.unheard) == 0 && p.spent(limit, now)
 		if part != use.Part || spent {
 			p.grant(proxy, r.Seq, part)
 			out = append(out, proto.QuotaGrant{Organisation: use.Organisation, Rights: part, Spent: spent})
@@ -293,6 +289,9 @@
 // in all. A new leader gives no more than what those hold that it has heard. Once it has
 // heard all, earlier processes may still have used the rest.
 func (d *Divider) available(p *pool, limit quota.Limit, now types.Instant) int {
+	if len(d.unheard) == 0 {
+		p.allowance.begin(limit, now.Sub(d.restartedAt))
+	}
 	available := limit.Rights - p.pastRights(limit, now)
 	unknown := max(0, limit.Rights-p.reported)
 	switch since := now.Sub(d.restartedAt); {
--- a/core/division/pool.go
+++ b/core/division/pool.go
@@ -214,6 +214,16 @@
 type allowance struct {
 	rights     float64
 	refilledAt types.Instant
+	begun      bool
+}
+
+// begin fills the allowance, unless processes that have ended may have used rights since
+// the last restart.
+func (a *allowance) begin(limit quota.Limit, sinceRestart time.Duration) {
+	if !a.begun && sinceRestart >= limit.Occupied() {
+		a.rights = float64(limit.Burst)
+	}
+	a.begun = true
 }
 
 func (a *allowance) refill(limit quota.Limit, used int, now types.Instant) {
--- a/core/node/quotas.go
+++ b/core/node/quotas.go
@@ -22,9 +22,9 @@
 	idleQuotaRepeat = 2 * time.Second
 	// fullQuotasTimeout is how long the grant for a request that names all rights may take.
 	fullQuotasTimeout = 600 * time.Millisecond
-	// spentDuration is how long an answer counts that there are no more rights: two
-	// regular requests.
-	spentDuration = 600 * time.Millisecond
+	// spentDuration is how long an answer counts that there are no more rights: until the
+	// next regular request.
+	spentDuration = 300 * time.Millisecond
 	// maxUptime bounds the uptime in requests.
 	maxUptime = time.Minute
 )
--- a/core/session/quota.go
+++ b/core/session/quota.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// quotaTimeout is how long a request waits for a right of its organisation: a few
-	// round trips to control.
-	quotaTimeout = 250 * time.Millisecond
+	// quotaTimeout is how long a request waits for a right of its organisation: as long as
+	// it takes to elect another control leader.
+	quotaTimeout = time.Second
 	// quotaLogInterval is the minimum time between two log records that an organisation is
 	// at its limit.
 	quotaLogInterval = time.Second
