An organisation that sends more than usual gives way first

Cause: where a level refuses a part of a priority, it refused all organisations alike, so that one that sends many times its usual pushed out the others at the target, whose queue is in order of arrival. Change: admission.Usage averages what each organisation sends now and usually; the part to refuse is taken from those that send more than usual, as a common multiple of the usual use.

--- a/core/session/fleet_test.go
+++ b/core/session/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/capacity"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/organisation"
 	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -60,6 +61,11 @@
 	grey           greyness
 	crowded        bool // the proxies know how many they are
 
+	// organisations is how many the callers belong to in equal parts; none if not set. If hot
+	// is set, the surge is the first one's only.
+	organisations int
+	hot           bool
+
 	policy    routing.Policy                                         // of the proxies
 	delay     func(proxy int, member types.TargetName) time.Duration // one way; networkDelay if not set
 	connLimit int                                                    // connections that a member accepts, with handshake; no limit if not set
@@ -121,7 +127,8 @@
 	transactionRatio float64       // fraction that are transactions of three statements
 
 	sent, inTime, late, failed int
-	seconds                    []secondCount // by the second in which the operation arrived
+	seconds                    []secondCount  // by the second in which the operation arrived
+	byOrganisation             [2]secondCount // of the first organisation and of the others, during the surge
 }
 
 // secondCount counts the operations that arrived within one second.
@@ -169,6 +176,7 @@
 // times.
 type fleetCaller struct {
 	class      *requestClass
+	key        types.KeyDigest
 	proxy      *fleetProxy
 	arrived    types.Instant
 	counted    bool // whether the operation counts in the results of its class
@@ -193,6 +201,7 @@
 	svc := config.Services[svcName]
 	svc.Managed, svc.Members = true, 0
 	config.Services[svcName] = svc
+	config.Organisations = c.organisationConfig()
 	config.Profiles = make(map[types.ProfileName]types.Profile)
 	config.Routes = make(map[types.DatabaseName]types.Route)
 	for _, class := range c.classes {
@@ -231,6 +240,7 @@
 		LeaseUntil: f.now.Add(time.Hour), Health: make(map[types.TargetRef]types.TargetHealth),
 		Shares: make(map[types.TargetRef]types.Share),
 	}
+	p.view.KeyHolders = organisation.KeyHolders(config)
 	if f.config.crowded {
 		p.view.Proxies = f.config.proxies
 	}
@@ -274,7 +284,7 @@
 // scheduleArrival schedules the next operation of a class, with exponentially
 // distributed intervals.
 func (f *fleet) scheduleArrival(c *requestClass, end types.Instant) {
-	perSecond := c.perSecond * f.config.surge.factorAt(f.now)
+	perSecond := c.perSecond * f.loadFactor()
 	f.after(time.Duration(f.rand.ExpFloat64()/perSecond*float64(time.Second)), func() {
 		if f.now >= end {
 			return
@@ -284,11 +294,60 @@
 			c.sent++
 			c.second(f.now).sent++
 		}
+		if f.config.organisations > 0 {
+			caller.key = f.drawKey()
+			f.countOrganisation(caller, func(s *secondCount) { s.sent++ })
+		}
 		f.startAttempt(caller)
 		f.scheduleArrival(c, end)
 	})
 }
 
+// organisationConfig returns the organisations of the callers, each with one key.
+func (c *fleetConfig) organisationConfig() map[types.OrganisationName]types.Organisation {
+	out := make(map[types.OrganisationName]types.Organisation)
+	for i := range c.organisations {
+		name := types.OrganisationName(fmt.Sprint("organisation-", i))
+		out[name] = types.Organisation{Name: name, Keys: []types.KeyDigest{organisationKey(i)}}
+	}
+	return out
+}
+
+func organisationKey(i int) types.KeyDigest { return types.KeyDigest{byte(i), 1} }
+
+// loadFactor returns by what the arrival rates are multiplied now.
+func (f *fleet) loadFactor() float64 {
+	factor := f.config.surge.factorAt(f.now)
+	if f.config.hot {
+		return 1 + (factor-1)/float64(f.config.organisations)
+	}
+	return factor
+}
+
+// drawKey draws the key of a caller.
+func (f *fleet) drawKey() types.KeyDigest {
+	if f.config.hot {
+		others := float64(f.config.organisations - 1)
+		if x := f.rand.Float64() * (others + f.config.surge.factorAt(f.now)); x >= others {
+			return organisationKey(0)
+		}
+		return organisationKey(1 + f.rand.IntN(f.config.organisations-1))
+	}
+	return organisationKey(f.rand.IntN(f.config.organisations))
+}
+
+// countOrganisation counts an operation that arrived during the surge.
+func (f *fleet) countOrganisation(caller *fleetCaller, count func(*secondCount)) {
+	if f.config.organisations == 0 || f.config.surge.factorAt(caller.arrived) == 1 {
+		return
+	}
+	i := 1
+	if caller.key == organisationKey(0) {
+		i = 0
+	}
+	count(&caller.class.byOrganisation[i])
+}
+
 // drawOperation draws the statements of one operation.
 func (f *fleet) drawOperation(c *requestClass) []types.Request {
 	read := types.Request{Class: types.ClassRead, DiscardedOnClose: true, Payload: &simStatement{serviceTime: c.serviceTime}}
@@ -310,7 +369,7 @@
 	id := f.lastSession
 	caller.proxy, caller.remaining = f.pickProxy(), caller.statements
 	f.callers[id] = caller
-	caller.proxy.step(event.SessionOpened{Session: id, Params: types.SessionParams{Database: caller.class.database}})
+	caller.proxy.step(event.SessionOpened{Session: id, Params: types.SessionParams{Database: caller.class.database, Key: caller.key}})
 	f.sendNext(id, caller)
 }
 
@@ -358,6 +417,7 @@
 	case f.now.Sub(caller.arrived) <= caller.class.profile.Objective:
 		caller.class.inTime++
 		caller.class.second(caller.arrived).inTime++
+		f.countOrganisation(caller, func(s *secondCount) { s.inTime++ })
 	default:
 		caller.class.late++
 	}
--- a/core/session/priority.go
+++ b/core/session/priority.go
@@ -74,6 +74,10 @@
 	if !q.byPriority() || r.admitted {
 		return true
 	}
+	if !r.usageCounted {
+		s.usage.Add(r.organisation, s.now)
+		r.usageCounted = true
+	}
 	admitted := s.admittedPart(r, q)
 	if s.randomFraction() < admitted {
 		return true
@@ -102,7 +106,7 @@
 	for _, name := range targets {
 		best = max(best, r.service.target(name).level.Probability(rank, len(c.priorities)))
 	}
-	return best
+	return s.usage.Part(r.organisation, best)
 }
 
 // randomFraction returns a random number in [0, 1).
--- a/core/session/priority_test.go
+++ b/core/session/priority_test.go
@@ -123,3 +123,32 @@
 		}
 	}
 }
+
+// TestHotOrganisationGivesWay covers one of ten organisations that sends nine times its
+// usual, so that the targets get 1.1 times what they carry. Its own requests are refused
+// more than those of the others.
+func TestHotOrganisationGivesWay(t *testing.T) {
+	for _, members := range []int{1, 3} {
+		const seeds = 3
+		var parts [2]map[types.ProfileName]float64
+		for i := range parts {
+			parts[i] = make(map[types.ProfileName]float64)
+		}
+		for seed := range uint64(seeds) {
+			c := priorityLoad(1)
+			c.members, c.organisations, c.hot, c.surge.factor = members, 10, true, 9
+			c.scaleTo(0.6 * float64(members))
+			f := newFleet(c, seed)
+			f.run()
+			for _, class := range f.classes {
+				for i, o := range class.byOrganisation {
+					parts[i][class.profile.Name] += float64(o.inTime) / float64(o.sent) / seeds
+				}
+			}
+		}
+		t.Logf("%d members, in time: the hot one %v, the others %v", members, parts[0], parts[1])
+		for _, name := range []types.ProfileName{"jobs", "catalogue"} {
+			assert.Assert(t, parts[1][name] > parts[0][name], "%s", name)
+		}
+	}
+}
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -68,14 +68,15 @@
 	sentUnderLease bool         // a live lease ruled out another primary when it was sent
 	selectedPos    types.LogPos // position of the replica when it was sent
 
-	answer      types.Answer       // set once the target has answered
-	status      types.TargetStatus // of the target after the answer
-	statusKnown bool               // status is known
-	admitted    bool               // a queue has accepted it once
-	retries     int
-	failedOn    types.TargetName // that failed its last attempt; another one is preferred
-	mayHaveRun  bool             // an attempt without a known outcome was sent
-	inTx        bool             // it arrived within an open transaction
+	answer       types.Answer       // set once the target has answered
+	status       types.TargetStatus // of the target after the answer
+	statusKnown  bool               // status is known
+	admitted     bool               // a queue has accepted it once
+	usageCounted bool               // it counts in the use of its organisation
+	retries      int
+	failedOn     types.TargetName // that failed its last attempt; another one is preferred
+	mayHaveRun   bool             // an attempt without a known outcome was sent
+	inTx         bool             // it arrived within an open transaction
 
 	observed effect.Observation
 }
--- a/core/session/shard.go
+++ b/core/session/shard.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 
+	"github.com/camphorpaddle/camphorpaddle/core/admission"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/pool"
@@ -36,6 +37,7 @@
 	lastConn      types.ConnID
 	draining      bool
 	reports       reporter
+	usage         admission.Usage // of the organisations
 	quotas        *quota.Admission
 	lacking       map[types.OrganisationName][]*request // requests that wait for a right of their organisation, in order
 	quotaLoggedAt types.Instant                         // last log record of an organisation at its limit
