--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -143,3 +143,13 @@
 	assert.Equal(t, lowest, guaranteedPart)
 	assert.Equal(t, l.Probability(1, classes), 1.0)
 }
+
+// TestEmptyQueueHasNothingToVisit covers a queue whose requests have all been served.
+func TestEmptyQueueHasNothingToVisit(t *testing.T) {
+	var q Queue[int]
+	q.Push(high, "a", 1, 0)
+	q.Pop()
+	q.VisitFlows(func(types.OrganisationName, int, int) { t.Fatal("visited") })
+	_, ok := q.Next(always[int])
+	assert.Assert(t, !ok)
+}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -138,6 +138,9 @@
 // Next returns the entry to serve next among those for which ready returns true. Of each
 // organisation and class only the first entry is considered.
 func (q *Queue[T]) Next(ready func(T) bool) (*Entry[T], bool) {
+	if q.length == 0 {
+		return nil, false
+	}
 	for _, c := range q.inOrder() {
 		for _, f := range c.inOrder() {
 			if e := f.first(); ready(e.Value) {
@@ -232,12 +235,7 @@
 
 // inOrder returns the classes with entries in the order in which they are served.
 func (q *Queue[T]) inOrder() []*class[T] {
-	active := make([]*class[T], 0, len(q.classes))
-	for _, c := range q.classes {
-		if c.length > 0 {
-			active = append(active, c)
-		}
-	}
+	active := nonEmpty(q.classes, q.length, func(c *class[T]) int { return c.length })
 	slices.SortStableFunc(active, func(a, b *class[T]) int {
 		if q.Order == OrderPriority {
 			if by := cmp.Or(cmp.Compare(b.due(), a.due()), cmp.Compare(a.Priority, b.Priority)); by != 0 {
@@ -261,13 +259,24 @@
 
 // inOrder returns the flows with entries in the order in which they are served.
 func (c *class[T]) inOrder() []*flow[T] {
-	active := make([]*flow[T], 0, len(c.flows))
-	for _, f := range c.flows {
-		if f.len() > 0 {
-			active = append(active, f)
+	active := nonEmpty(c.flows, c.length, (*flow[T]).len)
+	slices.SortStableFunc(active, func(a, b *flow[T]) int { return cmp.Compare(a.startTag, b.startTag) })
+	return active
+}
+
+// nonEmpty returns the parts of a whole of the given length that have entries. It allocates
+// nothing if one of them has all.
+func nonEmpty[E any](parts []E, total int, length func(E) int) []E {
+	var active []E
+	for i, part := range parts {
+		switch n := length(part); {
+		case n == 0:
+		case n == total:
+			return parts[i : i+1 : i+1]
+		default:
+			active = append(active, part)
 		}
 	}
-	slices.SortStableFunc(active, func(a, b *flow[T]) int { return cmp.Compare(a.startTag, b.startTag) })
 	return active
 }
 
