--- a/core/session/grey_test.go
+++ b/core/session/outlier_test.go
@@ -10,13 +10,13 @@
 	"gotest.tools/v3/assert"
 )
 
-// greyLoad is the load of a service one replica of which fails part of the statements for
+// partialFailureLoad is the load of a service one replica of which fails part of the statements for
 // 7 s.
-func greyLoad(proxies int, g greyness) fleetConfig {
+func partialFailureLoad(proxies int, g partialFailure) fleetConfig {
 	c := spreadLoad(proxies, 0.15)
 	c.policy = routing.RecentLatency{}
 	g.member, g.at, g.duration = "b", 5*time.Second, 7*time.Second
-	c.grey = g
+	c.failing = g
 	return c
 }
 
@@ -24,7 +24,7 @@
 // statements, for all proxies or those of one availability zone, while they answer the
 // rest. With outlier detection nine of ten operations that suffered are served in time.
 func TestReplicaThatFailsInPart(t *testing.T) {
-	for name, g := range map[string]greyness{
+	for name, g := range map[string]partialFailure{
 		"errors":               {part: 0.45},
 		"lost answers":         {part: 0.45, mute: true},
 		"errors for one zone":  {part: 0.49, proxies: func(p int) bool { return p%(regions*zonesPerRegion) == 0 }},
@@ -34,7 +34,7 @@
 		"hardly any statement": {part: 0.01},
 	} {
 		for _, proxies := range []int{30, 90} {
-			c := greyLoad(proxies, g)
+			c := partialFailureLoad(proxies, g)
 			before := newFleet(c, 1)
 			before.run()
 			c.crowded = true
@@ -52,7 +52,7 @@
 // TestHealthyReplicasAreNotEjected covers a load that queues at the targets at times.
 func TestHealthyReplicasAreNotEjected(t *testing.T) {
 	for _, load := range []float64{0.15, 0.5} {
-		c := greyLoad(30, greyness{})
+		c := partialFailureLoad(30, partialFailure{})
 		c.scaleTo(3 * load)
 		c.crowded = true
 		f := newFleet(c, 1)
