--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -28,6 +28,8 @@
 	self types.HostID
 	zone types.AvailabilityZone
 	fill func(*proto.LeaseRequest)
+	// apply is called with each grant whose shares are applied, unless it is nil.
+	apply func(proto.LeaseGrant)
 
 	seq         uint64
 	firstSeq    uint64                   // Seq of the first request of this process
@@ -66,8 +68,9 @@
 // Shares returns this proxy's share of each target.
 func (h *Holder) Shares() map[types.TargetRef]types.Share { return h.shares }
 
-// SharesSeq returns the number of the request whose grant brought the last shares.
-func (h *Holder) SharesSeq() uint64 { return h.sharesSeq }
+// SetApply sets what else is done with a grant whose shares are applied, before the next
+// request is sent.
+func (h *Holder) SetApply(apply func(proto.LeaseGrant)) { h.apply = apply }
 
 // Fleet returns the place of this proxy among those with a lease, as of the last grant.
 func (h *Holder) Fleet() types.Fleet { return h.fleet }
@@ -214,7 +217,7 @@
 	sentAt, pending := h.outstanding[g.Seq]
 	pending = pending && sentAt == g.SentAt
 	if pending && g.NotLeader {
-		out = append(out, h.followRedirect(now, g)...)
+		return append(out, h.followRedirect(now, e, progress)...)
 	}
 	if !pending || g.NotLeader || g.Term < h.latestTerm || now >= sentAt.Add(Duration-driftMargin) {
 		return append(out, h.requestNextPart(now, progress)...)
@@ -341,18 +344,25 @@
 }
 
 // followRedirect sends the next request to the leader that a follower named. If the
-// follower named no other leader, any control host is tried after redirectDelay.
-func (h *Holder) followRedirect(now types.Instant, g proto.LeaseGrant) []effect.Effect {
+// follower named no other leader, any control host is tried after redirectDelay. A
+// follower that sends parts of a view is asked for the rest, so that the leader need not
+// send the first views of all proxies when they start.
+func (h *Holder) followRedirect(now types.Instant, e event.LeaseGranted, progress bool) []effect.Effect {
+	g := e.Grant
 	delete(h.outstanding, g.Seq)
 	if g.Seq != h.seq {
-		return nil
+		return h.requestNextPart(now, progress)
 	}
 	h.waitsSince = 0
-	if g.Leader == "" || g.Leader == h.leader {
+	switch {
+	case progress && g.View.More:
+		h.leader = e.From
+	case g.Leader == "" || g.Leader == h.leader:
 		h.leader = ""
 		return []effect.Effect{effect.StopTimer{ID: timerID(timerAnswerTimeout)}, h.arm(timerRequest, now.Add(redirectDelay))}
+	default:
+		h.leader = g.Leader
 	}
-	h.leader = g.Leader
 	return h.RequestSoon(now)
 }
 
@@ -361,12 +371,19 @@
 	if g.Duration == 0 {
 		return
 	}
-	h.sharesSeq, h.fleet, h.suspects = g.Seq, g.Fleet, g.Suspects
-	h.granted = make(map[types.TargetRef]types.Share, len(g.Shares))
+	h.sharesSeq, h.suspects = g.Seq, g.Suspects
+	granted := make(map[types.TargetRef]types.Share, len(g.Shares))
 	for _, s := range g.Shares {
-		h.granted[s.Ref] = s.Share
+		granted[s.Ref] = s.Share
 	}
+	if g.Fleet == h.fleet && h.granted != nil && maps.Equal(granted, h.granted) {
+		return
+	}
+	h.fleet, h.granted = g.Fleet, granted
 	h.updateShares()
+	if h.apply != nil {
+		h.apply(g)
+	}
 }
 
 // extendLease sets the end of the lease, counted from the time of the request on
--- a/core/session/fleet_load_test.go
+++ b/core/session/fleet_load_test.go
@@ -1,7 +1,6 @@
 package session
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
@@ -64,47 +63,31 @@
 	return &c.seconds[i]
 }
 
-// organisationConfig returns the organisations of the callers, each with one key.
-func (c *fleetConfig) organisationConfig() map[types.OrganisationName]types.Organisation {
-	out := make(map[types.OrganisationName]types.Organisation)
-	for i := range c.organisations {
-		name := types.OrganisationName(fmt.Sprint("organisation-", i))
-		out[name] = types.Organisation{Name: name, Keys: []types.KeyDigest{organisationKey(i)}}
-	}
-	return out
-}
-
-func organisationKey(i int) types.KeyDigest { return types.KeyDigest{byte(i), 1} }
-
 // loadFactor returns by what the arrival rates are multiplied now.
 func (f *fleet) loadFactor() float64 {
 	factor := f.config.surge.factorAt(f.now)
-	if f.config.hot {
-		return 1 + (factor-1)/float64(f.config.organisations)
+	if o := f.config.organisations; o.hot {
+		return 1 + (factor-1)/float64(o.names)
 	}
 	return factor
 }
 
-// drawKey draws the key of a caller.
-func (f *fleet) drawKey() types.KeyDigest {
-	if f.config.hot {
-		others := float64(f.config.organisations - 1)
-		if x := f.rand.Float64() * (others + f.config.surge.factorAt(f.now)); x >= others {
-			return organisationKey(0)
-		}
-		return organisationKey(1 + f.rand.IntN(f.config.organisations-1))
+// drawOrganisation draws the organisation of a caller.
+func (f *fleet) drawOrganisation() int {
+	o := f.config.organisations
+	if !o.hot {
+		return o.draw(f.rand)
+	}
+	others := float64(o.names - 1)
+	if f.rand.Float64()*(others+f.config.surge.factorAt(f.now)) >= others {
+		return 0
 	}
-	return organisationKey(f.rand.IntN(f.config.organisations))
+	return 1 + f.rand.IntN(o.names-1)
 }
 
 // countOrganisation counts an operation that arrived during the surge.
 func (f *fleet) countOrganisation(caller *fleetCaller, count func(*secondCount)) {
-	if f.config.organisations == 0 || f.config.surge.factorAt(caller.arrived) == 1 {
-		return
-	}
-	i := 1
-	if caller.key == organisationKey(0) {
-		i = 0
+	if f.config.surge.factorAt(caller.arrived) != 1 {
+		count(&caller.class.byOrganisation[min(1, caller.organisation)])
 	}
-	count(&caller.class.byOrganisation[i])
 }
--- a/core/session/fleet_test.go
+++ b/core/session/fleet_test.go
@@ -61,16 +61,13 @@
 	failing        partialFailure
 	crowded        bool // the proxies know how many they are
 
-	// organisations is how many the callers belong to in equal parts; none if not set. If hot
-	// is set, the surge is the first one's only.
-	organisations int
-	hot           bool
-
 	policy    routing.Policy                                         // of the proxies
 	delay     func(proxy int, member types.TargetName) time.Duration // one way; networkDelay if not set
 	connLimit int                                                    // connections that a member accepts, with handshake; no limit if not set
 	handshake time.Duration                                          // of a slot, for a new connection
 	swing     func(proxy int, at types.Instant) float64              // relative number of callers of a proxy
+
+	organisations organisationLoad // none if not set
 }
 
 // requestClass is a kind of operation with its arrival rate and the counts of
@@ -120,15 +117,15 @@
 // fleetCaller is a caller with one operation, which it may attempt several
 // times.
 type fleetCaller struct {
-	class      *requestClass
-	key        types.KeyDigest
-	proxy      *fleetProxy
-	arrived    types.Instant
-	counted    bool // whether the operation counts in the results of its class
-	retries    int
-	remaining  []types.Request // not sent yet in this attempt
-	statements []types.Request // of the whole operation
-	seq        types.RequestSeq
+	organisation int
+	class        *requestClass
+	proxy        *fleetProxy
+	arrived      types.Instant
+	counted      bool // whether the operation counts in the results of its class
+	retries      int
+	remaining    []types.Request // not sent yet in this attempt
+	statements   []types.Request // of the whole operation
+	seq          types.RequestSeq
 }
 
 // maxCallerRetries bounds how often a caller retries an operation that was not
@@ -146,7 +143,6 @@
 	svc := config.Services[svcName]
 	svc.Managed, svc.Members = true, 0
 	config.Services[svcName] = svc
-	config.Organisations = c.organisationConfig()
 	config.Profiles = make(map[types.ProfileName]types.Profile)
 	config.Routes = make(map[types.DatabaseName]types.Route)
 	for _, class := range c.classes {
@@ -154,6 +150,7 @@
 		config.Routes[class.database] = types.Route{Database: class.database, Service: svcName, Profile: class.profile.Name}
 		f.classes = append(f.classes, &class)
 	}
+	config.Organisations = c.organisations.configuration()
 	g := &types.Group{
 		Service: svcName, Term: 1, LogTerm: logTerm, Phase: types.GroupServing, Primary: "a",
 		History: types.TermHistory{{Term: logTerm}},
@@ -185,11 +182,11 @@
 		LeaseUntil: f.now.Add(time.Hour), Health: make(map[types.TargetRef]types.TargetHealth),
 		Shares: make(map[types.TargetRef]types.Share),
 	}
-	p.view.KeyHolders = organisation.KeyHolders(config)
 	if f.config.crowded {
 		p.view.Proxies = f.config.proxies
 	}
 	for _, m := range g.Members {
+		p.view.KeyHolders = organisation.KeyHolders(config)
 		p.view.Health[ref(m.Name)] = types.TargetHealth{Term: logTerm, Primary: m.Name == "a", LastContact: f.now}
 		p.view.Shares[ref(m.Name)] = f.share(index, slots)
 	}
@@ -234,15 +231,12 @@
 		if f.now >= end {
 			return
 		}
-		caller := &fleetCaller{class: c, arrived: f.now, statements: f.drawOperation(c), counted: f.lagRaised() || f.config.lagRaisedAt == 0}
+		caller := &fleetCaller{organisation: f.drawOrganisation(), class: c, arrived: f.now, statements: f.drawOperation(c), counted: f.lagRaised() || f.config.lagRaisedAt == 0}
 		if caller.counted {
 			c.sent++
 			c.second(f.now).sent++
 		}
-		if f.config.organisations > 0 {
-			caller.key = f.drawKey()
-			f.countOrganisation(caller, func(s *secondCount) { s.sent++ })
-		}
+		f.countOrganisation(caller, func(s *secondCount) { s.sent++ })
 		f.startAttempt(caller)
 		f.scheduleArrival(c, end)
 	})
@@ -268,8 +262,15 @@
 	f.lastSession++
 	id := f.lastSession
 	caller.proxy, caller.remaining = f.pickProxy(), caller.statements
+	params := types.SessionParams{Database: caller.class.database}
+	if o := f.config.organisations; o.names > 0 {
+		params.Key = o.key(caller.organisation)
+		if !o.hot {
+			caller.proxy = f.proxies[o.pickProxy(f.rand, caller.organisation, len(f.proxies))]
+		}
+	}
 	f.callers[id] = caller
-	caller.proxy.step(event.SessionOpened{Session: id, Params: types.SessionParams{Database: caller.class.database, Key: caller.key}})
+	caller.proxy.step(event.SessionOpened{Session: id, Params: params})
 	f.sendNext(id, caller)
 }
 
--- a/core/session/priority_test.go
+++ b/core/session/priority_test.go
@@ -136,7 +136,8 @@
 		}
 		for seed := range uint64(seeds) {
 			c := priorityLoad(1)
-			c.members, c.organisations, c.hot, c.surge.factor = members, 10, true, 9
+			c.members, c.surge.factor = members, 9
+			c.organisations = organisationLoad{names: 10, hot: true}
 			c.scaleTo(0.6 * float64(members))
 			f := newFleet(c, seed)
 			f.run()
