A request that is not admitted is refused at its deadline at the latest

Cause: without an objective, a request that waits for another try had no limit. Change: the next try has to leave time for the answer before the deadline. Result: TestHeldRequestIsRefusedAtItsDeadline, red before.

--- a/core/session/priority.go
+++ b/core/session/priority.go
@@ -83,7 +83,8 @@
 		return true
 	}
 	pause := time.Duration(float64(admissionInterval) / admitted)
-	if s.now.Add(pause+s.lowestLatency(r.service, q)).Sub(r.arrived) > q.waitLimit(r, s.now) {
+	answered := s.now.Add(pause + s.lowestLatency(r.service, q))
+	if answered >= r.deadline || answered.Sub(r.arrived) > q.waitLimit(r, s.now) {
 		s.refuseOverloaded(r, q, effect.CausePriority, higherPriorityReason)
 		return false
 	}
--- a/core/session/priority_test.go
+++ b/core/session/priority_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/admission"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"gotest.tools/v3/assert"
 )
@@ -153,3 +154,41 @@
 		}
 	}
 }
+
+// TestHeldRequestIsRefusedAtItsDeadline covers a profile without an objective whose requests
+// are not admitted.
+func TestHeldRequestIsRefusedAtItsDeadline(t *testing.T) {
+	h := newManagedHarness(t)
+	h.config.PriorityOrder = true
+	p := h.config.Profiles["strict"]
+	p.Objective, p.Priority = 0, 1
+	h.config.Profiles["strict"] = p
+	h.setView(func(*types.NodeView, *types.Group) {})
+	h.openDatabase(1, "orders")
+	h.openDatabase(2, "orders")
+	h.sendManagedRead(1)
+	h.answerManaged(1)
+	q := newQueue(nil)
+	q.configure(h.config)
+	svc := h.shard.services[svcName]
+	r := &request{
+		session: h.shard.sessions[2], service: svc, profile: p, arrived: h.now, stage: stageBackoff,
+		deadline: h.now.Add(admissionInterval / 2),
+	}
+	h.shard.sessions[2].request = r
+	var level admission.Level // of a target with a long queue
+	for i := range 40 {
+		level.Observe(types.Instant(i)*50*ms, time.Second, time.Millisecond, 2)
+	}
+	svc.target("a").level = level
+	admitted := 0
+	for range 10 {
+		if h.shard.admitByPriority(r, q) {
+			admitted++
+			continue
+		}
+		assert.Assert(t, h.shard.sessions[2].request == nil, "held beyond its deadline")
+		return
+	}
+	t.Fatalf("admitted %d times", admitted)
+}
