--- a/core/session/fleet_test.go
+++ b/core/session/fleet_test.go
@@ -58,7 +58,7 @@
 	priorityOrder  bool          // Config.PriorityOrder
 	surge          surge
 	slow           slowness
-	grey           greyness
+	failing        partialFailure
 	crowded        bool // the proxies know how many they are
 
 	policy    routing.Policy                                         // of the proxies
@@ -70,49 +70,6 @@
 	organisations organisationLoad // none if not set
 }
 
-// surge is a span of time in which the arrival rates are multiplied.
-type surge struct {
-	at, duration time.Duration
-	factor       float64
-}
-
-// slowness is a span of time in which members take longer.
-type slowness struct {
-	member       types.TargetName // all if empty
-	at, duration time.Duration    // for the rest of the load without a duration
-	factor       float64
-}
-
-// applies reports whether a member is slow.
-func (s slowness) applies(m *fleetMember, now types.Instant) bool {
-	since := now.Sub(types.Instant(time.Second).Add(s.at))
-	return s.at > 0 && since >= 0 && (s.duration == 0 || since < s.duration) && (s.member == "" || s.member == m.name)
-}
-
-// greyness is a span of time in which a member fails part of the statements.
-type greyness struct {
-	member       types.TargetName
-	at, duration time.Duration
-	part         float64
-	mute         bool                 // it gives no answer, instead of an error
-	proxies      func(proxy int) bool // whose statements it fails; all if not set
-}
-
-// applies reports whether a member fails a part of the statements of a proxy now.
-func (g greyness) applies(m *fleetMember, proxy int, now types.Instant) bool {
-	since := now.Sub(types.Instant(time.Second).Add(g.at))
-	return g.member == m.name && since >= 0 && since < g.duration && (g.proxies == nil || g.proxies(proxy))
-}
-
-// factorAt returns by what the arrival rates are multiplied.
-func (s surge) factorAt(at types.Instant) float64 {
-	since := at.Sub(types.Instant(time.Second).Add(s.at))
-	if s.duration > 0 && since >= 0 && since < s.duration {
-		return s.factor
-	}
-	return 1
-}
-
 // requestClass is a kind of operation with its arrival rate and the counts of
 // its results.
 type requestClass struct {
@@ -124,19 +81,8 @@
 	transactionRatio float64       // fraction that are transactions of three statements
 
 	sent, inTime, late, failed int
-	seconds                    []secondCount // by the second in which the operation arrived
-}
-
-// secondCount counts the operations that arrived within one second.
-type secondCount struct{ sent, inTime int }
-
-// second returns the counts of the second in which an operation arrived.
-func (c *requestClass) second(arrived types.Instant) *secondCount {
-	i := int(arrived.Sub(types.Instant(time.Second)) / time.Second)
-	for len(c.seconds) <= i {
-		c.seconds = append(c.seconds, secondCount{})
-	}
-	return &c.seconds[i]
+	seconds                    []secondCount  // by the second in which the operation arrived
+	byOrganisation             [2]secondCount // of the first organisation and of the others, during the surge
 }
 
 // fleetMember is a member of the service and its utilisation.
@@ -280,16 +226,17 @@
 // scheduleArrival schedules the next operation of a class, with exponentially
 // distributed intervals.
 func (f *fleet) scheduleArrival(c *requestClass, end types.Instant) {
-	perSecond := c.perSecond * f.config.surge.factorAt(f.now)
+	perSecond := c.perSecond * f.loadFactor()
 	f.after(time.Duration(f.rand.ExpFloat64()/perSecond*float64(time.Second)), func() {
 		if f.now >= end {
 			return
 		}
-		caller := &fleetCaller{organisation: f.config.organisations.draw(f.rand), class: c, arrived: f.now, statements: f.drawOperation(c), counted: f.lagRaised() || f.config.lagRaisedAt == 0}
+		caller := &fleetCaller{organisation: f.drawOrganisation(), class: c, arrived: f.now, statements: f.drawOperation(c), counted: f.lagRaised() || f.config.lagRaisedAt == 0}
 		if caller.counted {
 			c.sent++
 			c.second(f.now).sent++
 		}
+		f.countOrganisation(caller, func(s *secondCount) { s.sent++ })
 		f.startAttempt(caller)
 		f.scheduleArrival(c, end)
 	})
@@ -318,7 +265,9 @@
 	params := types.SessionParams{Database: caller.class.database}
 	if o := f.config.organisations; o.names > 0 {
 		params.Key = o.key(caller.organisation)
-		caller.proxy = f.proxies[o.pickProxy(f.rand, caller.organisation, len(f.proxies))]
+		if !o.hot {
+			caller.proxy = f.proxies[o.pickProxy(f.rand, caller.organisation, len(f.proxies))]
+		}
 	}
 	f.callers[id] = caller
 	caller.proxy.step(event.SessionOpened{Session: id, Params: params})
@@ -369,6 +318,7 @@
 	case f.now.Sub(caller.arrived) <= caller.class.profile.Objective:
 		caller.class.inTime++
 		caller.class.second(caller.arrived).inTime++
+		f.countOrganisation(caller, func(s *secondCount) { s.inTime++ })
 	default:
 		caller.class.late++
 	}
@@ -504,9 +454,9 @@
 	reply := func(kind types.TargetErrorKind) {
 		f.after(c.delay, func() { f.reply(p, c, e, sentAt, kind) })
 	}
-	if f.config.grey.applies(m, p.index, f.now) && f.rand.Float64() < f.config.grey.part {
+	if f.config.failing.applies(m, p.index, f.now) && f.rand.Float64() < f.config.failing.part {
 		f.occupy(m, func() time.Duration { return time.Millisecond }, func() {
-			if !f.config.grey.mute {
+			if !f.config.failing.mute {
 				reply(types.TargetErrFailed)
 			}
 		})
--- a/core/session/organisation_fleet_test.go
+++ b/core/session/organisation_fleet_test.go
@@ -14,7 +14,10 @@
 
 // organisationLoad is a number of organisations whose callers ask by Zipf's law, most of
 // them through a few proxies.
-type organisationLoad struct{ names int }
+type organisationLoad struct {
+	names int
+	hot   bool // equal parts through any proxy instead, and the fleet's surge is the first one's
+}
 
 // anyProxyPart is the part of the operations that come through any proxy.
 const anyProxyPart = 0.23
--- a/core/session/priority.go
+++ b/core/session/priority.go
@@ -74,12 +74,17 @@
 	if !q.byPriority() || r.admitted {
 		return true
 	}
+	if !r.usageCounted {
+		s.usage.Add(r.organisation, s.now)
+		r.usageCounted = true
+	}
 	admitted := s.admittedPart(r, q)
 	if s.randomFraction() < admitted {
 		return true
 	}
 	pause := time.Duration(float64(admissionInterval) / admitted)
-	if s.now.Add(pause+s.lowestLatency(r.service, q)).Sub(r.arrived) > q.waitLimit(r, s.now) {
+	answered := s.now.Add(pause + s.lowestLatency(r.service, q))
+	if answered >= r.deadline || answered.Sub(r.arrived) > q.waitLimit(r, s.now) {
 		s.refuseOverloaded(r, q, effect.CausePriority, higherPriorityReason)
 		return false
 	}
@@ -102,7 +107,7 @@
 	for _, name := range targets {
 		best = max(best, r.service.target(name).level.Probability(rank, len(c.priorities)))
 	}
-	return best
+	return s.usage.Part(r.organisation, best)
 }
 
 // randomFraction returns a random number in [0, 1).
--- a/core/session/priority_test.go
+++ b/core/session/priority_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/camphorpaddle/camphorpaddle/core/admission"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"gotest.tools/v3/assert"
 )
@@ -123,3 +124,71 @@
 		}
 	}
 }
+
+// TestHotOrganisationGivesWay covers one of ten organisations that sends nine times its
+// usual, so that the targets get 1.1 times what they carry. Its own requests are refused
+// more than those of the others.
+func TestHotOrganisationGivesWay(t *testing.T) {
+	for _, members := range []int{1, 3} {
+		const seeds = 3
+		var parts [2]map[types.ProfileName]float64
+		for i := range parts {
+			parts[i] = make(map[types.ProfileName]float64)
+		}
+		for seed := range uint64(seeds) {
+			c := priorityLoad(1)
+			c.members, c.surge.factor = members, 9
+			c.organisations = organisationLoad{names: 10, hot: true}
+			c.scaleTo(0.6 * float64(members))
+			f := newFleet(c, seed)
+			f.run()
+			for _, class := range f.classes {
+				for i, o := range class.byOrganisation {
+					parts[i][class.profile.Name] += float64(o.inTime) / float64(o.sent) / seeds
+				}
+			}
+		}
+		t.Logf("%d members, in time: the hot one %v, the others %v", members, parts[0], parts[1])
+		for _, name := range []types.ProfileName{"jobs", "catalogue"} {
+			assert.Assert(t, parts[1][name] > parts[0][name], "%s", name)
+		}
+	}
+}
+
+// TestHeldRequestIsRefusedAtItsDeadline covers a profile without an objective whose requests
+// are not admitted.
+func TestHeldRequestIsRefusedAtItsDeadline(t *testing.T) {
+	h := newManagedHarness(t)
+	h.config.PriorityOrder = true
+	p := h.config.Profiles["strict"]
+	p.Objective, p.Priority = 0, 1
+	h.config.Profiles["strict"] = p
+	h.setView(func(*types.NodeView, *types.Group) {})
+	h.openDatabase(1, "orders")
+	h.openDatabase(2, "orders")
+	h.sendManagedRead(1)
+	h.answerManaged(1)
+	q := newQueue(nil)
+	q.configure(h.config)
+	svc := h.shard.services[svcName]
+	r := &request{
+		session: h.shard.sessions[2], service: svc, profile: p, arrived: h.now, stage: stageBackoff,
+		deadline: h.now.Add(admissionInterval / 2),
+	}
+	h.shard.sessions[2].request = r
+	var level admission.Level // of a target with a long queue
+	for i := range 40 {
+		level.Observe(types.Instant(i)*50*ms, time.Second, time.Millisecond, 2)
+	}
+	svc.target("a").level = level
+	admitted := 0
+	for range 10 {
+		if h.shard.admitByPriority(r, q) {
+			admitted++
+			continue
+		}
+		assert.Assert(t, h.shard.sessions[2].request == nil, "held beyond its deadline")
+		return
+	}
+	t.Fatalf("admitted %d times", admitted)
+}
