Kept connections of organisations close after 45 s without use

Cause: a kept connection whose organisation does not come back stayed open for good. Targets that close idle connections after a minute do so unnoticed, and the next write on it has an unknown outcome. Change: connections with a name close after 45 s without use, also those kept.

--- a/core/pool/organisation_test.go
+++ b/core/pool/organisation_test.go
@@ -269,3 +269,20 @@
 	assert.Assert(t, !target.Reachable(rejected.Add(fullDuration-1)))
 	assert.Assert(t, target.Reachable(rejected.Add(fullDuration)))
 }
+
+// TestKeptConnectionOfAnOrganisationIsClosed covers an organisation whose callers don't come
+// back. A connection without a name is kept, since every caller without one can use it.
+func TestKeptConnectionOfAnOrganisationIsClosed(t *testing.T) {
+	target := NewTarget(types.TargetRef{Service: "s", Name: "t"})
+	target.Update("10.0.0.1:1", types.Share{Connections: 40, Shared: 38, Slots: 2})
+	for i, o := range []types.OrganisationName{"", "a"} {
+		target.Connected(target.Dial(types.ConnID(i+1), o), 0)
+	}
+	end := types.Instant(namedIdleTimeout)
+	assert.Equal(t, target.NextIdleClose(), end)
+	assert.Equal(t, len(target.CloseIdle(end-1)), 0)
+	closed := target.CloseIdle(end)
+	assert.Equal(t, len(closed), 1)
+	assert.Equal(t, closed[0].Organisation, types.OrganisationName("a"))
+	assert.Equal(t, target.NextIdleClose(), types.Instant(0))
+}
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -24,6 +24,10 @@
 	// timeout, down to minIdleTimeout, and each that it accepts adds idleTimeoutStep.
 	minIdleTimeout  = 50 * time.Millisecond
 	idleTimeoutStep = 5 * time.Millisecond
+	// namedIdleTimeout is how long a kept connection of an organisation stays open
+	// without use. Its callers may not come back, and targets may close it: some do so
+	// after a minute, which shows only once a request was sent.
+	namedIdleTimeout = 45 * time.Second
 	// fullDuration is how long a target counts as full after it rejected a connection.
 	fullDuration = 500 * time.Millisecond
 	// minDialBackoff and maxDialBackoff bound the backoff after failed dials.
@@ -81,19 +85,29 @@
 	return c.Address != t.address || len(t.conns) > t.share.Connections
 }
 
-// CloseIdle drops and returns the connections that other proxies may use too and that
-// have been idle for too long, the least recently used first.
+// CloseIdle drops and returns the connections that have been idle for too long, the least
+// recently used first.
 func (t *Target) CloseIdle(now types.Instant) []*Conn {
 	var closed []*Conn
-	for len(t.conns) > t.kept() {
-		c := t.leastRecentlyUsed(func(c *Conn) bool { return now.Sub(c.idleSince) >= t.idleTimeout() })
+	for {
+		c := t.leastRecentlyUsed(func(c *Conn) bool { at := t.closeAt(c); return at != 0 && now >= at })
 		if c == nil {
-			break
+			return closed
 		}
 		t.Drop(c)
 		closed = append(closed, c)
 	}
-	return closed
+}
+
+// closeAt returns when an idle connection is to be closed if it isn't used, or zero.
+func (t *Target) closeAt(c *Conn) types.Instant {
+	switch {
+	case len(t.conns) > t.kept():
+		return c.idleSince.Add(t.idleTimeout())
+	case c.Organisation != "":
+		return c.idleSince.Add(namedIdleTimeout)
+	}
+	return 0
 }
 
 // leastRecentlyUsed returns the connection that has been idle for the longest time among
@@ -110,12 +124,9 @@
 
 // NextIdleClose returns when CloseIdle may drop a connection next, or zero.
 func (t *Target) NextIdleClose() types.Instant {
-	if len(t.conns) <= t.kept() {
-		return 0
-	}
 	var next types.Instant
 	for _, c := range t.conns {
-		if at := c.idleSince.Add(t.idleTimeout()); c.state == Idle && (next == 0 || at < next) {
+		if at := t.closeAt(c); c.state == Idle && at != 0 && (next == 0 || at < next) {
 			next = at
 		}
 	}
