Waiting requests of several organisations open connections at several targets

Cause: each organisation's waiting reads were assigned without those of the others, so that all went to the target that the policy prefers, which opens one connection at a time at a proxy with a small part of the slots; the rest waited 150 ms for the other one. Change: what was assigned before counts. Tests of session, pool and limits pass.

--- a/core/session/connection.go
+++ b/core/session/connection.go
@@ -67,6 +67,7 @@
 // waitingPerTarget returns the queued requests that each target is to have connections for.
 func (s *Shard) waitingPerTarget(svc *service) map[types.TargetName][]pool.Waiting {
 	out := make(map[types.TargetName][]pool.Waiting)
+	assigned := make(map[types.TargetName]int)
 	for _, key := range sortedKeys(svc.queues) {
 		q := svc.queues[key]
 		if q.len() == 0 {
@@ -74,8 +75,9 @@
 		}
 		targets := s.queueTargets(svc, q)
 		for _, w := range q.waiting() {
-			for name, n := range s.spread(svc, targets, w) {
+			for name, n := range s.spread(svc, targets, w, assigned) {
 				out[name] = append(out[name], pool.Waiting{Organisation: w.Organisation, Requests: n, Since: w.Since})
+				assigned[name] += n
 			}
 		}
 	}
@@ -84,20 +86,22 @@
 
 // spread returns how many of the requests that wait for any of several targets each of them
 // is to have connections for: those that have some, and then one after the other as the
-// routing policy picks them. After hedgeAfter requests count at all, since what they wait
-// for may never come.
-func (s *Shard) spread(svc *service, targets []types.TargetName, w pool.Waiting) map[types.TargetName]int {
+// routing policy picks them among those with room beside the requests that were assigned
+// before. After hedgeAfter requests count at all, since what they wait for may never come.
+func (s *Shard) spread(svc *service, targets []types.TargetName, w pool.Waiting, assigned map[types.TargetName]int) map[types.TargetName]int {
 	counts := make(map[types.TargetName]int)
+	room := make(map[types.TargetName]int)
 	left := w.Requests
-	var open []types.TargetName
 	for _, name := range targets {
 		t := svc.target(name).pool
 		counts[name] = min(w.Requests, t.Usable(w.Organisation))
 		left -= counts[name]
-		if t.Openable(w.Organisation, s.now) > 0 && !svc.departures.Leaving(name) {
-			open = append(open, name)
+		if !svc.departures.Leaving(name) {
+			room[name] = t.Openable(w.Organisation, s.now) - assigned[name]
 		}
 	}
+	full := func(name types.TargetName) bool { return room[name] <= 0 }
+	open := slices.DeleteFunc(slices.Clone(targets), full)
 	if len(targets) == 1 || s.now.Sub(w.Since) >= hedgeAfter || len(open) == 0 {
 		for _, name := range targets {
 			counts[name] = w.Requests
@@ -106,10 +110,11 @@
 	}
 	for left > 0 && len(open) > 0 {
 		name := s.pickTarget(svc, open)
-		n := min(left, svc.target(name).pool.Openable(w.Organisation, s.now))
+		n := min(left, room[name])
 		counts[name] += n
 		left -= n
-		open = slices.DeleteFunc(open, func(o types.TargetName) bool { return o == name })
+		room[name] = 0
+		open = slices.DeleteFunc(open, full)
 	}
 	return counts
 }
--- a/core/session/spread_test.go
+++ b/core/session/spread_test.go
@@ -73,3 +73,25 @@
 	assert.Equal(t, len(h.dials), 2)
 	assert.Assert(t, h.dials[1].Ref != refused.Ref)
 }
+
+// TestReadsOfOrganisationsSpreadOverReplicas covers reads of two organisations at a proxy
+// that may run one request at a time on each of two replicas.
+func TestReadsOfOrganisationsSpreadOverReplicas(t *testing.T) {
+	h := newUnkeptHarness(t)
+	h.setKeys(map[types.OrganisationName][]types.KeyDigest{"mill": {millKey}, "yard": {yardKey}})
+	h.setView(func(v *types.NodeView, _ *types.Group) {
+		for r := range v.Shares {
+			v.Shares[r] = types.Share{Connections: 20, Shared: 20}
+		}
+	})
+	h.dials = nil
+	for id, key := range map[types.SessionID]types.KeyDigest{31: millKey, 32: yardKey} {
+		h.step(event.SessionOpened{Session: id, Params: types.SessionParams{Database: "catalog", Key: key}})
+	}
+	h.readAt(31)
+	h.readAt(32)
+	assert.Equal(t, len(h.dials), 2)
+	assert.Assert(t, h.dials[0].Ref != h.dials[1].Ref)
+	assert.Equal(t, h.dials[0].Organisation, types.OrganisationName("mill"))
+	assert.Equal(t, h.dials[1].Organisation, types.OrganisationName("yard"))
+}
