Kept connections to managed targets close after 45 s without use

Cause: managed targets close connections that were idle for a minute, and the proxy learns that only from the next exchange, whose outcome is then unknown for a write. Change: kept connections to managed targets close after 45 s without use, as those with a name do already. The test of idle connections says when the kept one closes in place of never. Tests of pool, limits, session and systemtest pass.

--- a/core/pool/organisation_test.go
+++ b/core/pool/organisation_test.go
@@ -271,14 +271,15 @@
 }
 
 // TestKeptConnectionOfAnOrganisationIsClosed covers an organisation whose callers don't come
-// back. A connection without a name is kept, since every caller without one can use it.
+// back, at a target of a service that is not managed. A connection without a name is kept,
+// since every caller without one can use it.
 func TestKeptConnectionOfAnOrganisationIsClosed(t *testing.T) {
 	target := NewTarget(types.TargetRef{Service: "s", Name: "t"})
-	target.Update("10.0.0.1:1", types.Share{Connections: 40, Shared: 38, Slots: 2})
+	target.Update("10.0.0.1:1", types.Share{Connections: 40, Slots: 2})
 	for i, o := range []types.OrganisationName{"", "a"} {
 		target.Connected(target.Dial(types.ConnID(i+1), o), 0)
 	}
-	end := types.Instant(namedIdleTimeout)
+	end := types.Instant(keptIdleTimeout)
 	assert.Equal(t, target.NextIdleClose(), end)
 	assert.Equal(t, len(target.CloseIdle(end-1)), 0)
 	closed := target.CloseIdle(end)
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -24,10 +24,10 @@
 	// timeout, down to minIdleTimeout, and each that it accepts adds idleTimeoutStep.
 	minIdleTimeout  = 50 * time.Millisecond
 	idleTimeoutStep = 5 * time.Millisecond
-	// namedIdleTimeout is how long a kept connection of an organisation stays open
-	// without use. Its callers may not come back, and targets may close it: some do so
-	// after a minute, which shows only once a request was sent.
-	namedIdleTimeout = 45 * time.Second
+	// keptIdleTimeout is how long a kept connection to a managed target stays open
+	// without use. Such targets close it after a minute, which shows only once a
+	// request was sent.
+	keptIdleTimeout = 45 * time.Second
 	// fullDuration is how long a target counts as full after it rejected a connection.
 	fullDuration = 500 * time.Millisecond
 	// minDialBackoff and maxDialBackoff bound the backoff after failed dials.
@@ -104,8 +104,8 @@
 	switch {
 	case len(t.conns) > t.kept():
 		return c.idleSince.Add(t.idleTimeout())
-	case c.Organisation != "":
-		return c.idleSince.Add(namedIdleTimeout)
+	case c.Organisation != "" || t.share.Shared > 0:
+		return c.idleSince.Add(keptIdleTimeout)
 	}
 	return 0
 }
--- a/core/pool/target_test.go
+++ b/core/pool/target_test.go
@@ -65,8 +65,11 @@
 	assert.Equal(t, len(target.CloseIdle(released.Add(idleTimeout-1))), 0)
 	assert.Equal(t, len(target.CloseIdle(released.Add(idleTimeout))), 2)
 	assert.Equal(t, target.Open(), 1)
+	unused := released.Add(keptIdleTimeout)
+	assert.Equal(t, target.NextIdleClose(), unused)
+	assert.Equal(t, len(target.CloseIdle(unused-1)), 0, "it closes what it keeps")
+	assert.Equal(t, len(target.CloseIdle(unused)), 1, "the target would close it")
 	assert.Equal(t, target.NextIdleClose(), types.Instant(0))
-	assert.Equal(t, len(target.CloseIdle(released.Add(time.Hour))), 0, "it closes what it keeps")
 }
 
 // TestUseOfTheKeptConnectionOpensNone covers a proxy that keeps one connection, and uses it
