A replica that becomes the primary is no longer judged by its reads

Cause: the outlier detector kept a target that was ejected when it was promoted. Only reads of replicas are judged, so it counted as returning for ever; with three members that is the one that may be ejected, and no other replica could be. Change: the detector forgets the primary with each view. Measured: TestPromotedReplicaIsNotEjected fails before and passes after.

--- a/core/session/outlier_test.go
+++ b/core/session/outlier_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/outlier"
 	"github.com/camphorpaddle/camphorpaddle/core/routing"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"gotest.tools/v3/assert"
@@ -85,3 +86,19 @@
 	h.answerManaged(40)
 	assert.Assert(t, h.answered(seq))
 }
+
+// TestPromotedReplicaIsNotEjected covers a replica that becomes the primary while it is
+// ejected: no read to a replica tells that it is healthy again, and it must not keep
+// another one from being ejected.
+func TestPromotedReplicaIsNotEjected(t *testing.T) {
+	h := newManagedHarness(t)
+	h.openDatabase(1, "catalog")
+	svc := h.shard.service(svcName)
+	eject := func(name types.TargetName) outlier.Change {
+		svc.outliers.Observe(name, true, 3, h.now)
+		return svc.outliers.Observe(name, true, 3, h.now)
+	}
+	assert.Equal(t, eject("b"), outlier.Ejected)
+	h.setView(func(_ *types.NodeView, g *types.Group) { g.Primary = "b" })
+	assert.Equal(t, eject("c"), outlier.Ejected)
+}
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -60,7 +60,7 @@
 			s.updateMember(svc, m)
 		}
 	}
-	svc.outliers.Keep(func(name types.TargetName) bool { return members[name] })
+	svc.outliers.Keep(func(name types.TargetName) bool { return members[name] && name != svc.primary.name })
 	for _, name := range sortedKeys(svc.targets) {
 		if !members[name] {
 			s.closeConns(svc.targets[name].pool.Update("", types.Share{}))
