A read that a replica failed and another member runs again uses two rights

Cause: retryElsewhere retried without charging the organisation, unlike attemptFailed, though the replica had run the statement. Change: it charges the retry. Measured: TestReadThatIsSentElsewhereIsCounted fails before (2 rights used) and passes after (3).

--- a/core/session/outlier.go
+++ b/core/session/outlier.go
@@ -68,6 +68,7 @@
 	if !s.retry(r, reason) {
 		return false
 	}
+	s.chargeQuota(r, true)
 	r.conn, r.failedOn = nil, r.target
 	s.release(conn)
 	return true
--- a/core/session/quota_test.go
+++ b/core/session/quota_test.go
@@ -129,3 +129,26 @@
 	h.advance(20 * time.Millisecond)
 	assert.Equal(t, h.reports[len(h.reports)-1].QuotaUse[limitedOrganisation].Used, 2)
 }
+
+// TestReadThatIsSentElsewhereIsCounted covers a read that a replica ran and failed, and that
+// another member runs again.
+func TestReadThatIsSentElsewhereIsCounted(t *testing.T) {
+	h := newManagedHarness(t)
+	h.limit(5)
+	h.setView(func(v *types.NodeView, g *types.Group) {
+		v.Proxies = 100
+		v.KeyHolders = map[types.KeyDigest]types.OrganisationName{limitedKey: limitedOrganisation}
+		v.Quotas = map[types.OrganisationName]types.Quota{limitedOrganisation: {Rights: 5}}
+		for i := range g.Members {
+			g.Members[i].Slots = 4
+		}
+	})
+	h.step(event.SessionOpened{Session: 1, Params: types.SessionParams{Database: "catalog", Key: limitedKey}})
+	h.sendManagedRead(1)
+	h.answerManaged(40)
+	seq := h.sendManagedRead(1)
+	h.reject(types.TargetErrFailed, types.TxIdle)
+	assert.Assert(t, !h.answered(seq))
+	h.advance(reportInterval)
+	assert.Equal(t, h.reports[len(h.reports)-1].QuotaUse[limitedOrganisation].Used, 3)
+}
