A request that waits for a right gets one that comes free in its shard

Cause: waiting requests were looked at with a new view only. A right of the shard that came free did not start them, later ones of the organisation queued behind, and all were refused as over quota after a second. Change: the wait's timer also fires when the next right is free, and tries once more before it refuses. Measured: TestWaitingRequestGetsARightThatComesFree fails before and passes after; the tests of core/session and core/quota by name (Quota, Right, Limit, Retr, Transaction, Organisation) pass.

--- a/core/quota/admission.go
+++ b/core/quota/admission.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/capacity"
@@ -101,6 +102,17 @@
 	return spentRetry
 }
 
+// NextFree returns when a right of this shard that is used now is free again, or the largest
+// instant if none is used.
+func (a *Admission) NextFree(name types.OrganisationName, now types.Instant) types.Instant {
+	o := a.organisation(name)
+	o.expire(now)
+	if at := o.nextFree(); at != 0 {
+		return at
+	}
+	return math.MaxInt64
+}
+
 // Uses returns what the shard uses and lacks of the limits of organisations.
 func (a *Admission) Uses(now types.Instant) map[types.OrganisationName]event.QuotaUse {
 	var out map[types.OrganisationName]event.QuotaUse
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -74,7 +74,7 @@
 	case stageBackoff:
 		return r.retryAt
 	case stageQuota:
-		return r.quotaDeadline()
+		return min(r.retryAt, r.quotaDeadline())
 	}
 	return r.deadline
 }
@@ -188,7 +188,7 @@
 	case stageDurable:
 		s.refuseNotDurable(r)
 	case stageQuota:
-		s.refuseOverQuota(r)
+		s.recheckRight(r)
 	}
 }
 
--- a/core/session/quota.go
+++ b/core/session/quota.go
@@ -48,7 +48,7 @@
 
 // awaitRight adds a request to those that wait for a right of their organisation.
 func (s *Shard) awaitRight(r *request) {
-	r.stage = stageQuota
+	r.stage, r.retryAt = stageQuota, s.quotas.NextFree(r.organisation, s.now)
 	s.lacking[r.organisation] = append(s.lacking[r.organisation], r)
 	s.quotas.SetWaiting(r.organisation, len(s.lacking[r.organisation]))
 	s.reports.urgent = true
@@ -76,6 +76,20 @@
 	}
 }
 
+// recheckRight starts a waiting request if a right of this shard has come free. Otherwise it
+// refuses the request at the end of its wait.
+func (s *Shard) recheckRight(r *request) {
+	s.recheckLacking()
+	switch {
+	case r.stage != stageQuota:
+	case s.now >= r.quotaDeadline():
+		s.refuseOverQuota(r)
+	default:
+		r.retryAt = s.quotas.NextFree(r.organisation, s.now)
+		s.armSessionTimer(r.session)
+	}
+}
+
 // recheckFirst reports whether a waiting request has ended its wait.
 func (s *Shard) recheckFirst(r *request) bool {
 	if s.view.Cluster == nil {
--- a/core/session/quota_test.go
+++ b/core/session/quota_test.go
@@ -152,3 +152,22 @@
 	h.advance(reportInterval)
 	assert.Equal(t, h.reports[len(h.reports)-1].QuotaUse[limitedOrganisation].Used, 3)
 }
+
+// TestWaitingRequestGetsARightThatComesFree covers a request that waits for control while
+// the only right of the proxy is free again: it does not need another view.
+func TestWaitingRequestGetsARightThatComesFree(t *testing.T) {
+	h := newHarness(t)
+	h.limit(1)
+	h.openLimited(1)
+	h.openLimited(2)
+	h.sendLimited(1)
+	h.answer(1, types.TxIdle)
+	h.advance(4900 * time.Millisecond)
+	seq := h.sendLimited(2)
+	sent := len(h.sends)
+	h.advance(200 * time.Millisecond)
+	h.connect()
+	assert.Equal(t, len(h.sends), sent+1)
+	h.answer(2, types.TxIdle)
+	assert.Assert(t, h.answered(seq))
+}
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -48,7 +48,7 @@
 	arrived       types.Instant
 	deadline      types.Instant
 	queueDeadline types.Instant
-	retryAt       types.Instant // while in stageBackoff
+	retryAt       types.Instant // while in stageBackoff or stageQuota
 
 	queueKey   string // candidate set that it is queued for
 	queueEntry *admission.Entry[*request]
