A primary that becomes suspect is probed at once though it rejected probes before

Cause: rejected probes postpone the next one, by up to twice the interval of a contended member, also when a request has failed since. Change: a new suspicion of this proxy ends the postponement; the count of rejections stays, so that one more rejection postpones as before. Measured: TestSuspectPrimaryThatRejectedProbesIsProbedAtOnce fails before and passes after; core/probe, and the tests Fleet and Attempt of core/promotion, pass.

--- a/core/probe/managed.go
+++ b/core/probe/managed.go
@@ -28,9 +28,10 @@
 		t.suspectedAt = now
 		if t.interval == 0 {
 			out = append(out, p.probeCandidate(ref, t, now)...)
-		} else {
-			out = append(out, p.probe(ref, t, now)...)
+			continue
 		}
+		t.fullUntil = 0 // a request failed, so that its rejections no longer show that it works
+		out = append(out, p.probe(ref, t, now)...)
 	}
 	return out
 }
--- a/core/probe/search_test.go
+++ b/core/probe/search_test.go
@@ -1,6 +1,7 @@
 package probe_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -112,3 +113,22 @@
 	count, _ := probesSince(p, 200*time.Second, replicaAnswers)
 	assert.Assert(t, count[replica] <= count[primary]/3, "%v", count)
 }
+
+// TestSuspectPrimaryThatRejectedProbesIsProbedAtOnce covers a primary that crashes after it has rejected the
+// connections of probes for a while.
+func TestSuspectPrimaryThatRejectedProbesIsProbedAtOnce(t *testing.T) {
+	for _, proxies := range []int{4, 30, 90} {
+		p := limitedProber("t1", types.Fleet{Proxies: proxies, Index: proxies - 1})
+		p.SetShares(map[types.TargetRef]types.Share{primary: {Connections: 1, Contended: true}})
+		count, _ := probesSince(p, 120*time.Second, targetRejects)
+		assert.Assert(t, count[primary] > 0)
+		now := (1000 * ms).Add(120 * time.Second)
+		for _, eff := range p.Step(event.Input{Now: now, Event: tick}) {
+			if e, ok := eff.(effect.Probe); ok && e.Ref == primary {
+				p.Step(event.Input{Now: now, Event: event.Probed{Ref: primary, ProbedAt: now, Busy: true, Full: true}})
+			}
+		}
+		probed := probedTargets(p.SetSuspects(map[types.ServiceName]bool{service: true}, now+ms))
+		assert.Assert(t, slices.Contains(probed, primary), "%d proxies: the primary is not probed", proxies)
+	}
+}
