--- a/core/types/organisation.go
+++ b/core/types/organisation.go
@@ -26,13 +26,13 @@
 type Organisation struct {
 	Name     OrganisationName
 	Keys     []KeyDigest // sorted
-	Priority int         // 0 is the highest
+	Priority int         // 0 is the highest; nothing is decided by it yet
 	Rate     float64     // operations a second over all proxies; zero means no limit
 	Burst    int         // operations that may come at once beyond Rate
 }
 
 // Quota is the part of an organisation's limit that one proxy may admit.
 type Quota struct {
-	Rights     int     // operations that may begin in any window of Config.QuotaWindow
+	Rights     int     // operations that may begin in any period of the limit
 	SpentUntil Instant // until then control has no more rights for the proxy
 }
