Admission by usual use costs a look-up, not a pass over all organisations

Cause: each request while a part of a priority is refused built two maps of all organisations and passed over them 20 times, in the order of the maps, so that sums could also differ from run to run. Tests Priority, Hot, Overload, Organisation, Level and Fleet of core/session, and core/admission, pass.

--- a/core/admission/usage.go
+++ b/core/admission/usage.go
@@ -1,7 +1,10 @@
 package admission
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
@@ -25,6 +28,7 @@
 	uses      map[types.OrganisationName]*use
 	startedAt types.Instant
 	updatedAt types.Instant
+	rates     rates
 }
 
 // use is the number of operations of one organisation, each weighed by its age.
@@ -70,34 +74,63 @@
 // operations is admitted. Those that send more than usual give way first: each is admitted
 // up to the same multiple of its usual use, or of the mean usual use if that is more.
 func (u *Usage) Part(organisation types.OrganisationName, part float64) float64 {
-	s := u.uses[organisation]
-	if s == nil || part >= 1 {
+	if part >= 1 || len(u.uses) == 0 {
 		return 1
 	}
-	entitled, rates := u.entitlements()
-	rate := rates[organisation]
-	if rate == 0 {
+	if u.rates.madeAt != u.updatedAt {
+		u.rates = u.newRates()
+	}
+	r, ok := u.rates.byName[organisation]
+	if !ok || r.now == 0 {
 		return 1
 	}
-	return min(1, commonMultiple(entitled, rates, part)*entitled[organisation]/rate)
+	return min(1, u.rates.commonMultiple(part)*r.entitled/r.now)
+}
+
+// rates is what the organisations send, as of madeAt: up to ageInterval ago.
+type rates struct {
+	madeAt  types.Instant
+	byName  map[types.OrganisationName]rate
+	ordered []rate // by excess
+	all     float64
 }
 
-// entitlements returns what each organisation usually sends, at least the mean, and what it
-// sends now, in operations a second.
-func (u *Usage) entitlements() (entitled, rates map[types.OrganisationName]float64) {
-	entitled = make(map[types.OrganisationName]float64, len(u.uses))
-	rates = make(map[types.OrganisationName]float64, len(u.uses))
+// rate is what one organisation sends now and what it is entitled to: what it usually sends,
+// at least the mean. Both are in operations a second.
+type rate struct {
+	now, entitled float64
+	nowBefore     float64 // sum of those with a smaller excess
+	entitledFrom  float64 // sum of this one and those with a larger excess
+}
+
+func (r rate) excess() float64 { return r.now / r.entitled }
+
+// newRates computes the rates from the uses.
+func (u *Usage) newRates() rates {
 	lived := u.updatedAt.Sub(u.startedAt) + time.Second
+	names := slices.Sorted(maps.Keys(u.uses))
 	var mean float64
-	for name, s := range u.uses {
-		rates[name] = s.recent / averagedSeconds(lived, recentUse)
-		entitled[name] = s.usual / averagedSeconds(lived, usualUse)
-		mean += entitled[name] / float64(len(u.uses))
+	for _, name := range names {
+		mean += u.uses[name].usual / averagedSeconds(lived, usualUse) / float64(len(names))
+	}
+	out := rates{madeAt: u.updatedAt, byName: make(map[types.OrganisationName]rate, len(names)), ordered: make([]rate, 0, len(names))}
+	for _, name := range names {
+		s := u.uses[name]
+		r := rate{now: s.recent / averagedSeconds(lived, recentUse), entitled: max(mean, s.usual/averagedSeconds(lived, usualUse))}
+		out.byName[name] = r
+		out.ordered = append(out.ordered, r)
 	}
-	for name := range entitled {
-		entitled[name] = max(entitled[name], mean)
+	slices.SortFunc(out.ordered, func(a, b rate) int { return cmp.Compare(a.excess(), b.excess()) })
+	for i := range out.ordered {
+		out.ordered[i].nowBefore = out.all
+		out.all += out.ordered[i].now
 	}
-	return entitled, rates
+	var entitled float64
+	for i := len(out.ordered) - 1; i >= 0; i-- {
+		entitled += out.ordered[i].entitled
+		out.ordered[i].entitledFrom = entitled
+	}
+	return out
 }
 
 // averagedSeconds returns over how many seconds an average of the given time constant goes
@@ -108,25 +141,11 @@
 
 // commonMultiple returns the multiple of what each organisation is entitled to up to which
 // its operations are admitted, so that the given part of all is.
-func commonMultiple(entitled, rates map[types.OrganisationName]float64, part float64) float64 {
-	var all, highest float64
-	for name, rate := range rates {
-		all += rate
-		highest = max(highest, rate/entitled[name])
-	}
-	const steps = 20 // of the bisection
-	low, high := 0.0, highest
-	for range steps {
-		middle := (low + high) / 2
-		var admitted float64
-		for name, rate := range rates {
-			admitted += min(rate, middle*entitled[name])
-		}
-		if admitted < part*all {
-			low = middle
-		} else {
-			high = middle
-		}
-	}
-	return high
+func (r rates) commonMultiple(part float64) float64 {
+	admitted := part * r.all
+	i, _ := slices.BinarySearchFunc(r.ordered, admitted, func(o rate, admitted float64) int {
+		return cmp.Compare(o.nowBefore+o.excess()*o.entitledFrom, admitted)
+	})
+	o := r.ordered[min(i, len(r.ordered)-1)]
+	return (admitted - o.nowBefore) / o.entitledFrom
 }
--- a/core/admission/usage_test.go
+++ b/core/admission/usage_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -54,3 +55,19 @@
 	u.Add("b", now)
 	assert.Equal(t, len(u.uses), 1)
 }
+
+// BenchmarkPart measures one admission decision while a part of a priority is refused.
+func BenchmarkPart(b *testing.B) {
+	for _, organisations := range []int{100, 10_000} {
+		b.Run(strconv.Itoa(organisations), func(b *testing.B) {
+			var u Usage
+			now := types.Instant(time.Second)
+			for i := 0; b.Loop(); i++ {
+				name := types.OrganisationName(strconv.Itoa(i % organisations))
+				now = now.Add(time.Millisecond)
+				u.Add(name, now)
+				u.Part(name, 0.5)
+			}
+		})
+	}
+}
