Lines of limits name their organisation, and the house's word in the test of connections

Measured: tests Quota and BeyondTheLimit of core/session and Organisation of core/limits pass; go vet passes.

--- a/core/division/divider.go
+++ b/core/division/divider.go
@@ -309,7 +309,7 @@
 		return
 	}
 	p.recordedAt = now
-	d.decisions = append(d.decisions, effect.Decide{Kind: effect.DecideQuota, Reason: fmt.Sprintf(
+	d.decisions = append(d.decisions, effect.Decide{Kind: effect.DecideQuota, Organisation: name, Reason: fmt.Sprintf(
 		"organisation %q needs more than its limit of %d operations in %s; %d proxies hold %d of them, %d are counted for earlier processes and %d proxies are unheard",
 		name, d.limits[name].Rights, d.limits[name].Period, len(p.holdings), p.held, p.pastRights(d.limits[name], now), len(d.unheard))})
 }
--- a/core/limits/organisations_test.go
+++ b/core/limits/organisations_test.go
@@ -18,19 +18,19 @@
 // organisations. The target runs a limited number of statements at a time, and opening a
 // connection takes one of its slots. docs/design/shares.md has the table that it logs.
 
-// tenantWay is a way to use the connections.
-type tenantWay struct {
+// organisationWay is a way to use the connections.
+type organisationWay struct {
 	name    string
 	unnamed bool // connections have no name, so that every caller can use them
 	// keeps is how many idle connections each proxy keeps, or zero for those of its share.
 	keeps int
 	// home returns which of the proxies holds the connections of an organisation for the
 	// callers of one proxy, or nil if each holds its own.
-	home func(s *tenantSim, organisation, proxy int) int
+	home func(s *organisationSim, organisation, proxy int) int
 }
 
-// tenantLoad is the load of one target. Organisations ask by Zipf's law.
-type tenantLoad struct {
+// organisationLoad is the load of one target. Organisations ask by Zipf's law.
+type organisationLoad struct {
 	name                                              string
 	proxies, zones, connections, slots, organisations int
 	perSecond                                         float64 // operations
@@ -39,37 +39,37 @@
 }
 
 const (
-	tenantSimLength   = 90 * time.Second
-	oneWayDelay       = 6 * time.Millisecond
-	callerPause       = 3 * time.Millisecond // between the statements of a transaction
-	queueTimeout      = 500 * time.Millisecond
-	meanStatement     = 13 * time.Millisecond
-	transactionPart   = 0.15
-	transactionLength = 4 // statements
-	longSessions      = 500
-	shortSessionPart  = 0.23 // of the operations that come through any proxy
+	organisationSimLength = 90 * time.Second
+	oneWayDelay           = 6 * time.Millisecond
+	callerPause           = 3 * time.Millisecond // between the statements of a transaction
+	queueTimeout          = 500 * time.Millisecond
+	meanStatement         = 13 * time.Millisecond
+	transactionPart       = 0.15
+	transactionLength     = 4 // statements
+	longSessions          = 500
+	shortSessionPart      = 0.23 // of the operations that come through any proxy
 )
 
-// tenantRequest is an operation that waits or runs.
-type tenantRequest struct {
+// organisationRequest is an operation that waits or runs.
+type organisationRequest struct {
 	organisation types.OrganisationName
 	arrived      types.Instant
 	statements   int // that are left
 }
 
-type tenantProxy struct {
+type organisationProxy struct {
 	target  *pool.Target
-	waiting []*tenantRequest // in order of arrival
+	waiting []*organisationRequest // in order of arrival
 }
 
-// tenantSim runs one way under one load.
-type tenantSim struct {
-	tenantWay
-	tenantLoad
+// organisationSim runs one way under one load.
+type organisationSim struct {
+	organisationWay
+	organisationLoad
 	fleet    *managedFleet
 	now      types.Instant
 	random   *rand.Rand
-	proxyAt  []*tenantProxy
+	proxyAt  []*organisationProxy
 	weights  []float64 // part of each organisation in the operations
 	sessions [][]int   // proxies of each organisation's long sessions
 	events   instants
@@ -83,9 +83,9 @@
 	waits                                             []time.Duration
 }
 
-func newTenantSim(t *testing.T, w tenantWay, l tenantLoad) *tenantSim {
-	s := &tenantSim{
-		tenantWay: w, tenantLoad: l, fleet: newManagedFleet(t, l.connections, l.proxies),
+func newOrganisationSim(t *testing.T, w organisationWay, l organisationLoad) *organisationSim {
+	s := &organisationSim{
+		organisationWay: w, organisationLoad: l, fleet: newManagedFleet(t, l.connections, l.proxies),
 		now: second, random: rand.New(rand.NewPCG(1, 7)),
 	}
 	var sum float64
@@ -102,23 +102,23 @@
 		s.sessions = append(s.sessions, at)
 	}
 	for range l.proxies {
-		s.proxyAt = append(s.proxyAt, &tenantProxy{target: pool.NewTarget(managedRef)})
+		s.proxyAt = append(s.proxyAt, &organisationProxy{target: pool.NewTarget(managedRef)})
 	}
 	return s
 }
 
-func (s *tenantSim) after(d time.Duration, do func()) {
+func (s *organisationSim) after(d time.Duration, do func()) {
 	heap.Push(&s.events, instant{at: s.now.Add(d), do: do})
 }
 
-func (s *tenantSim) run() {
+func (s *organisationSim) run() {
 	for i := range s.proxyAt {
 		s.apply(i, s.fleet.request(i, 0, 0))
 		s.after(time.Duration(i)*requestPeriod/time.Duration(s.proxies), func() { s.renew(i) })
 	}
 	s.arrive()
 	s.after(simTick, s.tick)
-	for end := s.now.Add(tenantSimLength); s.events[0].at < end; {
+	for end := s.now.Add(organisationSimLength); s.events[0].at < end; {
 		e := heap.Pop(&s.events).(instant)
 		s.now = e.at
 		e.do()
@@ -126,9 +126,9 @@
 }
 
 // arrive adds an operation.
-func (s *tenantSim) arrive() {
+func (s *organisationSim) arrive() {
 	rate, largest := s.perSecond, s.weights[0]
-	if at := s.now.Sub(second); at > tenantSimLength/3 && at < 2*tenantSimLength/3 {
+	if at := s.now.Sub(second); at > organisationSimLength/3 && at < 2*organisationSimLength/3 {
 		rate *= max(1, s.peak)
 		largest *= max(1, s.largestPeak)
 		rate *= 1 - s.weights[0] + largest
@@ -143,7 +143,7 @@
 	if s.random.Float64() < shortSessionPart {
 		at = s.random.IntN(s.proxies)
 	}
-	r := &tenantRequest{arrived: s.now, statements: 1}
+	r := &organisationRequest{arrived: s.now, statements: 1}
 	if !s.unnamed && s.organisations > 1 {
 		r.organisation = types.OrganisationName(fmt.Sprint("organisation-", organisation))
 	}
@@ -161,7 +161,7 @@
 
 // homeOfZone returns the proxy of a zone that holds an organisation's connections, by
 // rendezvous hashing.
-func (s *tenantSim) homeOfZone(organisation, zone int) int {
+func (s *organisationSim) homeOfZone(organisation, zone int) int {
 	home, highest := 0, uint64(0)
 	for i := zone; i < s.proxies; i += s.zones {
 		h := fnv.New64a()
@@ -173,7 +173,7 @@
 	return home
 }
 
-func (s *tenantSim) tick() {
+func (s *organisationSim) tick() {
 	for _, p := range s.proxyAt {
 		s.closeConns(p.target.CloseIdle(s.now))
 		s.serve(p)
@@ -181,7 +181,7 @@
 	s.after(simTick, s.tick)
 }
 
-func (s *tenantSim) closeConns(conns []*pool.Conn) {
+func (s *organisationSim) closeConns(conns []*pool.Conn) {
 	for range conns {
 		s.after(oneWayDelay, func() { s.open-- })
 	}
@@ -189,9 +189,9 @@
 
 // serve starts the waiting requests that have a connection, refuses those that waited for
 // too long, and opens connections for the others.
-func (s *tenantSim) serve(p *tenantProxy) {
+func (s *organisationSim) serve(p *organisationProxy) {
 	n := len(p.waiting)
-	p.waiting = slices.DeleteFunc(p.waiting, func(r *tenantRequest) bool { return s.now.Sub(r.arrived) > queueTimeout })
+	p.waiting = slices.DeleteFunc(p.waiting, func(r *organisationRequest) bool { return s.now.Sub(r.arrived) > queueTimeout })
 	s.refused += n - len(p.waiting)
 	for s.startOne(p) {
 	}
@@ -207,7 +207,7 @@
 	}
 }
 
-func (s *tenantSim) startOne(p *tenantProxy) bool {
+func (s *organisationSim) startOne(p *organisationProxy) bool {
 	for i, r := range p.waiting {
 		if c := p.target.Acquire(1, r.organisation, nil); c != nil {
 			p.waiting = slices.Delete(p.waiting, i, i+1)
@@ -223,7 +223,7 @@
 }
 
 // exchange runs the next statement of a request.
-func (s *tenantSim) exchange(p *tenantProxy, c *pool.Conn, r *tenantRequest) {
+func (s *organisationSim) exchange(p *organisationProxy, c *pool.Conn, r *organisationRequest) {
 	c.BeginExchange()
 	s.after(oneWayDelay, func() {
 		s.occupy(time.Duration(s.random.ExpFloat64()*float64(meanStatement)), func(queued int) {
@@ -232,7 +232,7 @@
 	})
 }
 
-func (s *tenantSim) answered(p *tenantProxy, c *pool.Conn, r *tenantRequest, queued int) {
+func (s *organisationSim) answered(p *organisationProxy, c *pool.Conn, r *organisationRequest, queued int) {
 	c.EndExchange()
 	switch {
 	case queued > s.slots:
@@ -250,7 +250,7 @@
 
 // occupy takes a slot of the target for d once one is free. done gets the number of others
 // that waited for one before.
-func (s *tenantSim) occupy(d time.Duration, done func(queued int)) {
+func (s *organisationSim) occupy(d time.Duration, done func(queued int)) {
 	queued := len(s.queue)
 	s.queue = append(s.queue, func() {
 		s.busy++
@@ -263,7 +263,7 @@
 	s.runQueued()
 }
 
-func (s *tenantSim) runQueued() {
+func (s *organisationSim) runQueued() {
 	for s.busy < s.slots && len(s.queue) > 0 {
 		next := s.queue[0]
 		s.queue = s.queue[1:]
@@ -272,7 +272,7 @@
 }
 
 // connect opens a connection, which the target rejects at its limit.
-func (s *tenantSim) connect(p *tenantProxy, organisation types.OrganisationName) {
+func (s *organisationSim) connect(p *organisationProxy, organisation types.OrganisationName) {
 	s.lastConn++
 	c := p.target.Dial(s.lastConn, organisation)
 	s.after(3*oneWayDelay, func() {
@@ -296,7 +296,7 @@
 }
 
 // renew sends a proxy's lease request and applies its share.
-func (s *tenantSim) renew(i int) {
+func (s *organisationSim) renew(i int) {
 	s.after(requestPeriod, func() { s.renew(i) })
 	p := s.proxyAt[i]
 	held, demand := p.target.Open(), p.target.InUse()+len(p.waiting)
@@ -307,18 +307,18 @@
 	s.apply(i, s.fleet.requestFull(i, held, demand, p.target.Full(s.now)))
 }
 
-func (s *tenantSim) apply(i int, share types.Share) {
+func (s *organisationSim) apply(i int, share types.Share) {
 	if s.keeps > 0 && !share.Contended {
 		share.Shared = max(0, share.Connections-s.keeps)
 	}
 	s.closeConns(s.proxyAt[i].target.Update("10.0.0.1:1", share))
 }
 
-func (s *tenantSim) perOperation() float64 { return float64(s.connects) / float64(s.operations) }
+func (s *organisationSim) perOperation() float64 { return float64(s.connects) / float64(s.operations) }
 
-func (s *tenantSim) refusedPart() float64 { return float64(s.refused) / float64(s.operations) }
+func (s *organisationSim) refusedPart() float64 { return float64(s.refused) / float64(s.operations) }
 
-func (s *tenantSim) String() string {
+func (s *organisationSim) String() string {
 	slices.Sort(s.waits)
 	var sum time.Duration
 	for _, w := range s.waits {
@@ -326,7 +326,7 @@
 	}
 	n := len(s.waits)
 	return fmt.Sprintf("%-22s %-26s %.3f new connections an operation, %4d rejected, %3d replaced, %.2f%% refused, wait %4.1f ms, 99th %5.1f ms",
-		s.tenantLoad.name, s.tenantWay.name, s.perOperation(), s.rejected, s.replaced, 100*s.refusedPart(),
+		s.organisationLoad.name, s.organisationWay.name, s.perOperation(), s.rejected, s.replaced, 100*s.refusedPart(),
 		(sum/time.Duration(n)).Seconds()*1000, s.waits[n*99/100].Seconds()*1000)
 }
 
@@ -334,21 +334,23 @@
 // few connections, also while many come at once or one sends many times its usual, and what
 // it would bring if one proxy held an organisation's connections.
 func TestWaysToServeOrganisations(t *testing.T) {
-	quiet := tenantLoad{name: "quiet", proxies: 26, zones: 6, connections: 70, slots: 4, organisations: 76, perSecond: 29}
+	quiet := organisationLoad{name: "quiet", proxies: 26, zones: 6, connections: 70, slots: 4, organisations: 76, perSecond: 29}
 	burst, hot := quiet, quiet
 	burst.name, burst.peak = "2.3 times", 2.3
 	hot.name, hot.largestPeak = "largest 6 times", 6
-	zone := func(s *tenantSim, organisation, proxy int) int { return s.homeOfZone(organisation, proxy%s.zones) }
-	targetZone := func(s *tenantSim, organisation, _ int) int { return s.homeOfZone(organisation, 0) }
-	ways := []tenantWay{
+	zone := func(s *organisationSim, organisation, proxy int) int {
+		return s.homeOfZone(organisation, proxy%s.zones)
+	}
+	targetZone := func(s *organisationSim, organisation, _ int) int { return s.homeOfZone(organisation, 0) }
+	ways := []organisationWay{
 		{name: "without names", unnamed: true},
 		{name: "a proxy of each zone", home: zone},
 		{name: "a proxy beside the target", home: targetZone, keeps: 12},
 		{name: "each proxy"},
 	}
-	for _, l := range []tenantLoad{quiet, burst, hot} {
+	for _, l := range []organisationLoad{quiet, burst, hot} {
 		for _, w := range ways {
-			s := newTenantSim(t, w, l)
+			s := newOrganisationSim(t, w, l)
 			s.run()
 			t.Log(s)
 			assert.Assert(t, s.refusedPart() < 0.001, "%s: %.4f of the operations are refused", w.name, s.refusedPart())
@@ -360,22 +362,22 @@
 // TestIdleConnectionsAreUsedAgain covers fleets without organisations in which most requests
 // found that their proxy had closed its connection, or had another one opened for nothing.
 func TestIdleConnectionsAreUsedAgain(t *testing.T) {
-	for _, l := range []tenantLoad{
+	for _, l := range []organisationLoad{
 		{name: "26 before 70", proxies: 26, zones: 6, connections: 70, slots: 4, organisations: 1, perSecond: 29, peak: 2.3},
 		{name: "78 before 144", proxies: 78, zones: 6, connections: 144, slots: 4, organisations: 1, perSecond: 28, peak: 2},
 		{name: "24 before 56", proxies: 24, zones: 6, connections: 56, slots: 5, organisations: 1, perSecond: 72, peak: 2},
 	} {
-		s := newTenantSim(t, tenantWay{name: "each proxy"}, l)
+		s := newOrganisationSim(t, organisationWay{name: "each proxy"}, l)
 		s.run()
 		t.Log(s)
 		assert.Equal(t, s.refused+s.rejected, 0)
 		assert.Assert(t, s.perOperation() < 0.07)
 	}
-	for _, l := range []tenantLoad{
+	for _, l := range []organisationLoad{
 		{name: "90 before 46", proxies: 90, zones: 6, connections: 46, slots: 4, organisations: 1, perSecond: 54, peak: 2},
 		{name: "34 before 48", proxies: 34, zones: 6, connections: 48, slots: 3, organisations: 1, perSecond: 60},
 	} {
-		s := newTenantSim(t, tenantWay{name: "each proxy"}, l)
+		s := newOrganisationSim(t, organisationWay{name: "each proxy"}, l)
 		s.run()
 		t.Log(s)
 		assert.Equal(t, s.refused, 0)
--- a/core/session/quota.go
+++ b/core/session/quota.go
@@ -114,7 +114,7 @@
 	if s.now.Sub(s.quotaLoggedAt) >= quotaLogInterval {
 		s.quotaLoggedAt = s.now
 		s.emit(effect.Decide{
-			Kind: effect.DecideQuotaReached, Host: s.options.Host, Version: s.viewVersion(),
+			Kind: effect.DecideQuotaReached, Host: s.options.Host, Version: s.viewVersion(), Organisation: r.organisation,
 			Reason: fmt.Sprintf("%s; this proxy may begin %d operations in each period", reason, s.view.Quotas[r.organisation].Rights),
 		})
 	}
