Only the first request that waits for a right wakes when one comes free

Cause: with each waiting request had a timer at the next free right. Change: the first of an organisation has it, and the next one when it leaves.

--- a/core/session/quota.go
+++ b/core/session/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -48,8 +49,11 @@
 
 // awaitRight adds a request to those that wait for a right of their organisation.
 func (s *Shard) awaitRight(r *request) {
-	r.stage, r.retryAt = stageQuota, s.quotas.NextFree(r.organisation, s.now)
+	r.stage, r.retryAt = stageQuota, math.MaxInt64
 	s.lacking[r.organisation] = append(s.lacking[r.organisation], r)
+	if len(s.lacking[r.organisation]) == 1 {
+		s.awaitFreeRight(r)
+	}
 	s.quotas.SetWaiting(r.organisation, len(s.lacking[r.organisation]))
 	s.reports.urgent = true
 	s.armSessionTimer(r.session)
@@ -63,6 +67,7 @@
 		delete(s.lacking, name)
 	} else {
 		s.lacking[name] = left
+		s.awaitFreeRight(left[0])
 	}
 	s.quotas.SetWaiting(name, len(left))
 }
@@ -85,11 +90,17 @@
 	case s.now >= r.quotaDeadline():
 		s.refuseOverQuota(r)
 	default:
-		r.retryAt = s.quotas.NextFree(r.organisation, s.now)
-		s.armSessionTimer(r.session)
+		s.awaitFreeRight(r)
 	}
 }
 
+// awaitFreeRight lets the first waiting request of an organisation try again when the next
+// right of this shard is free.
+func (s *Shard) awaitFreeRight(r *request) {
+	r.retryAt = s.quotas.NextFree(r.organisation, s.now)
+	s.armSessionTimer(r.session)
+}
+
 // recheckFirst reports whether a waiting request has ended its wait.
 func (s *Shard) recheckFirst(r *request) bool {
 	if s.view.Cluster == nil {
