--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -13,6 +13,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/retry"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Keys of the holder's timers.
@@ -40,6 +41,7 @@
 	latestTerm  proto.ControlTerm        // control term of the last grant applied
 	waitsSince  types.Instant            // time of the first request without an answer, or zero
 	timeouts    int                      // consecutive times that no answer came in time
+	redirects   int                      // consecutive answers that named no other leader
 	overdue     bool                     // the next request waits for the answer to the last one
 
 	until         types.Instant
@@ -85,7 +87,7 @@
 // RequestSoon sends a request before the regular interval ends, but not within
 // minRequestInterval of the last one, or longer if there are many proxies.
 func (h *Holder) RequestSoon(now types.Instant) []effect.Effect {
-	interval := max(minRequestInterval, time.Duration(h.fleet.Proxies)*time.Second/messagesPerSecond)
+	interval := max(minRequestInterval, time.Duration(h.fleet.Proxies)*time.Second/earlyRequestsPerSecond)
 	if next := h.sentAt.Add(interval); h.sentAt != 0 && now < next {
 		return []effect.Effect{h.arm(timerRequest, next)}
 	}
@@ -234,7 +236,7 @@
 func (h *Holder) applyGrant(now, sentAt types.Instant, e event.LeaseGranted, progress bool) []effect.Effect {
 	g := e.Grant
 	h.dropRequestsBefore(g.Seq)
-	h.leader, h.latestTerm, h.timeouts = e.From, g.Term, 0
+	h.leader, h.latestTerm, h.timeouts, h.redirects = e.From, g.Term, 0, 0
 	out := []effect.Effect{h.awaitAnswer(g.Seq)}
 	if g.View != nil && h.views.Version() < g.View.Version {
 		return append(out, h.requestNewerView(now, progress)...)
@@ -359,13 +361,26 @@
 		h.leader = e.From
 	case g.Leader == "" || g.Leader == h.leader:
 		h.leader = ""
-		return []effect.Effect{effect.StopTimer{ID: timerID(timerAnswerTimeout)}, h.arm(timerRequest, now.Add(redirectDelay))}
+		delay := h.redirectDelay()
+		h.redirects++
+		return []effect.Effect{effect.StopTimer{ID: timerID(timerAnswerTimeout)}, h.arm(timerRequest, now.Add(delay))}
 	default:
 		h.leader = g.Leader
 	}
 	return h.RequestSoon(now)
 }
 
+// redirectDelay returns how long to wait until the next control host is tried: at first
+// redirectDelay, then longer each time by a part that differs between the proxies.
+func (h *Holder) redirectDelay() time.Duration {
+	longer := retry.ExponentialDelay(redirectDelay, maxRedirectDelay, h.redirects) - redirectDelay
+	if longer == 0 {
+		return redirectDelay
+	}
+	spread := xxhash.Sum64String(string(h.self)) + h.seq
+	return redirectDelay + longer/2 + time.Duration(spread%uint64(longer/2))
+}
+
 // applyShares replaces the shares by those of a grant that brings a lease.
 func (h *Holder) applyShares(g proto.LeaseGrant) {
 	if g.Duration == 0 {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -21,15 +21,18 @@
 	// longer, up to maxAnswerTimeout, which leaves a second try within a lease.
 	minAnswerTimeout = 200 * time.Millisecond
 	maxAnswerTimeout = 600 * time.Millisecond
-	// redirectDelay is how long a proxy waits before it tries another control
-	// host, after one that isn't the leader named no other leader.
-	redirectDelay = 50 * time.Millisecond
+	// redirectDelay is how long a proxy waits before it tries another control host, after
+	// one that isn't the leader named no other leader. It waits longer each time, up to
+	// maxRedirectDelay.
+	redirectDelay    = 50 * time.Millisecond
+	maxRedirectDelay = 200 * time.Millisecond
 	// minRequestInterval is the minimum time between a request and one that is
 	// sent early.
 	minRequestInterval = 20 * time.Millisecond
-	// messagesPerSecond bounds the views that a leader pushes and, apart from that, the
-	// early requests of all proxies together. A leader handles three times as many.
-	messagesPerSecond = 4000
+	// pushesPerSecond bounds the views that a leader pushes to all proxies.
+	pushesPerSecond = 1000
+	// earlyRequestsPerSecond bounds the early requests of all proxies together.
+	earlyRequestsPerSecond = 2000
 	// viewApplyTimeout is how long the shards of a proxy may take to apply a
 	// view. After that the proxy's lease is not extended.
 	viewApplyTimeout = time.Second
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -261,7 +261,7 @@
 	if !t.ConfirmedLeader() || t.pushArmed {
 		return nil
 	}
-	interval := time.Duration(len(t.state.Proxies())) * time.Second / messagesPerSecond
+	interval := time.Duration(len(t.state.Proxies())) * time.Second / pushesPerSecond
 	if next := t.pushedAt.Add(interval); t.pushedAt != 0 && t.now < next {
 		t.pushArmed = true
 		return []effect.Effect{effect.ArmTimer{ID: tableTimer(timerPush), At: next}}
