A control host holds a bounded number of HTTP connections

Change: a control host closes new connections to its HTTP port while 1,024 are open, and idle ones after 10 s. A call that is refused because too many wait is refused as not run.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -112,7 +112,7 @@
 	klog.InfoS("starting", "role", "control", "host", c.log.Host(), "version", c.version,
 		"availability_zone", c.settings.AvailabilityZone,
 		"http", c.http.Addr(), "peers", c.peers.Addr(), "data_folder", c.settings.DataFolder)
-	httpServer := newHTTPServer(c.http, c.keys, c.tls)
+	httpServer := newHTTPServer(newBoundedListener(c.http, maxHTTPConnections), c.keys, c.tls)
 	c.registerRoutes(httpServer)
 	if c.edge.ControlRoutes != nil {
 		c.edge.ControlRoutes(httpServer, c.host)
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -23,6 +23,7 @@
 const (
 	httpTimeout       = 10 * time.Second
 	httpHeaderTimeout = 5 * time.Second
+	httpIdleTimeout   = 10 * time.Second
 	maxRequestBytes   = 4 << 20
 )
 
@@ -93,6 +94,7 @@
 		khttp.MethodNotAllowedHandler(http.HandlerFunc(notFound)),
 	)
 	srv.ReadHeaderTimeout = httpHeaderTimeout
+	srv.IdleTimeout = httpIdleTimeout
 	return srv
 }
 
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -8,6 +8,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/daemon/api"
 	"github.com/camphorpaddle/camphorpaddle/settings"
+	"github.com/gravitational/trace"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 )
 
@@ -42,6 +43,9 @@
 // call sends an operator's request to the control loop and returns its reply.
 func (c *Control) call(ctx context.Context, r proto.OperatorRequest) (proto.OperatorReply, error) {
 	reply, err := c.host.Call(ctx, r)
+	if trace.IsLimitExceeded(err) { // it has not run
+		return reply, &api.Error{Kind: api.ErrRefused, Message: err.Error()}
+	}
 	if err != nil {
 		return reply, &api.Error{Kind: api.ErrUnknown, Message: err.Error()}
 	}
