--- a/core/systemtest/fleet_test.go
+++ b/core/systemtest/fleet_test.go
@@ -37,7 +37,6 @@
 	services int
 	leader   types.HostID
 	elected  int // number of elections
-	started  bool
 }
 
 func newFleet(t *testing.T, proxies, services int) *fleet {
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -8,8 +8,8 @@
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"github.com/camphorpaddle/camphorpaddle/daemon/api"
 	"github.com/camphorpaddle/camphorpaddle/settings"
-	"github.com/gravitational/trace"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/gravitational/trace"
 )
 
 // readyTimeout bounds how long a readiness check waits for the control loop.
