The first term of a group needs no fence of its own

Cause: when a fleet starts, each group's first term waited until all proxies acted on it, and each joining member was pushed to all proxies, though no proxy uses a group that never had a primary. Each new leader began these terms again: one more view of all groups for every proxy.

Change: before a group's first primary the fence is the version of the configuration, since a proxy may act on an earlier group of the same service. Members and terms of groups that never had a primary aren't pushed; the next grant brings them.

Result: core passes; promotion.TestGroupOfAServiceThatWasConfiguredBefore fails without any fence there.

--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -94,6 +94,9 @@
 		if e.Entry.Command.Proxy != nil {
 			return t.handleRegistration(*e.Entry.Command.Proxy)
 		}
+		if !t.concernsProxies(e.Entry.Command) {
+			return nil
+		}
 		return t.viewChanged()
 	case event.TimerFired:
 		switch e.ID {
@@ -255,6 +258,22 @@
 	return p.appliedVersion >= p.dueVersion || t.now < p.dueAt
 }
 
+// concernsProxies reports whether proxies have to hear of a change before their next
+// request. They use no member of a group that never had a primary.
+func (t *Table) concernsProxies(c proto.Command) bool {
+	var service types.ServiceName
+	switch {
+	case c.Member != nil:
+		service = c.Member.Service
+	case c.BeginTerm != nil:
+		service = c.BeginTerm.Service
+	default:
+		return true
+	}
+	g := t.state.Group(service)
+	return g != nil && g.Served()
+}
+
 // viewChanged sends a new view to the proxies at once, or a moment later together with
 // further changes, so that many changes don't take the time that leases need.
 func (t *Table) viewChanged() []effect.Effect {
--- a/core/promotion/attempt.go
+++ b/core/promotion/attempt.go
@@ -26,7 +26,7 @@
 // committed while it led.
 type attempt struct {
 	term            types.Term
-	viewVersion     uint64 // view that began the term
+	viewVersion     uint64 // view that all proxies have to act on first
 	startedAt       types.Instant
 	stage           stage
 	ordered         bool
@@ -54,7 +54,7 @@
 		return nil
 	}
 	gr.attempt = &attempt{
-		term: c.Term, viewVersion: m.state.GroupVersion(c.Service), startedAt: now,
+		term: c.Term, viewVersion: m.fenceVersion(g), startedAt: now,
 		ordered: gr.ordered, preferred: c.Prefer, catchUpDeadline: now.Add(gr.catchUpTimeout()),
 		statuses:    make(map[types.TargetName]types.TargetStatus),
 		requestedAt: make(map[types.TargetName]types.Instant),
@@ -101,6 +101,16 @@
 	return nil
 }
 
+// fenceVersion returns the version of the view that all proxies must act on before a
+// member is promoted. A group that never had a primary has no earlier term that a proxy
+// could use, but its service may have been configured before, with another group.
+func (m *Manager) fenceVersion(g *types.Group) uint64 {
+	if !g.Served() {
+		return m.state.ConfigSince()
+	}
+	return m.state.GroupVersion(g.Service)
+}
+
 // awaitFence waits until no proxy uses an earlier term.
 func (m *Manager) awaitFence(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	a := gr.attempt
--- a/core/promotion/fleet_test.go
+++ b/core/promotion/fleet_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/camphorpaddle/camphorpaddle/core/coretest"
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 	"gotest.tools/v3/assert"
 )
@@ -83,3 +84,24 @@
 	assert.Assert(t, len(reasons) >= 6 && len(reasons) <= 10, "%d lines in 10 s: %q", len(reasons), reasons)
 	assert.Assert(t, strings.Contains(reasons[len(reasons)-1], "t1 ("+errTargetFull.Error()+")"), "%q", reasons)
 }
+
+// TestGroupOfAServiceThatWasConfiguredBefore removes a service and configures it again
+// while a proxy that is cut off acts on the earlier group: the first primary of the new
+// group is chosen once the proxy's lease has ended.
+func TestGroupOfAServiceThatWasConfiguredBefore(t *testing.T) {
+	h := startServing(t)
+	lost := h.proxies["p1"]
+	h.blocked["p1"] = true
+	h.change(2, map[types.ServiceName]types.Service{})
+	h.change(3, map[types.ServiceName]types.Service{service: {Name: service, Members: 3, Slots: 3, Connections: 20}})
+	for name, target := range h.targets {
+		target.term = 0
+		h.call(10, h.leader, proto.OperatorRequest{Announce: &proto.Announcement{
+			Service: service, Name: name, Address: types.Address(name),
+		}})
+	}
+	assert.Assert(t, lost.view.LeaseLive(h.clock()))
+	_, ok := h.runUntil(5*time.Second, func() bool { return h.group().Phase == types.GroupServing })
+	assert.Assert(t, ok, "the new group has no primary: %+v", h.group())
+	assert.Assert(t, !lost.view.LeaseLive(h.clock()), "a proxy with a lease still acts on the earlier group")
+}
--- a/core/types/group.go
+++ b/core/types/group.go
@@ -69,6 +69,9 @@
 	return g.Term
 }
 
+// Served reports whether the group has ever had a primary.
+func (g *Group) Served() bool { return len(g.History) > 0 }
+
 // Target returns the member with the given name.
 func (g *Group) Target(name TargetName) (Target, bool) {
 	for _, t := range g.Members {
