--- a/core/admission/usage.go
+++ b/core/admission/usage.go
@@ -12,6 +12,8 @@
 	// now and its usual use are averaged.
 	recentUse = 3 * time.Second
 	usualUse  = time.Minute
+	// leastPart is the part that every organisation gets.
+	leastPart = 0.01
 	// ageInterval is the time after which earlier operations count less.
 	ageInterval = 100 * time.Millisecond
 	// forgottenUse is the use, in operations of recentUse, below which an organisation
@@ -79,7 +81,7 @@
 	if rate == 0 {
 		return 1
 	}
-	return min(1, commonMultiple(entitled, rates, part)*entitled[organisation]/rate)
+	return min(1, max(leastPart, commonMultiple(entitled, rates, part)*entitled[organisation]/rate))
 }
 
 // entitlements returns what each organisation usually sends, at least the mean, and what it
