--- a/core/division/fleet_test.go
+++ b/core/division/fleet_test.go
@@ -369,10 +369,3 @@
 	}
 	return largest
 }
-
-// perSecond returns how many operations begin in one tick at a mean rate.
-func (f *fleet) perSecond(rate float64) int {
-	mean := rate * tick.Seconds()
-	n := int(mean)
-	return n + f.chance(mean-float64(n))
-}
