Test of late grants that fails without the check

Cause: the lease holder itself dropped the grant of the earlier test, so that it passed without the check in the proxy's parts. Change: the grant answers a request that the holder still accepts, sent after the parts had ended and before the last request that names all; what a new leader is told has a test of its own. Result: fails without the check of the last full request.

--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -248,22 +248,32 @@
 	}})
 }
 
-// TestLateGrantOfAnEarlierLeaderBringsNoRights covers a grant for a request that was sent
-// before the proxy told a new leader all that it holds.
-func TestLateGrantOfAnEarlierLeaderBringsNoRights(t *testing.T) {
+// TestNewLeaderIsToldAllThatIsHeld covers a control host that does not know the proxy.
+func TestNewLeaderIsToldAllThatIsHeld(t *testing.T) {
 	p := newProxy(t)
 	p.grantQuota(p.request(), 2)
 	assert.Equal(t, p.view().Quotas[limited].Rights, 2)
-	late := p.advance(300 * ms)
-	current := p.advance(50 * ms)
+	current := p.advance(300 * ms)
 	p.step(event.LeaseGranted{From: "c1", Grant: proto.LeaseGrant{
 		Proxy: "p1", Seq: current.Seq, SentAt: current.SentAt, Duration: lease.Duration, Term: 1, NameQuotas: true,
 	}})
 	all := p.advance(300 * ms)
 	assert.Assert(t, all.QuotasFull)
 	assert.DeepEqual(t, all.QuotaUses, []proto.QuotaUse{{Organisation: limited, Part: 2}})
+}
+
+// TestLateGrantOfAnEarlierLeaderBringsNoRights covers a grant for a request that was sent
+// before the last one that told control all that the proxy holds.
+func TestLateGrantOfAnEarlierLeaderBringsNoRights(t *testing.T) {
+	p := newProxy(t)
+	p.grantQuota(p.request(), 2)
+	assert.Assert(t, p.advance(10000*ms).QuotasFull, "all parts have ended")
+	late := p.advance(300 * ms)
+	assert.Assert(t, !late.QuotasFull)
+	all := p.advance(400 * ms)
+	assert.Assert(t, all.QuotasFull)
 	p.grantQuota(late, 9)
-	assert.Equal(t, p.view().Quotas[limited].Rights, 2)
+	assert.Equal(t, p.view().Quotas[limited].Rights, 0)
 	p.grantQuota(all, 9)
 	assert.Equal(t, p.view().Quotas[limited].Rights, 9)
 }
