Fleet tests of quotas report as shards do; a test without a leader

Cause: simulated shards reported at every step while operations waited, so that proxies asked more often than real ones do. Change: a report is sent if it has changed. A test shows what is served without a leader.

--- a/core/division/fleet_test.go
+++ b/core/division/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -72,6 +73,7 @@
 	admission *quota.Admission
 	waiting   []operation
 	reported  time.Duration
+	last      event.ShardReport // the last that was sent
 	seed      uint64
 	started   int // processes
 
@@ -205,6 +207,7 @@
 	p.timers = map[event.TimerID]types.Instant{}
 	p.published, p.view, p.waiting, p.held = nil, nil, nil, nil
 	p.admission = quota.NewAdmission(1, 0)
+	p.last = event.ShardReport{}
 	p.seed = f.random.Uint64()
 	f.stepProxy(p, event.Start{})
 }
@@ -334,7 +337,7 @@
 	}
 }
 
-// report sends the shard's report: at once while operations wait.
+// report sends the shard's report if it has changed: at once while operations wait.
 func (f *fleet) report(p *proxy) {
 	counts := map[types.OrganisationName]int{}
 	for _, op := range p.waiting {
@@ -343,13 +346,15 @@
 	if p.view == nil || len(counts) == 0 && f.now-p.reported < reportInterval {
 		return
 	}
-	p.reported = f.now
 	for name := range p.view.Cluster.Config.Organisations {
 		p.admission.SetWaiting(name, counts[name])
 	}
-	f.stepProxy(p, event.ShardReported{Report: event.ShardReport{
-		AppliedVersion: p.view.Cluster.Version, QuotaUse: p.admission.Uses(f.clock(p)),
-	}})
+	r := event.ShardReport{AppliedVersion: p.view.Cluster.Version, QuotaUse: p.admission.Uses(f.clock(p))}
+	if r.AppliedVersion == p.last.AppliedVersion && maps.Equal(r.QuotaUse, p.last.QuotaUse) {
+		return
+	}
+	p.reported, p.last = f.now, r
+	f.stepProxy(p, event.ShardReported{Report: r})
 }
 
 // kill ends the process of a proxy, which starts again after some time.
--- a/core/division/load_test.go
+++ b/core/division/load_test.go
@@ -235,3 +235,19 @@
 	assert.Assert(t, r.part() < 0.05, "%.3f%% of the operations below the limit were refused", 100*r.part())
 	assert.Assert(t, r.most <= 1)
 }
+
+// TestNoLeader covers control hosts that have no leader for as long as proxies may use
+// their parts: most operations come through proxies that have rights for them.
+func TestNoLeader(t *testing.T) {
+	f, demands := newLoadedFleet(26)
+	f.run(10 * time.Second)
+	f.leader = ""
+	for second := range 7 {
+		since := f.now
+		f.run(time.Second)
+		r := f.count(demands, since)
+		t.Logf("second %d: %s", second+1, r)
+		assert.Assert(t, r.part() < 0.25, "%.3f%% of the operations below the limit were refused", 100*r.part())
+		assert.Assert(t, r.most <= 1)
+	}
+}
