Fuzz configurations with organisations

Cause: the seeds of the fuzz tests had no organisations. Change: they have; keys of every valid configuration can be hidden.

--- a/settings/organisations_test.go
+++ b/settings/organisations_test.go
@@ -120,6 +120,6 @@
 	for _, kept := range []string{"rate: 266.5", "mill:", "quota_window: 10s", "strict:"} {
 		assert.Assert(t, strings.Contains(text, kept), "%q is missing in %s", kept, text)
 	}
-	_, err = HideKeys(`{"tenants":[{"api_keys":["secret-0000000001"]}]}`)
+	_, err = HideKeys(`{"owners":[{"secrets":["secret-0000000001"]}]}`)
 	assert.Assert(t, err != nil, "keys of a text in another format can't be hidden")
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -216,6 +216,7 @@
 		assert.NilError(f, err)
 		f.Add(data)
 	}
+	f.Add([]byte(withOrganisations))
 	f.Add([]byte("a: &a [*a]"))
 	f.Add([]byte("profiles: {? [a] : b}\nservices: {<<: {a: b}}"))
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -223,6 +224,8 @@
 		assert.Equal(t, cfg == nil, err != nil)
 		if err != nil {
 			assert.Assert(t, len(findings(t, err)) > 0)
+		} else if _, err := HideKeys(string(data)); err != nil {
+			t.Fatalf("the keys of a valid configuration can't be hidden: %v", err)
 		}
 		for _, role := range []Role{RoleProxy, RoleControl} {
 			_, _ = ParseDaemon("f", data, role)
