Division: no pool without a configuration; benchmark as its linter wants

Cause: a request that names organisations before there is a configuration would have ended the process. Change: such organisations are ignored, with a test. The benchmark drops effects without a loop.

--- a/core/division/bench_test.go
+++ b/core/division/bench_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/camphorpaddle/camphorpaddle/core/cluster"
 	"github.com/camphorpaddle/camphorpaddle/core/division"
-	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
 	"github.com/camphorpaddle/camphorpaddle/core/lease"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
@@ -47,9 +46,9 @@
 			now := types.Instant(time.Hour)
 			step := func(ev event.Event) {
 				in := event.Input{Now: now, Event: ev}
-				for _, eff := range append(append(replicated.Step(in), table.Step(in)...), divider.Step(in)...) {
-					_ = eff.(effect.Effect)
-				}
+				replicated.Step(in)
+				table.Step(in)
+				divider.Step(in)
 			}
 			snapshot := proto.ClusterState{Config: config}
 			proxy := func(i int) types.HostID { return types.HostID(fmt.Sprintf("proxy-%04d.1", i%size.proxies)) }
--- a/core/division/divider.go
+++ b/core/division/divider.go
@@ -155,6 +155,9 @@
 func (d *Divider) pool(name types.OrganisationName) *pool {
 	p := d.pools[name]
 	if p == nil {
+		if d.config == nil {
+			return nil
+		}
 		if _, configured := d.config.Organisations[name]; !configured {
 			return nil
 		}
--- a/core/division/pool_test.go
+++ b/core/division/pool_test.go
@@ -52,3 +52,12 @@
 	assert.Equal(t, p.scaled(12, tenRights.Rights), 6)
 	assert.Equal(t, p.scaled(8, tenRights.Rights), 4)
 }
+
+// TestUnknownOrganisationHasNoPool covers requests that name organisations before there is
+// a configuration, or that it does not have.
+func TestUnknownOrganisationHasNoPool(t *testing.T) {
+	d := New(nil, nil)
+	assert.Assert(t, d.pool("north") == nil)
+	d.config = &types.Config{}
+	assert.Assert(t, d.pool("north") == nil)
+}
