Callers of the platform draw on a budget of memory

Cause: half messages, complete ones that wait, unread answers and prepared statements were held without a bound, and idle connections took every descriptor. Change: front/budget, a quarter of memory_mb; short of it, the connection that holds most and has no request in progress is closed. Connections beyond what descriptors allow are closed at once, answers have 30 s to be read, the garbage collector keeps to 70% of memory_mb. The other tests of platform pass, and those of front, cmd and internal/outernames.

--- a/cmd/paddle-platform/main.go
+++ b/cmd/paddle-platform/main.go
@@ -48,7 +48,8 @@
 	if err != nil {
 		return err
 	}
-	p, err := daemon.NewProxyWithEdge(platform.ProxyEdge(), &s.Daemon, cmd.Root().Version)
+	s.LimitMemory()
+	p, err := daemon.NewProxyWithEdge(platform.ProxyEdge(s), &s.Daemon, cmd.Root().Version)
 	if err != nil {
 		return err
 	}
@@ -60,6 +61,7 @@
 	if err != nil {
 		return err
 	}
+	s.LimitMemory()
 	if s.Bootstrap {
 		// An initialized data folder means that the host was restarted.
 		if _, err := daemon.InitControl(&s.Daemon); err != nil && !trace.IsAlreadyExists(err) {
--- a/front/accept/accept.go
+++ b/front/accept/accept.go
@@ -19,6 +19,9 @@
 // File descriptors become available again when other connections close.
 const acceptRetryDelay = 50 * time.Millisecond
 
+// refusedLogInterval is the minimum time between two log lines about refused connections.
+const refusedLogInterval = time.Second
+
 // Handler serves one connection until it ends. open is the number of open
 // connections, this one included. ctx is canceled when the server closes the
 // remaining connections. The server closes conn when the handler returns.
@@ -26,6 +29,9 @@
 
 // Server accepts connections and serves each on its own goroutine.
 type Server struct {
+	// MaxOpen limits the open connections: more are closed at once. Zero means no limit.
+	MaxOpen int
+
 	handler Handler
 	ctx     context.Context // canceled when the remaining connections are closed
 	cancel  context.CancelFunc
@@ -34,6 +40,8 @@
 	listeners map[net.Listener]struct{}
 	stopping  bool
 	open      int // open connections
+	refused   int // connections refused since the last log line
+	loggedAt  time.Time
 	active    sync.WaitGroup
 }
 
@@ -136,8 +144,9 @@
 func (s *Server) accept(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopping {
+	if s.stopping || s.MaxOpen > 0 && s.open >= s.MaxOpen {
 		_ = conn.Close()
+		s.logRefused()
 		return
 	}
 	s.open++
@@ -145,6 +154,15 @@
 	go s.run(conn, s.open)
 }
 
+// logRefused writes a line about refused connections, at most one each refusedLogInterval.
+func (s *Server) logRefused() {
+	s.refused++
+	if now := time.Now(); !s.stopping && now.Sub(s.loggedAt) >= refusedLogInterval {
+		klog.InfoS("callers_refused", "count", s.refused, "open", s.open, "reason", "the process may have no more connections of callers")
+		s.loggedAt, s.refused = now, 0
+	}
+}
+
 func (s *Server) run(conn net.Conn, open int) {
 	defer s.release()
 	defer conn.Close()
