Operations wait for the first lease instead of being refused

Cause: after a restart of all hosts proxies without a lease refused what lacked a right at once, although control had not answered yet. Change: without a lease an operation waits for a right up to its queue timeout, and is served in order once rights come. What is refused at once is only what the leader has no rights for.

--- a/core/quota/admission.go
+++ b/core/quota/admission.go
@@ -15,7 +15,7 @@
 const (
 	Admitted Verdict = iota
 	Wait             // control may have a right for the operation
-	Refused          // the limit is used up, or control can't be asked
+	Refused          // the limit is used up
 )
 
 // spentRetry is when a caller may come back whose proxy has no right that will be free.
@@ -59,10 +59,10 @@
 		o.add(now, limit.Period)
 		return Admitted
 	}
-	if view.LeaseLive(now) && now >= view.Quotas[name].SpentUntil {
-		return Wait
+	if now < view.Quotas[name].SpentUntil {
+		return Refused
 	}
-	return Refused
+	return Wait
 }
 
 // Charge records another run of an operation that was admitted before.
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -74,7 +74,7 @@
 	case stageBackoff:
 		return r.retryAt
 	case stageQuota:
-		return r.quotaDeadline()
+		return r.quotaDeadline
 	}
 	return r.deadline
 }
--- a/core/session/quota.go
+++ b/core/session/quota.go
@@ -11,17 +11,21 @@
 )
 
 const (
-	// quotaTimeout is how long a request waits for a right of its organisation: as long as
-	// it takes to elect another control leader.
+	// quotaTimeout is how long a request waits for a right of its organisation under a
+	// lease: as long as it takes to elect another control leader.
 	quotaTimeout = time.Second
 	// quotaLogInterval is the minimum time between two log records that an organisation is
 	// at its limit.
 	quotaLogInterval = time.Second
 )
 
-// quotaDeadline returns until when the request waits for a right.
-func (r *request) quotaDeadline() types.Instant {
-	return min(r.queueDeadline, r.arrived.Add(quotaTimeout))
+// quotaDeadline returns until when a request waits for a right. Without a lease control
+// has not answered yet, as after a restart of all hosts.
+func (s *Shard) quotaDeadline(r *request) types.Instant {
+	if !s.leaseLive() {
+		return r.queueDeadline
+	}
+	return min(r.queueDeadline, s.now.Add(quotaTimeout))
 }
 
 // admitByQuota reports whether the limit of the caller's organisation allows the request
@@ -48,7 +52,7 @@
 
 // awaitRight adds a request to those that wait for a right of their organisation.
 func (s *Shard) awaitRight(r *request) {
-	r.stage = stageQuota
+	r.stage, r.quotaDeadline = stageQuota, s.quotaDeadline(r)
 	s.lacking[r.organisation] = append(s.lacking[r.organisation], r)
 	s.quotas.SetWaiting(r.organisation, len(s.lacking[r.organisation]))
 	s.reports.urgent = true
--- a/core/session/quota_test.go
+++ b/core/session/quota_test.go
@@ -87,6 +87,35 @@
 	assert.Equal(t, len(h.reports[len(h.reports)-1].QuotaUse), 0)
 }
 
+// TestRequestsWaitForTheFirstLease covers a restart of all hosts: requests wait up to their
+// queue timeout until control has elected a leader, and are served in order then.
+func TestRequestsWaitForTheFirstLease(t *testing.T) {
+	h := newHarness(t)
+	profile := h.config.Profiles["strict"]
+	profile.QueueTimeout, profile.RequestTimeout = 3*time.Second, 5*time.Second
+	h.config.Profiles["strict"] = profile
+	service := h.config.Services[svcName]
+	service.Managed = true
+	h.config.Services[svcName] = service
+	h.limit(5)
+	h.setView(func(v *types.NodeView, g *types.Group) { v.LeaseUntil = 0 })
+	for id := range types.SessionID(3) {
+		h.openLimited(id + 1)
+	}
+	first, second, third := h.sendLimited(1), h.sendLimited(2), h.sendLimited(3)
+	h.advance(2 * time.Second)
+	assert.Equal(t, len(h.refusals), 0)
+	h.setView(func(v *types.NodeView, g *types.Group) {
+		v.LeaseUntil = h.now.Add(time.Second)
+		v.Quotas = map[types.OrganisationName]types.Quota{limitedOrganisation: {Rights: 2}}
+	})
+	assert.Equal(t, len(h.shard.lacking[limitedOrganisation]), 1)
+	assert.Equal(t, h.shard.lacking[limitedOrganisation][0].Seq, third, "requests %d and %d came first", first, second)
+	h.advance(time.Second)
+	assert.Equal(t, h.refusal(third).Code, types.RefuseOverQuota)
+	assert.Equal(t, h.refusal(third).Outcome, types.NotRun)
+}
+
 // TestCallerThatLeavesWaitsNoLonger covers a session that closes while its request waits
 // for a right: the next request in order gets it.
 func TestCallerThatLeavesWaitsNoLonger(t *testing.T) {
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -49,6 +49,7 @@
 	deadline      types.Instant
 	queueDeadline types.Instant
 	retryAt       types.Instant // while in stageBackoff
+	quotaDeadline types.Instant // while in stageQuota
 
 	queueKey   string // candidate set that it is queued for
 	queueEntry *admission.Entry[*request]
