--- a/core/admission/usage.go
+++ b/core/admission/usage.go
@@ -15,6 +15,8 @@
 	// now and its usual use are averaged.
 	recentUse = 3 * time.Second
 	usualUse  = time.Minute
+	// leastPart is the part that every organisation gets.
+	leastPart = 0.01
 	// ageInterval is the time after which earlier operations count less.
 	ageInterval = 100 * time.Millisecond
 	// forgottenUse is the use, in operations of recentUse, below which an organisation
@@ -84,7 +86,7 @@
 	if !ok || r.now == 0 {
 		return 1
 	}
-	return min(1, u.rates.commonMultiple(part)*r.entitled/r.now)
+	return min(1, max(leastPart, u.rates.commonMultiple(part)*r.entitled/r.now))
 }
 
 // rates is what the organisations send, as of madeAt: up to ageInterval ago.
