Rights of an organisation go to operations that can still be in time

A proxy that had lost its lease held operations up to their deadline. A waiting operation whose key was taken away was sent. Change: timely operations first, late ones behind them; the long wait applies before the first lease of a process only; the key is checked when the wait ends. Result: both new tests fail before the change; core/session and core/division pass.

--- a/core/session/quota.go
+++ b/core/session/quota.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
+	"github.com/camphorpaddle/camphorpaddle/core/organisation"
 	"github.com/camphorpaddle/camphorpaddle/core/quota"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
@@ -20,10 +21,10 @@
 	quotaLogInterval = time.Second
 )
 
-// quotaDeadline returns until when a request waits for a right. Without a lease control
-// has not answered yet, as after a restart of all hosts.
+// quotaDeadline returns until when a request waits for a right. Before the first lease of
+// the process, control has not answered yet, as after a restart of all hosts.
 func (s *Shard) quotaDeadline(r *request) types.Instant {
-	if !s.leaseLive() {
+	if s.view.LeaseUntil == 0 {
 		return r.queueDeadline
 	}
 	return min(r.queueDeadline, s.now.Add(quotaTimeout))
@@ -76,15 +77,27 @@
 	s.quotas.SetWaiting(name, len(left))
 }
 
-// recheckLacking starts the waiting requests for which there are rights now, in the order
-// in which they arrived, and refuses those for which there will be none.
+// recheckLacking starts the waiting requests for which there are rights now, and refuses
+// those for which there will be none.
 func (s *Shard) recheckLacking() {
 	for _, name := range sortedKeys(s.lacking) {
-		for len(s.lacking[name]) > 0 && s.recheckFirst(s.lacking[name][0]) {
+		for len(s.lacking[name]) > 0 && s.recheck(s.nextLacking(name)) {
 		}
 	}
 }
 
+// nextLacking returns the waiting request of an organisation that goes first: those that can
+// still be answered in time before the others, then in the order of arrival. Otherwise a
+// backlog would use up the rights that come back, and make all later requests late.
+func (s *Shard) nextLacking(name types.OrganisationName) *request {
+	for _, r := range s.lacking[name] {
+		if !r.lateAt(s.now) {
+			return r
+		}
+	}
+	return s.lacking[name][0]
+}
+
 // recheckRight starts a waiting request if a right of this shard has come free. Otherwise it
 // refuses the request at the end of its wait.
 func (s *Shard) recheckRight(r *request) {
@@ -105,11 +118,15 @@
 	s.armSessionTimer(r.session)
 }
 
-// recheckFirst reports whether a waiting request has ended its wait.
-func (s *Shard) recheckFirst(r *request) bool {
+// recheck reports whether a waiting request has ended its wait.
+func (s *Shard) recheck(r *request) bool {
 	if s.view.Cluster == nil {
 		return false
 	}
+	if organisation.Revoked(s.view, r.session.key, r.organisation) {
+		s.refuse(r, types.RefuseUnknownKey, r.outcome(), fmt.Sprintf("the key does not belong to organisation %q any more", r.organisation))
+		return true
+	}
 	switch s.quotas.Admit(s.view, r.organisation, s.now) {
 	case quota.Admitted:
 		s.abandon(r)
--- a/core/session/quota_test.go
+++ b/core/session/quota_test.go
@@ -200,3 +200,40 @@
 	h.answer(2, types.TxIdle)
 	assert.Assert(t, h.answered(seq))
 }
+
+// TestTimelyRequestsGetRightsFirst covers the backlog after a restart of all hosts: a right
+// goes to a request that can still be in time, not to one that is late already.
+func TestTimelyRequestsGetRightsFirst(t *testing.T) {
+	h := newHarness(t)
+	profile := h.config.Profiles["strict"]
+	profile.QueueTimeout, profile.RequestTimeout, profile.Objective = 3*time.Second, 5*time.Second, 300*time.Millisecond
+	h.config.Profiles["strict"] = profile
+	h.limit(5)
+	h.setQuota(types.Quota{})
+	h.openLimited(1)
+	h.openLimited(2)
+	late := h.sendLimited(1)
+	h.advance(400 * time.Millisecond)
+	h.sendLimited(2)
+	h.setQuota(types.Quota{Rights: 1})
+	waiting := h.shard.lacking[limitedOrganisation]
+	assert.Equal(t, len(waiting), 1)
+	assert.Equal(t, waiting[0].Seq, late)
+}
+
+// TestRevokedKeyEndsTheWaitForARight covers a key that is taken away while a request waits.
+func TestRevokedKeyEndsTheWaitForARight(t *testing.T) {
+	h := newHarness(t)
+	h.limit(5)
+	h.setQuota(types.Quota{})
+	h.openLimited(1)
+	seq := h.sendLimited(1)
+	config := *h.config
+	config.Organisations = map[types.OrganisationName]types.Organisation{
+		limitedOrganisation: {Name: limitedOrganisation, Rate: 0.01, Burst: 5},
+	}
+	h.config = &config
+	h.setQuota(types.Quota{Rights: 1})
+	assert.Equal(t, h.refusal(seq).Code, types.RefuseUnknownKey)
+	assert.Equal(t, len(h.sends), 0)
+}
