Which caller is closed for want of memory is decided in a reducer

Cause: front/budget decided under a mutex at the edge; decisions belong to a pure reducer with effects as data. Change: core/callers takes what connections hold as events and returns the ones to close; front/budget passes one event at a time and closes them.

--- a/front/budget/budget_test.go
+++ b/front/budget/budget_test.go
@@ -6,7 +6,7 @@
 	"gotest.tools/v3/assert"
 )
 
-func TestLargestHolderIsClosed(t *testing.T) {
+func TestChosenConnectionIsClosed(t *testing.T) {
 	b := New(100)
 	ended := make(chan string, 3)
 	open := func(name string) *Holder { return b.Open(func() { ended <- name }) }
@@ -18,12 +18,11 @@
 	assert.Equal(t, <-ended, "large")
 	assert.Assert(t, !large.Resize(1, false), "a closed connection goes on")
 	assert.Assert(t, !small.Resize(60, false), "a request in progress was cut off, or the limit was passed")
-	busy.Close()
-	assert.Equal(t, b.held, 0)
-	next := open("next")
-	assert.Assert(t, next.Resize(100, false))
-	assert.Assert(t, next.Resize(0, false))
-	assert.Equal(t, len(b.holders), 0)
+	for _, h := range []*Holder{small, large, busy} {
+		h.Close()
+	}
+	assert.Equal(t, len(b.ends), 0)
+	assert.Assert(t, open("next").Resize(100, false))
 }
 
 func TestNoLimit(t *testing.T) {
