--- a/core/division/divider.go
+++ b/core/division/divider.go
@@ -230,7 +230,7 @@
 	delete(d.unheard, proxy)
 }
 
-// expire forgets what can't be held or used within the window any more.
+// expire forgets what can't be held or used within the period any more.
 func (d *Divider) expire(now types.Instant) {
 	if now.Sub(d.sweptAt) < sweepInterval {
 		return
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -137,12 +137,12 @@
 	Sessions     int
 	BusySessions int // sessions with a request or a transaction in progress
 
-	QuotaUse map[types.OrganisationName]QuotaUse // of the organisations with operations within the window
+	QuotaUse map[types.OrganisationName]QuotaUse // of the organisations with operations within the period of their limit
 }
 
 // QuotaUse is what callers of an organisation asked of a shard.
 type QuotaUse struct {
-	Used    int // operations that began within the window
+	Used    int // operations that began within the period of the limit
 	Waiting int // operations that wait for a right
 	Refused int // operations that were refused lately for want of a right
 }
--- a/core/proto/lease.go
+++ b/core/proto/lease.go
@@ -29,11 +29,11 @@
 }
 
 // QuotaUse is a proxy's part of an organisation's limit, and what its callers ask for.
-// The unit is a right: one operation that may begin in any window.
+// The unit is a right: one operation that may begin in any period of the limit.
 type QuotaUse struct {
 	Organisation types.OrganisationName
 	Part         int // the most rights that a shard of the proxy may still act on
-	Used         int // rights of operations that began within the window
+	Used         int // rights of operations that began within the period
 	Waiting      int // operations that lack a right
 }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -90,7 +90,7 @@
 func PartsUntil(leaseUntil types.Instant) types.Instant { return leaseUntil.Add(outlivesLease) }
 
 // HeldFor returns how long after its last request, for a lease of the given length, a
-// proxy may still hold rights or have used some within the window.
+// proxy may still hold rights or have used some within the period.
 func HeldFor(lease, window time.Duration) time.Duration {
 	parts := lease + outlivesLease
 	return parts + parts/clockMargin + occupied(window)
