review: control is lost for good after two disks lost one after the other

Case 6 (CONFIG), instead of the one of the first configuration: a host that lost its disk isn't a voter yet when catch_up_s has passed, if the leader was restarted meanwhile; the loss of a second disk then ends the control group.

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,5 +1,5 @@
-// Command 6 starts a new system, sends the first configuration as soon as the control
-// hosts listen, and takes the disk of the host that acknowledged it.
+// Command 6 takes the disks of two control hosts, the second one after the first host has
+// been back for catch_up_s, and kills the leader once in between.
 package main
 
 import (
@@ -12,16 +12,21 @@
 )
 
 const (
-	// startSpread is the time between the starts of the machines at the first start, within
-	// the 0.3 s that the pages name.
-	startSpread = 250 * time.Millisecond
-	// backAfter is how long the machine is down that loses its disk.
-	backAfter = 500 * time.Millisecond
-	// readFor is how long the operator reads back: recovery_s (12 s) after all machines are
-	// back, contact_ms (4 s) more, and 9 s in addition.
+	// catchUp is catch_up_s: after it, a machine that is back doesn't count as lost any more.
+	catchUp = 4 * time.Second
+	// settled is the time until the first loss. All machines count as working by then.
+	settled = 8 * time.Second
+	// down is how long a machine is down that loses its disk or whose process is killed.
+	down = 300 * time.Millisecond
+	// killAfter is the time from the first loss until the leader's process is killed.
+	killAfter = 1700 * time.Millisecond
+	// margin is the time from the end of catchUp until the second disk is lost.
+	margin = 150 * time.Millisecond
+	// readFor is how long the operator reads back once all machines are back: recovery_s
+	// (12 s), contact_ms (4 s), and 9 s in addition.
 	readFor = 25 * time.Second
-	// firstVersion is the version of the configuration.
-	firstVersion = 7
+	limit   = 20 * time.Second
+	version = 7
 )
 
 func main() { harness.Main(3, 0, play) }
@@ -31,30 +36,49 @@
 }
 
 func play(s *harness.System, trouble bool) (int, error) {
-	for i, name := range []string{"core-1", "core-2", "core-3"} {
-		if i == 1 {
-			time.Sleep(startSpread)
-		}
-		if err := s.Start(name, true); err != nil {
-			return 0, err
-		}
+	operator, err := s.StartAll(3, 0, config(version))
+	if err != nil {
+		return 0, err
 	}
-	operator := s.NewOperator()
-	if status := operator.Put(config(firstVersion), 20*time.Second); status != 200 {
-		return 0, fmt.Errorf("the first configuration was not acknowledged: %d", status)
+	time.Sleep(settled)
+	if status := operator.Put(config(version+1), limit); status != 200 {
+		return 0, fmt.Errorf("version %d was answered with %d", version+1, status)
 	}
-	s.Record.Add("operator: version %d is acknowledged", firstVersion)
-	if trouble {
-		s.Kill("core-1") // the first seed leads first, and only a leader acknowledges
-		s.EmptyDisk("core-1")
-		time.Sleep(backAfter)
-		if err := s.Start("core-1", false); err != nil {
-			return 0, err
+	leader := s.HostAt(operator.AckedBy)
+	var others []string
+	for _, name := range []string{"core-1", "core-2", "core-3"} {
+		if name != leader {
+			others = append(others, name)
 		}
 	}
+	if !trouble {
+		return readBack(s, operator), nil
+	}
+	if err := restart(s, others[0], true); err != nil {
+		return 0, err
+	}
+	back := time.Now()
+	time.Sleep(killAfter - down)
+	if err := restart(s, leader, false); err != nil {
+		return 0, err
+	}
+	time.Sleep(time.Until(back.Add(catchUp + margin)))
+	if err := restart(s, others[1], true); err != nil {
+		return 0, err
+	}
 	return readBack(s, operator), nil
 }
 
+// restart kills a process and starts it again, with its disk or with an empty one.
+func restart(s *harness.System, name string, emptyDisk bool) error {
+	s.Kill(name)
+	if emptyDisk {
+		s.EmptyDisk(name)
+	}
+	time.Sleep(down)
+	return s.Start(name, false)
+}
+
 // readBack reads the configuration at all hosts until it came ten times or readFor is over.
 func readBack(s *harness.System, o *harness.Operator) int {
 	statuses := map[int]int{}
@@ -68,7 +92,7 @@
 		var got struct {
 			Version uint64 `json:"version"`
 		}
-		if err := json.NewDecoder(strings.NewReader(body)).Decode(&got); err != nil || got.Version < firstVersion {
+		if err := json.NewDecoder(strings.NewReader(body)).Decode(&got); err != nil || got.Version < version+1 {
 			s.Record.Add("operator: read back %q, which is older than the acknowledged version", body)
 			return harness.Broken
 		}
@@ -77,7 +101,7 @@
 			return harness.Held
 		}
 	}
-	s.Record.Add("operator: version %d was not read back within %s; answers by status: %v", firstVersion, readFor, statuses)
-	s.Record.Add("operator: the next version is answered with %d for 5 s", o.Put(config(firstVersion+1), 5*time.Second))
+	s.Record.Add("operator: version %d was not read back within %s; answers by status: %v", version+1, readFor, statuses)
+	s.Record.Add("operator: the next version is answered with %d for 5 s", o.Put(config(version+2), 5*time.Second))
 	return harness.Broken
 }
--- a/review/harness/operator.go
+++ b/review/harness/operator.go
@@ -14,6 +14,8 @@
 	system *System
 	client *http.Client
 	next   int
+
+	AckedBy string // address of the host that gave the last acknowledgement
 }
 
 // NewOperator returns an operator that knows all control hosts.
@@ -45,6 +47,9 @@
 			o.system.Record.Add("operator: put answered %d by %s", resp.StatusCode, resp.Request.URL.Host)
 		}
 		status = resp.StatusCode
+		if status == http.StatusOK {
+			o.AckedBy = resp.Request.URL.Host
+		}
 		if status == http.StatusOK || status == 400 || status == 409 || status == 412 || status == 413 || status == 422 {
 			return status
 		}
--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -25,6 +25,9 @@
 // program is the binary that the build of the deploy file produces.
 const program = "target/paddle-platform"
 
+// maxRecordLine cuts long statements in the record.
+const maxRecordLine = 2000
+
 // Record writes what happens in a case to a file, with the time since its start.
 type Record struct {
 	mu    sync.Mutex
@@ -45,7 +48,11 @@
 func (r *Record) Add(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	line := fmt.Sprintf(format, args...)
+	if len(line) > maxRecordLine {
+		line = line[:maxRecordLine] + " ..."
+	}
+	_, _ = fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.start).Seconds(), line)
 }
 
 // Close closes the file.
@@ -57,14 +64,12 @@
 	Control  []string // addresses of the operators' interface
 	Platform *Platform
 
-	folder     string
-	subnet     string
-	ports      ports
-	hosts      map[string]*Host
-	Tolerance  int
-	Staleness  int
-	PromoteMs  int
-	controlIPs []string
+	MemoryMB int // limit of each proxy, in its settings
+
+	folder string
+	subnet string
+	ports  ports
+	hosts  map[string]*Host
 }
 
 // ports are the same on all hosts.
@@ -87,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &System{Record: r, folder: folder, hosts: map[string]*Host{}, Tolerance: 1}
+	s := &System{Record: r, folder: folder, hosts: map[string]*Host{}, MemoryMB: 284}
 	s.subnet = fmt.Sprintf("127.%d.%d", 90+os.Getpid()%100, os.Getpid()/100%250+1)
 	if s.ports, err = s.freePorts(); err != nil {
 		return nil, err
@@ -96,7 +101,6 @@
 		h := &Host{Name: fmt.Sprintf("core-%d", i+1), Role: "control", IP: fmt.Sprintf("%s.%d", s.subnet, i+1)}
 		h.data = filepath.Join(folder, h.Name+"-disk")
 		s.hosts[h.Name] = h
-		s.controlIPs = append(s.controlIPs, h.IP)
 		s.Control = append(s.Control, fmt.Sprintf("%s:%d", h.IP, s.ports.operator))
 	}
 	for i := range proxies {
@@ -212,6 +216,22 @@
 	}
 }
 
+// Resident returns the resident memory of a process in MB, or zero if it doesn't run.
+func (s *System) Resident(name string) int {
+	if !s.Running(name) {
+		return 0
+	}
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", s.hosts[name].cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
+
 // Log returns what a process has written.
 func (s *System) Log(name string) string {
 	b, _ := os.ReadFile(filepath.Join(s.folder, name+".log"))
@@ -249,9 +269,9 @@
 // give for a small deployment.
 func (s *System) settings(h *Host, first bool) string {
 	var b bytes.Buffer
-	class, disk := "frontend", 0
+	class, memory, disk := "frontend", s.MemoryMB, 0
 	if h.Role == "control" {
-		class, disk = "core", 128
+		class, memory, disk = "core", 280, 128
 	}
 	var seeds []string
 	for _, a := range s.Control[:min(3, len(s.Control))] {
@@ -290,12 +310,12 @@
 	fmt.Fprintf(&b, `[limits]
 cpu_share = 0.96
 cores = 1
-memory_mb = 544
+memory_mb = %d
 max_fds = 4300
 link_mbps = 1000.0
 disk_mb = %d
 [fault_tolerance]
-machines = %d
+machines = 1
 zones = 0
 regions = 0
 [bounds]
@@ -318,6 +338,16 @@
 rate_per_s = 50.0
 duties = ["promotion"]
 duty_per_s = 50.0
-`, disk, s.Tolerance, s.Platform.Address())
+`, memory, disk, s.Platform.Address())
 	return b.String()
 }
+
+// HostAt returns the name of the control host whose operators' interface has an address.
+func (s *System) HostAt(address string) string {
+	for name, h := range s.hosts {
+		if fmt.Sprintf("%s:%d", h.IP, s.ports.operator) == address {
+			return name
+		}
+	}
+	return ""
+}
