review: statements run with the session values of another client

Case 9 (PINNED), instead of the one of fencing tokens: the values of a session and its statement are sent in one piece, and the statement runs where a member that fails part of its requests has refused the values.

--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,32 +1,32 @@
-// Command 9 removes a service from the configuration and adds it again, between two
-// failovers of its primary under two control leaders.
+// Command 9 has a member fail a part of its requests while clients with session values send
+// statements.
 package main
 
 import (
 	"fmt"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/review/harness"
 )
 
 const (
-	// applied is config_apply_ms and some time more.
-	applied = 3500 * time.Millisecond
-	// settled is contact_ms, after which the core counts as stable.
-	settled = 4500 * time.Millisecond
-	// limit bounds each wait.
-	limit = 20 * time.Second
+	// failShare is the part of its requests that the grey member fails (srv_grey, x).
+	failShare = 0.4
+	// greyFor is how long the member is grey (srv_grey, for_s).
+	greyFor = 6 * time.Second
+	// sessions is the number of clients, half of them at each proxy.
+	sessions = 12
+	limit    = 20 * time.Second
 )
 
 func main() { harness.Main(3, 2, play) }
 
-func config(version int, withLedger bool) string {
-	routes, services := harness.Route("r2", "other", "primary", "other", 0), harness.Service("other", 0)
-	if withLedger {
-		routes += "," + harness.Route("r1", "stock", "primary", "ledger", 0)
-		services += "," + harness.Service("ledger", 0)
-	}
-	return harness.Config(version, routes, services)
+// ledger holds the values that were acknowledged to the client of each statement.
+type ledger struct {
+	mu     sync.Mutex
+	values map[string]map[string]string // by id
 }
 
 func play(s *harness.System, trouble bool) (int, error) {
@@ -35,74 +35,93 @@
 		return 0, err
 	}
 	defer g.Stop()
-	operator, err := s.StartAll(3, 2, config(7, true))
-	if err != nil {
+	services := harness.Service("ledger", 0)
+	for _, name := range []string{"second", "third"} { // the grey member is one of nine
+		idle, err := s.NewGroup(name, []string{"i-" + name + "-a", "i-" + name + "-b", "i-" + name + "-c"})
+		if err != nil {
+			return 0, err
+		}
+		defer idle.Stop()
+		services += "," + harness.Service(name, 0)
+	}
+	config := harness.Config(7, harness.Route("r1", "stock", "primary", "ledger", 0), services)
+	if _, err := s.StartAll(3, 2, config); err != nil {
 		return 0, err
 	}
 	if err := s.AwaitReady(limit, "frontend-1", "frontend-2"); err != nil {
 		return 0, err
 	}
-	if err := failOver(s, g); err != nil {
+	if err := s.AwaitSuccess("frontend-1", "stock", "WRITE item0 first", limit); err != nil {
 		return 0, err
 	}
+	time.Sleep(4 * time.Second)
 	if trouble {
-		for _, change := range []struct {
-			version int
-			ledger  bool
-		}{{9, false}, {12, true}} {
-			if status := operator.Put(config(change.version, change.ledger), limit); status != 200 {
-				return 0, fmt.Errorf("version %d was answered with %d", change.version, status)
-			}
-			time.Sleep(applied)
-		}
-	}
-	if err := s.AwaitSuccess("frontend-1", "stock", "WRITE item1 again", limit); err != nil {
-		return 0, err
+		g.SetFailShare("i-a", failShare)
 	}
-	calls := s.Platform.All()
-	if len(calls) == 0 {
-		return 0, fmt.Errorf("no member was promoted at the first failover")
-	}
-	leader := calls[len(calls)-1].Holder
-	s.Kill(leader)
-	time.Sleep(500 * time.Millisecond)
-	if err := s.Start(leader, false); err != nil {
-		return 0, err
-	}
-	time.Sleep(settled)
-	if err := failOver(s, g); err != nil {
-		return 0, err
+	l := &ledger{values: map[string]map[string]string{}}
+	var running sync.WaitGroup
+	for i := range sessions {
+		running.Go(func() {
+			for until := time.Now().Add(greyFor); time.Now().Before(until); {
+				session(s, l, []string{"frontend-1", "frontend-2"}[i%2], i, until)
+			}
+		})
 	}
-	return check(s), nil
+	running.Wait()
+	return check(s, g, l), nil
 }
 
-// failOver crashes the primary, waits until another member serves writes, and starts the
-// crashed one again.
-func failOver(s *harness.System, g *harness.Group) error {
-	if err := s.AwaitSuccess("frontend-1", "stock", "WRITE item0 before", limit); err != nil {
-		return err
+// session opens a session, sets a value and sends statements until an error or until the
+// time is up. The client closes its session after an error in response to SET.
+func session(s *harness.System, l *ledger, proxy string, n int, until time.Time) {
+	c, err := s.Dial(proxy, "stock", fmt.Sprint("u", n))
+	if err != nil {
+		return
 	}
-	old := g.Primary()
-	g.Member(old).Crash()
-	if err := s.AwaitSuccess("frontend-1", "stock", "WRITE item0 after", limit); err != nil {
-		return err
+	defer c.Close()
+	acked := map[string]string{}
+	for i := 0; time.Now().Before(until); i++ {
+		if i%5 == 0 {
+			value := fmt.Sprintf("v%d-%d", n, i)
+			_, lines, err := c.Query("SET zone "+value, 2*time.Second)
+			if err != nil || !harness.Succeeded(lines) {
+				return
+			}
+			acked["zone"] = value
+		}
+		text := "READ item0"
+		if i%3 == 0 {
+			text = fmt.Sprintf("WRITE item%d value%d", n+1, i)
+		}
+		id := harness.NextID()
+		l.mu.Lock()
+		l.values[id] = maps.Clone(acked)
+		l.mu.Unlock()
+		if _, err := c.QueryAs(id, text, 2*time.Second); err != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
 	}
-	return g.Member(old).Restart()
 }
 
-// check looks for a fencing token with which two holders promoted.
-func check(s *harness.System) int {
-	holders := map[uint64]string{}
-	code := harness.Held
-	for _, c := range s.Platform.All() {
-		if c.Status != 200 {
+// check compares the values of the connection on which each statement ran with those that
+// were acknowledged to its client.
+func check(s *harness.System, g *harness.Group, l *ledger) int {
+	ran, wrong := 0, 0
+	for _, r := range g.Executed() {
+		want, ok := l.values[r.ID]
+		if !ok {
 			continue
 		}
-		if other, ok := holders[c.Token]; ok && other != c.Holder {
-			s.Record.Add("check: %s and %s promoted members of %s with the same fencing token %d", other, c.Holder, c.Service, c.Token)
-			code = harness.Broken
+		ran++
+		if !maps.Equal(want, r.Values) {
+			wrong++
+			s.Record.Add("check: %s %q ran on %s with values %v instead of %v", r.ID, r.Text, r.Member, r.Values, want)
 		}
-		holders[c.Token] = c.Holder
 	}
-	return code
+	s.Record.Add("check: %d statements ran, %d of them with other session values than were acknowledged", ran, wrong)
+	if wrong > 0 {
+		return harness.Broken
+	}
+	return harness.Held
 }
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -43,12 +43,18 @@
 	return c, nil
 }
 
-// Query sends one statement and returns its id and the lines of its answer.
+// Query sends one statement under a new id and returns the id and the lines of its answer.
 func (c *Client) Query(text string, limit time.Duration) (string, []string, error) {
 	id := NextID()
+	lines, err := c.QueryAs(id, text, limit)
+	return id, lines, err
+}
+
+// QueryAs sends one statement and returns the lines of its answer.
+func (c *Client) QueryAs(id, text string, limit time.Duration) ([]string, error) {
 	c.record.Add("client %s sends %s %s", c.name, id, text)
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
-		return id, nil, err
+		return nil, err
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(limit))
 	var lines []string
@@ -56,12 +62,12 @@
 		line, err := c.reader.ReadString('\n')
 		if err != nil {
 			c.record.Add("client %s gets for %s: %q, then %v", c.name, id, lines, err)
-			return id, lines, err
+			return lines, err
 		}
 		line = strings.TrimSuffix(line, "\r\n")
 		if strings.HasPrefix(line, "READY ") {
 			c.record.Add("client %s gets for %s: %q %s", c.name, id, lines, line)
-			return id, lines, nil
+			return lines, nil
 		}
 		lines = append(lines, line)
 	}
--- a/review/harness/member.go
+++ b/review/harness/member.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -52,6 +54,7 @@
 	Member, ID, Text, Client string
 	At                       time.Time
 	Session                  int
+	Values                   map[string]string // session values of the connection
 }
 
 // Member is one database server.
@@ -73,6 +76,10 @@
 	stop     chan struct{}
 	sessions int
 
+	// failShare is the part of its statements, of clients and of the system, that the member
+	// fails with FAILED and without an effect; its health and STATUS stay good.
+	failShare float64
+
 	drainAcked time.Time // when draining was acknowledged
 }
 
@@ -513,8 +520,17 @@
 	if !m.up {
 		return nil
 	}
+	if text != "STATUS" && rand.Float64() < m.failShare {
+		g.record.Add("member %s fails %s %s", m.ID, id, text)
+		if c.state == "T" {
+			c.state = "E"
+		}
+		return []string{"ERROR FAILED " + m.ID}
+	}
 	if id != "-" {
-		g.executed = append(g.executed, Run{Member: m.ID, ID: id, Text: text, Client: c.client, At: time.Now(), Session: c.number})
+		g.executed = append(g.executed, Run{
+			Member: m.ID, ID: id, Text: text, Client: c.client, At: time.Now(), Session: c.number, Values: maps.Clone(c.values),
+		})
 	}
 	if after, ok := strings.CutPrefix(text, "AFTER "); ok {
 		pos, rest, _ := strings.Cut(after, " ")
@@ -629,3 +645,11 @@
 	defer g.mu.Unlock()
 	return g.Member(id).drainAcked
 }
+
+// SetFailShare sets which part of its statements a member fails.
+func (g *Group) SetFailShare(id string, share float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.record.Add("member %s fails a part of %.2f of its requests", id, share)
+	g.Member(id).failShare = share
+}
