--- a/review/6/main.go
+++ b/review/6/main.go
@@ -3,12 +3,10 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
-	"strings"
 	"time"
 
-	"github.com/camphorpaddle/camphorpaddle/review/harness"
+	harness "github.com/camphorpaddle/camphorpaddle/review/harness/platform"
 )
 
 const (
@@ -89,15 +87,13 @@
 		if status != 200 {
 			continue
 		}
-		var got struct {
-			Version uint64 `json:"version"`
-		}
-		if err := json.NewDecoder(strings.NewReader(body)).Decode(&got); err != nil || got.Version < version+1 {
+		got, err := harness.VersionOf(body)
+		if err != nil || got < version+1 {
 			s.Record.Add("operator: read back %q, which is older than the acknowledged version", body)
 			return harness.Broken
 		}
 		if read++; read >= 10 {
-			s.Record.Add("operator: read back version %d ten times; answers by status: %v", got.Version, statuses)
+			s.Record.Add("operator: read back version %d ten times; answers by status: %v", got, statuses)
 			return harness.Held
 		}
 	}
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/camphorpaddle/camphorpaddle/review/harness"
+	harness "github.com/camphorpaddle/camphorpaddle/review/harness/platform"
 )
 
 const (
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/camphorpaddle/camphorpaddle/review/harness"
+	harness "github.com/camphorpaddle/camphorpaddle/review/harness/platform"
 )
 
 const (
--- a/review/harness/operator.go
+++ b/review/harness/platform/operator.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -87,3 +88,16 @@
 }
 
 const putLimit = 20 * time.Second
+
+// VersionOf returns the version of a configuration.
+func VersionOf(body string) (int, error) {
+	var fields map[string]any
+	if err := json.Unmarshal([]byte(body), &fields); err != nil {
+		return 0, err
+	}
+	version, ok := fields["version"].(float64)
+	if !ok {
+		return 0, fmt.Errorf("the configuration has no version: %.100q", body)
+	}
+	return int(version), nil
+}
