--- a/review/harness/platform/member.go
+++ b/review/harness/platform/member.go
@@ -45,7 +45,6 @@
 	primary  *Member
 	members  []*Member
 	acked    []string // ids of the statements whose commits were acknowledged
-	runs     map[string]int
 	executed []Run
 }
 
@@ -87,7 +86,7 @@
 func (s *System) NewGroup(service string, ids []string) (*Group, error) {
 	g := &Group{
 		Service: service, record: s.Record, control: s.Control, term: 3, PromoteTime: 300 * time.Millisecond,
-		Work: 5 * time.Millisecond, runs: map[string]int{},
+		Work: 5 * time.Millisecond,
 	}
 	g.changed = sync.NewCond(&g.mu)
 	for i, id := range ids {
@@ -125,13 +124,6 @@
 	return g.primary.ID
 }
 
-// Acked returns the ids of the statements whose commits were acknowledged.
-func (g *Group) Acked() []string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return append([]string(nil), g.acked...)
-}
-
 // Executed returns what the members ran for clients.
 func (g *Group) Executed() []Run {
 	g.mu.Lock()
@@ -256,13 +248,6 @@
 	}
 }
 
-// SetLag changes how late a replica applies what it receives.
-func (m *Member) SetLag(d time.Duration) {
-	m.group.mu.Lock()
-	defer m.group.mu.Unlock()
-	m.Lag = d
-}
-
 // Drain makes the member say that it is draining. It ends some time after that was
 // acknowledged.
 func (m *Member) Drain() {
@@ -297,27 +282,6 @@
 	m.group.changed.Broadcast()
 }
 
-// Restart starts a crashed member again at its address, under its id and with its log.
-func (m *Member) Restart() error {
-	g := m.group
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	l, err := net.Listen("tcp", m.address)
-	if err != nil {
-		return err
-	}
-	g.record.Add("member %s starts again", m.ID)
-	m.listener, m.up, m.stop = l, true, make(chan struct{})
-	m.born, m.seq, m.draining = time.Now().UnixMilli(), 0, false
-	if g.primary != m {
-		m.log = nil
-		m.catchUp(g.primary)
-	}
-	go m.accept()
-	go m.beat()
-	return nil
-}
-
 // Stop ends all members.
 func (g *Group) Stop() {
 	g.mu.Lock()
--- a/review/harness/platform/platform.go
+++ b/review/harness/platform/platform.go
@@ -24,8 +24,6 @@
 	mu     sync.Mutex
 	groups map[string]*Group
 	tokens map[string]uint64 // highest token by service
-	Calls  []Promotion
-	OnCall func(Promotion)
 }
 
 func newPlatform(ip string, r *Record) (*Platform, error) {
@@ -53,13 +51,6 @@
 	p.groups[g.Service] = g
 }
 
-// All returns the calls so far.
-func (p *Platform) All() []Promotion {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return append([]Promotion(nil), p.Calls...)
-}
-
 // promote checks the token and the member, as the pages say, and starts the promotion.
 func (p *Platform) promote(w http.ResponseWriter, r *http.Request) {
 	var body map[string]string
@@ -71,14 +62,12 @@
 	call := Promotion{Service: body["service"], Member: body["id"], Holder: r.Header.Get("Duty-Holder"), Token: token, Status: http.StatusOK}
 	p.mu.Lock()
 	g := p.groups[body["service"]]
-	switch {
-	case g == nil || token < p.tokens[body["service"]] || !g.running(body["id"]):
+	if g == nil || token < p.tokens[body["service"]] || !g.running(body["id"]) {
 		call.Status = http.StatusConflict
 	}
 	if g != nil {
 		p.tokens[body["service"]] = max(p.tokens[body["service"]], token)
 	}
-	p.Calls = append(p.Calls, call)
 	p.mu.Unlock()
 	p.record.Add("platform: promote %s of %s by %s with token %d: %d", call.Member, call.Service, call.Holder, call.Token, call.Status)
 	if call.Status == http.StatusOK {
--- a/review/harness/platform/system.go
+++ b/review/harness/platform/system.go
@@ -135,9 +135,6 @@
 	return ports{}, fmt.Errorf("no free port for the processes")
 }
 
-// Host returns a host by its name.
-func (s *System) Host(name string) *Host { return s.hosts[name] }
-
 // Callers returns the address at which a proxy serves clients.
 func (s *System) Callers(name string) string {
 	return fmt.Sprintf("%s:%d", s.hosts[name].IP, s.ports.callers)
@@ -232,12 +229,6 @@
 	return resident * os.Getpagesize() >> 20
 }
 
-// Log returns what a process has written.
-func (s *System) Log(name string) string {
-	b, _ := os.ReadFile(filepath.Join(s.folder, name+".log"))
-	return string(b)
-}
-
 // Stop ends all processes and removes the temporary folder.
 func (s *System) Stop() {
 	for _, h := range s.hosts {
