Replacement of a voter goes on under the next leader

After one control host lost its disk, the leader's process was restarted and a second host lost its disk, no control host answered again: the configuration could not be read and no change was accepted.

Cause: a lost voter is replaced once it has been silent for half of the catch-up time, and each leader counted that from its own start. The second disk was lost before the first vote had moved. A new leader that found four voters also took the vote of the new host and kept that of the lost one.

Change: a voter at whose address another host joined later is removed once it is silent for 500 ms, before the learner is promoted. The set in the log says which one that is, so any leader goes on from there. For successors at other addresses, appends and votes carry how long each voter has been silent. Of more voters than desired, the silent one is demoted. The next change of voters follows on the commit of the last.

--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -36,6 +36,7 @@
 		return
 	}
 	n.resetElectionTimer()
+	n.recordLostLeader()
 	n.leader = ""
 	if !isVoter(n.log.voters(), n.self) {
 		return
@@ -101,6 +102,7 @@
 	reply.Reject = !canGrant || !n.upToDate(m)
 	if !reply.Reject {
 		reply.Term = m.Term
+		reply.Silent = n.reportSilence()
 		if m.Kind == proto.MsgVote {
 			n.vote = m.From
 			n.resetElectionTimer()
@@ -121,6 +123,7 @@
 // handleVoteReply counts a vote or a pre-vote, and campaigns or becomes leader
 // once a quorum granted it.
 func (n *Node) handleVoteReply(m proto.Message) {
+	n.recordSilence(m.Silent)
 	if m.Reject {
 		if m.Term > n.term {
 			n.becomeFollower(m.Term, "")
--- a/core/consensus/follower.go
+++ b/core/consensus/follower.go
@@ -14,6 +14,8 @@
 	}
 	n.becomeFollower(m.Term, m.From)
 	n.lastContact = n.now
+	n.silentSince = nil
+	n.recordSilence(m.Silent)
 	n.resetElectionTimer()
 	reply := proto.Message{Kind: proto.MsgAppendReply, To: m.From, Term: n.term, Round: m.Round}
 	if m.Kind == proto.MsgSnapshot {
--- a/core/consensus/harness_test.go
+++ b/core/consensus/harness_test.go
@@ -38,6 +38,7 @@
 
 	snapshotEvery uint64 // for hosts started from now on
 	policy        consensus.Policy
+	addresses     map[types.HostID]types.Address // of hosts that took over the address of another one
 }
 
 // leaderLease is the leader lease of a run of a host, by cluster time.
@@ -56,7 +57,10 @@
 	applied uint64
 }
 
-func voter(name string) proto.Voter { return proto.Voter{Host: types.HostID(name)} }
+// voter returns a voter whose address is its name.
+func voter(name string) proto.Voter {
+	return proto.Voter{Host: types.HostID(name), Address: types.Address(name)}
+}
 
 // newHarness returns a cluster whose hosts start from a snapshot with the
 // given voters.
@@ -66,6 +70,7 @@
 		elected: make(map[proto.ControlTerm]types.HostID),
 		entries: make(map[uint64]proto.Entry),
 		states:  map[uint64]string{1: ""}, leases: make(map[string]leaderLease),
+		addresses: make(map[types.HostID]types.Address),
 	}
 	c.cluster = coretest.NewCluster(seed, c.build)
 	c.cluster.Network.DelayMin, c.cluster.Network.DelayMax = time.Millisecond, 3*time.Millisecond
@@ -90,7 +95,7 @@
 	n := &host{harness: c, host: h, run: fmt.Sprintf("%s#%d", h.ID, c.runs)}
 	saved := h.Disk
 	n.Node = consensus.New(consensus.Options{
-		Self: proto.Voter{Host: h.ID}, Saved: saved,
+		Self: c.self(h.ID), Saved: saved,
 		State:         func() proto.ClusterState { return proto.ClusterState{Source: n.state} },
 		SnapshotEvery: c.snapshotEvery, Policy: c.policy,
 	})
@@ -98,6 +103,15 @@
 	return n
 }
 
+// self returns the voter that a host is.
+func (c *harness) self(id types.HostID) proto.Voter {
+	v := voter(string(id))
+	if address, ok := c.addresses[id]; ok {
+		v.Address = address
+	}
+	return v
+}
+
 // Step steps the node and checks its effects and its leader lease.
 func (h *host) Step(in event.Input) []effect.Effect {
 	out := h.Node.Step(in)
--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -21,6 +21,7 @@
 
 // leaderState is the volatile state of a leader.
 type leaderState struct {
+	electedAt    types.Instant
 	firstIndex   uint64 // index of the first entry of the leader's term
 	peers        map[types.HostID]*progress
 	lastRound    uint64        // number of the newest round
@@ -53,10 +54,12 @@
 func (n *Node) becomeLeader() {
 	n.role, n.leader = leader, n.self
 	n.leaderState = leaderState{
+		electedAt:    n.now,
 		firstIndex:   n.log.last() + 1,
 		peers:        make(map[types.HostID]*progress),
 		quorumSentAt: n.now,
 	}
+	n.inheritSilence()
 	n.recordDecision(effect.DecideLeader, n.self, "elected by a quorum in term "+termText(n.term))
 	n.appendCommand(proto.Command{})
 	n.broadcastHeartbeat()
@@ -156,7 +159,7 @@
 	case p.next <= n.log.base:
 		n.send(proto.Message{
 			Kind: proto.MsgAppend, To: h, Term: n.term, Round: n.leaderState.lastRound,
-			LogIndex: n.log.base, LogTerm: n.log.baseTerm,
+			LogIndex: n.log.base, LogTerm: n.log.baseTerm, Silent: n.silentVoters(),
 		})
 	default:
 		n.sendEntries(h, p)
@@ -169,7 +172,7 @@
 	prevTerm, _ := n.log.term(prev)
 	m := proto.Message{
 		Kind: proto.MsgAppend, To: h, Term: n.term, Round: n.leaderState.lastRound,
-		LogIndex: prev, LogTerm: prevTerm, Commit: n.commit,
+		LogIndex: prev, LogTerm: prevTerm, Commit: n.commit, Silent: n.silentVoters(),
 	}
 	if p.next <= n.log.last() && p.next-p.match <= maxInFlightEntries {
 		m.Entries = n.batch(p.next)
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -78,6 +78,8 @@
 	electionDeadline types.Instant
 	votes            map[types.HostID]bool
 
+	silentSince map[types.HostID]types.Instant // voters that made no progress for the last leader, and that leader
+
 	leaderState   leaderState
 	reportedRole  effect.ChangeRole
 	reportedHosts []types.Address // last addresses emitted in effect.UpdateControlHosts
--- a/core/consensus/snapshot.go
+++ b/core/consensus/snapshot.go
@@ -82,7 +82,7 @@
 		return
 	}
 	p.snapshotSentAt = n.now
-	n.send(proto.Message{Kind: proto.MsgSnapshot, To: h, Term: n.term, Round: n.leaderState.lastRound, Snapshot: n.snapshot})
+	n.send(proto.Message{Kind: proto.MsgSnapshot, To: h, Term: n.term, Round: n.leaderState.lastRound, Snapshot: n.snapshot, Silent: n.silentVoters()})
 }
 
 // installSnapshot replaces the state and the log with a leader's snapshot (Raft,
--- a/core/consensus/voters.go
+++ b/core/consensus/voters.go
@@ -137,35 +137,44 @@
 }
 
 // votersCommitted steps down if this host leads and a committed change removed it
-// from the voters.
+// from the voters. Otherwise a leader makes the next change, so that a replacement takes
+// no longer than its commits.
 func (n *Node) votersCommitted() {
-	if n.role == leader && n.log.votersIndex() <= n.applied && !isVoter(n.log.voters(), n.self) {
+	if n.role != leader || n.log.votersIndex() > n.applied {
+		return
+	}
+	if !isVoter(n.log.voters(), n.self) {
 		n.stepDown("this host was removed from the voters")
+		return
 	}
+	n.manageVoters()
 }
 
-// manageVoters makes the next change of voters that is needed, if any. To replace
-// a silent voter, it first promotes a learner that has caught up and then removes
-// the voter, so that the number of voters never drops in between.
+// manageVoters makes the next change of voters that is needed, if any. A voter that
+// can't return is removed before a learner takes its place, since it would count toward
+// the quorum of the larger set. One that is merely silent is removed after that, so that
+// the number of voters never drops in between.
 func (n *Node) manageVoters() {
 	if !n.leading() {
 		return
 	}
 	voters := n.log.voters()
 	count := countVoters(voters)
+	superseded, anySuperseded := findVoter(voters, n.superseded)
 	silentVoter, anySilentVoter := findVoter(voters, func(v proto.Voter) bool {
-		return !v.Learner && n.silentFor(v.Host) >= n.opt.Policy.VoterSilence
+		return !v.Learner && n.unresponsive(v.Host, n.opt.Policy.VoterSilence)
 	})
 	spare, anySpare := findVoter(voters, func(v proto.Voter) bool { return v.Learner && n.caughtUp(v.Host) })
 	silentLearner, anySilentLearner := findVoter(voters, func(v proto.Voter) bool {
 		return v.Learner && n.silentFor(v.Host) >= maxLearnerSilence
 	})
 	switch {
+	case anySuperseded:
+		n.changeVoters(removeHost(voters, superseded.Host), superseded.Host, "another host has joined at its address "+string(superseded.Address))
 	case count > n.opt.Policy.Voters && anySilentVoter:
 		n.changeVoters(removeHost(voters, silentVoter.Host), silentVoter.Host, "voter was silent for "+n.opt.Policy.VoterSilence.String())
 	case count > n.opt.Policy.Voters:
-		v := n.voterToDemote(voters)
-		n.changeVoters(withRole(voters, v.Host, true), v.Host, strconv.Itoa(count)+" voters exceed the desired "+strconv.Itoa(n.opt.Policy.Voters))
+		n.demoteExcessVoter(voters)
 	case anySpare && count < n.opt.Policy.Voters:
 		n.changeVoters(withRole(voters, spare.Host, false), spare.Host, "learner caught up")
 	case anySpare && anySilentVoter:
@@ -175,6 +184,34 @@
 	}
 }
 
+// superseded reports whether a host can't return under its identity: it doesn't respond,
+// and another one joined later at its address. A control host whose disk was lost comes
+// back that way.
+func (n *Node) superseded(v proto.Voter) bool {
+	voters := n.log.voters()
+	later := voters[slices.Index(voters, v)+1:]
+	return v.Address != "" && n.unresponsive(v.Host, ElectionTimeoutMin) &&
+		slices.ContainsFunc(later, func(other proto.Voter) bool { return other.Address == v.Address })
+}
+
+// demoteExcessVoter makes a learner of one of more voters than desired: of the one that
+// is silent for the longest time or, if all respond, of the last one. A new leader first
+// finds out who responds.
+func (n *Node) demoteExcessVoter(voters []proto.Voter) {
+	if n.now.Sub(n.leaderState.electedAt) < ElectionTimeoutMin {
+		return
+	}
+	v := n.voterToDemote(voters)
+	n.changeVoters(withRole(voters, v.Host, true), v.Host,
+		strconv.Itoa(countVoters(voters))+" voters exceed the desired "+strconv.Itoa(n.opt.Policy.Voters))
+}
+
+// unresponsive reports whether a host has been silent for d, and for long enough under
+// this leader to have answered it.
+func (n *Node) unresponsive(h types.HostID, d time.Duration) bool {
+	return n.silentFor(h) >= d && n.now.Sub(n.leaderState.electedAt) >= ElectionTimeoutMin
+}
+
 // silentFor returns how long a host has made no progress: it sent no reply, or
 // none that shows that it syncs the entries it receives.
 func (n *Node) silentFor(h types.HostID) time.Duration {
@@ -191,15 +228,20 @@
 	return n.silentFor(h) < ElectionTimeoutMin && p.match >= n.leaderState.firstIndex && p.match+maxLearnerLag >= n.log.last()
 }
 
-// voterToDemote returns the last voter in the set that is not this host, the
-// leader.
+// voterToDemote returns the voter that is silent for the longest time or, if all
+// respond, the last one in the set that is not this host, the leader.
 func (n *Node) voterToDemote(voters []proto.Voter) proto.Voter {
-	for _, v := range slices.Backward(voters) {
-		if !v.Learner && v.Host != n.self {
-			return v
+	var chosen proto.Voter
+	for _, v := range voters {
+		if v.Learner || v.Host == n.self {
+			continue
+		}
+		silence := n.silentFor(v.Host)
+		if chosen.Host == "" || silence < ElectionTimeoutMin && n.silentFor(chosen.Host) < ElectionTimeoutMin || silence > n.silentFor(chosen.Host) {
+			chosen = v
 		}
 	}
-	return proto.Voter{}
+	return chosen
 }
 
 func countVoters(voters []proto.Voter) int {
--- a/core/proto/consensus.go
+++ b/core/proto/consensus.go
@@ -3,7 +3,11 @@
 // encode them.
 package proto
 
-import "github.com/camphorpaddle/camphorpaddle/core/types"
+import (
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
 
 // ControlTerm numbers the election terms of the control hosts.
 type ControlTerm uint64
@@ -80,4 +84,11 @@
 	Round    uint64 // echoed in the reply, for the leader's quorum check
 	Snapshot *Snapshot
 	Joiner   *Voter
+	Silent   []HostSilence // in appends and vote replies: the voters that made no progress for the last leader
+}
+
+// HostSilence says how long a voter has made no progress.
+type HostSilence struct {
+	Host     types.HostID
+	Duration time.Duration
 }
