Seeds found the control cluster together

The control host that acknowledged the first configuration lost its disk within about a second of the first start, and control never answered again.

Cause: the cluster started with the first seed as its only voter, and the others became voters one after the other.

Each derives the same voters from the seeds in its settings; the identity of a founder follows from its address. A host without its data comes back under a random identity and replaces the founder.

--- a/cmd/paddle-platform/main.go
+++ b/cmd/paddle-platform/main.go
@@ -62,9 +62,9 @@
 		return err
 	}
 	s.LimitMemory()
-	if s.Bootstrap {
+	if len(s.Founders) > 0 {
 		// An initialized data folder means that the host was restarted.
-		if _, err := daemon.InitControl(&s.Daemon); err != nil && !trace.IsAlreadyExists(err) {
+		if err := daemon.FoundControl(&s.Daemon, s.Founders); err != nil && !trace.IsAlreadyExists(err) {
 			return err
 		}
 	}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -13,6 +13,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/internal/identity"
 	"github.com/camphorpaddle/camphorpaddle/runtime"
 	"github.com/camphorpaddle/camphorpaddle/settings"
 	"github.com/camphorpaddle/camphorpaddle/storage"
@@ -52,6 +53,18 @@
 	return voter.Host, trace.Wrap(err, "setting up data folder %s", s.DataFolder)
 }
 
+// FoundControl creates the data folder of one of the control hosts that start a new cluster
+// together, which all of them vote in from the start. founders holds their peer addresses,
+// in the same order on each of them. The folder must be empty or missing.
+func FoundControl(s *settings.Daemon, founders []types.Address) error {
+	var voters []proto.Voter
+	for _, address := range founders {
+		voters = append(voters, proto.Voter{Host: identity.Founder(address), Address: address})
+	}
+	err := storage.Found(s.DataFolder, identity.Founder(s.Advertise), voters)
+	return trace.Wrap(err, "setting up data folder %s", s.DataFolder)
+}
+
 // NewControl opens the data folder and the ports of a control host whose targets use
 // the PostgreSQL protocol.
 func NewControl(s *settings.Daemon, version string) (*Control, error) {
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -9,6 +9,16 @@
 	"github.com/gravitational/trace"
 )
 
+// founderSuffix takes the place of the random part in the identity of a founder.
+const founderSuffix = "founder"
+
+// Founder returns the identity of one of the control hosts that start a cluster together.
+// Each of them derives the identities of all from their addresses. It may be used only
+// by a host that has never run before: one that lost its data gets a random identity.
+func Founder(address types.Address) types.HostID {
+	return types.HostID(address) + types.ProcessSeparator + founderSuffix
+}
+
 // suffixBytes is the length of the random part of an identity before hex encoding.
 const suffixBytes = 6
 
--- a/storage/folder.go
+++ b/storage/folder.go
@@ -9,7 +9,6 @@
 	"syscall"
 
 	"github.com/camphorpaddle/camphorpaddle/core/types"
-	"github.com/camphorpaddle/camphorpaddle/internal/identity"
 	"github.com/gravitational/trace"
 )
 
@@ -130,9 +129,9 @@
 }
 
 // loadIdentity returns the identity of the host that the folder belongs to. In a
-// folder without one, setUp writes the first snapshot and log, and then a new
-// identity is saved.
-func (f *folder) loadIdentity(name string, setUp func(types.HostID) error) (types.HostID, error) {
+// folder without one, setUp writes the first snapshot and log, and then the identity
+// that it returns is saved.
+func (f *folder) loadIdentity(setUp func() (types.HostID, error)) (types.HostID, error) {
 	if err := f.checkFormat(); err != nil {
 		return "", err
 	}
@@ -146,13 +145,10 @@
 	if err := f.checkUnused(); err != nil {
 		return "", err
 	}
-	host, err := identity.New(types.HostID(name))
+	host, err := setUp()
 	if err != nil {
 		return "", err
 	}
-	if err := setUp(host); err != nil {
-		return "", err
-	}
 	return host, f.replaceFile(identityFile, []byte(string(host)+"\n"))
 }
 
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -12,6 +12,7 @@
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/proto"
 	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"github.com/camphorpaddle/camphorpaddle/internal/identity"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 )
@@ -31,29 +32,39 @@
 // self.Host is the configured name; the voter that Init returns has the identity
 // generated from it.
 func Init(dir string, self proto.Voter) (proto.Voter, error) {
-	f, err := openFolder(dir)
+	host, err := identity.New(self.Host)
 	if err != nil {
 		return self, err
 	}
+	self.Host = host
+	return self, Found(dir, host, []proto.Voter{self})
+}
+
+// Found sets up an empty folder for one of the voters of a new cluster. All of them
+// start from the same voters, in the same order.
+func Found(dir string, host types.HostID, voters []proto.Voter) error {
+	f, err := openFolder(dir)
+	if err != nil {
+		return err
+	}
 	defer func() { _ = f.close() }()
 	created := false
-	_, err = f.loadIdentity(string(self.Host), func(host types.HostID) error {
+	_, err = f.loadIdentity(func() (types.HostID, error) {
 		created = true
-		self.Host = host
-		return f.writeInitialFiles(self)
+		return host, f.writeInitialFiles(voters)
 	})
 	if err == nil && !created {
 		err = trace.AlreadyExists("data folder %s holds a control host already", dir)
 	}
-	return self, err
+	return err
 }
 
 // initialTerm is the term of a new cluster's first snapshot.
 const initialTerm = 1
 
-// writeInitialFiles writes the files of a new cluster with one voter.
-func (f *folder) writeInitialFiles(self proto.Voter) error {
-	snapshot, err := encodeRecord(&proto.Snapshot{Index: 1, Term: initialTerm, Voters: []proto.Voter{self}})
+// writeInitialFiles writes the files of a new cluster.
+func (f *folder) writeInitialFiles(voters []proto.Voter) error {
+	snapshot, err := encodeRecord(&proto.Snapshot{Index: 1, Term: initialTerm, Voters: voters})
 	if err != nil {
 		return err
 	}
@@ -86,8 +97,12 @@
 }
 
 func (l *Log) load(name string) (err error) {
-	l.host, err = l.folder.loadIdentity(name, func(types.HostID) error {
-		return l.folder.writeUnjoinedFiles()
+	l.host, err = l.folder.loadIdentity(func() (types.HostID, error) {
+		host, err := identity.New(types.HostID(name))
+		if err != nil {
+			return "", err
+		}
+		return host, l.folder.writeUnjoinedFiles()
 	})
 	if err != nil {
 		return err
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -74,6 +74,22 @@
 	assert.ErrorContains(t, err, "holds a control host already")
 }
 
+// TestFoundersStartFromTheSameVoters checks that a founder keeps its identity as long as
+// its folder, and gets another one without it.
+func TestFoundersStartFromTheSameVoters(t *testing.T) {
+	voters := []proto.Voter{{Host: "a.founder", Address: "a"}, {Host: "b.founder", Address: "b"}}
+	for _, v := range voters {
+		dir := t.TempDir()
+		assert.NilError(t, Found(dir, v.Host, voters))
+		assert.ErrorContains(t, Found(dir, v.Host, voters), "holds a control host already")
+		l := open(t, dir)
+		assert.Equal(t, l.Host(), v.Host)
+		assert.DeepEqual(t, l.Saved().Snapshot.Voters, voters)
+		assert.NilError(t, l.Close())
+		assert.Assert(t, open(t, t.TempDir()).Host() != v.Host)
+	}
+}
+
 func TestLostFolderGetsNewIdentity(t *testing.T) {
 	l := newClusterLog(t)
 	old := l.Host()
