Promotions keep commits that replicas had to receive

With sync_replicas 1, an active replica without the acknowledged commits was promoted instead of a leaving one that held them; 20 of 20 acknowledged writes were lost.

Cause: sync_replicas was not read, and an active member went before a leaving one whatever their positions were. One answer was enough.

Change: types.Service.SyncReplicas. For such a service the highest position decides, and a member is promoted only once the known positions show that it holds every acknowledged commit. Silent members and the successors of leaving ones are awaited, a leaving primary stays if nobody can follow it, and lowering the number ends the wait. Other services are chosen for as before.

Evidence: core/promotion/synchronous_test.go.

--- a/core/cluster/apply.go
+++ b/core/cluster/apply.go
@@ -62,8 +62,14 @@
 func (s *State) reconcileGroups(index uint64) {
 	services := s.ledger.Config().Services
 	for _, name := range slices.Sorted(maps.Keys(services)) {
-		if s.groups[name] == nil {
-			s.setGroup(index, &types.Group{Service: name})
+		synchronous := services[name].SyncReplicas > 0
+		switch g := s.groups[name]; {
+		case g == nil:
+			s.setGroup(index, &types.Group{Service: name, Synchronous: synchronous})
+		case synchronous && !g.Synchronous:
+			next := *g
+			next.Synchronous = true
+			s.setGroup(index, &next)
 		}
 	}
 	for _, name := range s.Services() {
@@ -176,7 +182,8 @@
 		return nil
 	}
 	next := *g
-	next.Phase, next.Primary = types.GroupServing, c.Primary
+	next.Phase, next.Primary, next.LastPrimary = types.GroupServing, c.Primary, c.Primary
+	next.Synchronous = s.ledger.Config().Services[c.Service].SyncReplicas > 0
 	next.LogTerm, next.Unconfirmed = c.LogTerm, c.Unconfirmed
 	next.History = appendTermStart(g.History, c)
 	if extra := len(next.History) - maxTermStarts; extra > 0 {
--- a/core/cluster/state_test.go
+++ b/core/cluster/state_test.go
@@ -177,3 +177,32 @@
 	assert.Equal(t, ok, false)
 	assert.Equal(t, got, base)
 }
+
+// TestSynchronousUntilTheNextPrimary checks that a group counts as synchronous from the
+// change that says so until a primary begins under a configuration that doesn't.
+func TestSynchronousUntilTheNextPrimary(t *testing.T) {
+	l := &log{state: cluster.New()}
+	version := uint64(0)
+	setSyncReplicas := func(n int) {
+		c := config(1, "a")
+		c.Services["a"] = types.Service{Name: "a", Members: 1, SyncReplicas: n}
+		l.apply(change(fmt.Sprint(version+1), version, c))
+		version++
+	}
+	serve := func(term types.Term) {
+		l.apply(proto.Command{BeginTerm: &proto.BeginTerm{Service: "a", Term: term}})
+		assert.Equal(t, l.state.Group("a").LastPrimary != "", term > 1)
+		l.apply(proto.Command{ServeTerm: &proto.ServeTerm{Service: "a", Term: term, Primary: "t1"}})
+	}
+	setSyncReplicas(0)
+	l.apply(member("t1"))
+	serve(1)
+	assert.Assert(t, !l.state.Group("a").Synchronous)
+	setSyncReplicas(1)
+	assert.Assert(t, l.state.Group("a").Synchronous)
+	setSyncReplicas(0)
+	assert.Assert(t, l.state.Group("a").Synchronous, "the primary has acknowledged commits since")
+	serve(2)
+	assert.Assert(t, !l.state.Group("a").Synchronous)
+	assert.Equal(t, l.state.Group("a").LastPrimary, types.TargetName("t1"))
+}
--- a/core/membership/managed.go
+++ b/core/membership/managed.go
@@ -89,6 +89,9 @@
 	if known && last.announcement.Terminated {
 		return true
 	}
+	if t.awaitsPositions(g) {
+		return false
+	}
 	lastContact := t.leaderSince
 	if known {
 		lastContact = last.sentAt
@@ -96,6 +99,12 @@
 	return now.Sub(lastContact) >= managedRemoveAfter
 }
 
+// awaitsPositions reports whether a group without a primary may need a silent member: it
+// may hold commits that no other member holds, which the next primary must have.
+func (t *Tracker) awaitsPositions(g *types.Group) bool {
+	return t.state.Config().Services[g.Service].SyncReplicas > 0 && g.Served() && g.Phase == types.GroupFencing
+}
+
 // handleGone marks a target that has ended as gone, and reconciles its
 // membership.
 func (t *Tracker) handleGone(now types.Instant, name types.TargetName) []effect.Effect {
--- a/core/promotion/attempt.go
+++ b/core/promotion/attempt.go
@@ -129,7 +129,7 @@
 func (m *Manager) readPositions(now types.Instant, g *types.Group, gr *group) []effect.Effect {
 	a := gr.attempt
 	if m.managed(g) {
-		if chosen, leads, ok := m.chooseManaged(now, g, a); leads {
+		if chosen, leads, ok := m.chooseManaged(now, g, gr); leads {
 			return m.adopt(now, g, gr, chosen)
 		} else if ok {
 			return m.requestPromotion(now, g, gr, chosen)
--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -43,9 +43,10 @@
 func (m *Manager) managed(g *types.Group) bool { return m.state.Config().Managed(g.Service) }
 
 // chooseManaged returns the member that is already primary, or the most
-// up-to-date one once enough members have answered. Replication is
-// asynchronous, so no majority is needed.
-func (m *Manager) chooseManaged(now types.Instant, g *types.Group, a *attempt) (t types.Target, leads, ok bool) {
+// up-to-date one once enough members have answered. Where replication is
+// asynchronous, no majority is needed.
+func (m *Manager) chooseManaged(now types.Instant, g *types.Group, gr *group) (t types.Target, leads, ok bool) {
+	a := gr.attempt
 	if !a.ordered && now.Sub(a.startedAt) >= avoidTimeout {
 		a.avoided = ""
 	}
@@ -62,12 +63,18 @@
 	if a.quorumAt == 0 {
 		return t, false, false
 	}
-	best, found := m.mostUpToDateManaged(g, a)
+	catchingUp := a.ordered && now < a.catchUpDeadline
+	best, found := a.mostUpToDateManaged(g, g.Synchronous && !catchingUp)
 	switch {
 	case !found:
 		return best, false, false
-	case a.ordered && now < a.catchUpDeadline:
+	case catchingUp:
 		return best, false, a.statuses[best.Name].Pos == a.statuses[a.avoided].Pos
+	case !m.holdsAcknowledged(now, g, gr, best):
+		if a.ordered {
+			a.avoided = "" // the leaving primary stays, since no member can take over without loss
+		}
+		return best, false, false
 	}
 	return best, false, a.othersAnswered(g) || now >= a.quorumAt.Add(readGrace)
 }
@@ -99,9 +106,10 @@
 	return types.Target{}, false
 }
 
-// mostUpToDateManaged returns the member to promote: active members come
-// before leaving ones, then the highest position decides.
-func (m *Manager) mostUpToDateManaged(g *types.Group, a *attempt) (types.Target, bool) {
+// mostUpToDateManaged returns the member to promote. The highest position decides, among
+// the active members if there is one that may be promoted. With anyState, leaving members
+// count as much as active ones.
+func (a *attempt) mostUpToDateManaged(g *types.Group, anyState bool) (types.Target, bool) {
 	var best types.Target
 	found := false
 	for _, t := range g.Members {
@@ -110,7 +118,8 @@
 			continue
 		}
 		active, bestActive := t.State == types.TargetActive, best.State == types.TargetActive
-		if !found || active && !bestActive || active == bestActive && ranksBelow(a.statuses[best.Name].Pos, s.Pos, a.rank(best), a.rank(t)) {
+		comparable := anyState || active == bestActive
+		if !found || !comparable && active || comparable && ranksBelow(a.statuses[best.Name].Pos, s.Pos, a.rank(best), a.rank(t)) {
 			best, found = t, true
 		}
 	}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -102,6 +102,7 @@
 	openTarget         types.TargetName // the member that all open requests name; empty if they differ or are unknown
 	unansweredRequests int              // consecutive promotion requests without an answer
 	confirmation       confirmation     // of a primary that serves unconfirmed
+	departures         []departure      // since the last primary was chosen
 }
 
 // call is a pending call to a target.
@@ -166,6 +167,9 @@
 		maps.DeleteFunc(m.groups, func(name types.ServiceName, _ *group) bool { return m.state.Group(name) == nil })
 		return m.advanceAll(now)
 	case c.Member != nil:
+		if g := m.state.Group(c.Member.Service); g != nil && c.Member.Remove {
+			m.group(g.Service).recordDeparture(now, g, c.Member.Target)
+		}
 		return m.advance(now, c.Member.Service)
 	case c.Quiesce != nil:
 		m.clearProposal(c.Quiesce.Service).preferred = c.Quiesce.To
@@ -190,7 +194,7 @@
 			term: a.term, requestedAt: a.replyDeadline.Add(-managedPromoteTimeout), answeredAt: a.answeredAt,
 		}
 	}
-	gr.attempt = nil
+	gr.attempt, gr.departures = nil, nil
 	g := m.state.Group(c.Service)
 	if g == nil || g.Term != c.Term {
 		return nil
--- /dev/null
+++ b/core/promotion/synchronous.go
@@ -0,0 +1,79 @@
+package promotion
+
+import (
+	"slices"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+)
+
+// successorTimeout is how long the successor of a leaving member that has ended is awaited.
+// Until it has announced itself, nobody knows what the log holds that it takes over.
+const successorTimeout = 10 * time.Second
+
+// departure is a leaving member that has ended. Its log goes to a successor at its address.
+type departure struct {
+	address types.Address
+	at      types.Instant
+}
+
+// recordDeparture records a member that was removed, if a successor takes over its log.
+func (gr *group) recordDeparture(now types.Instant, g *types.Group, t types.Target) {
+	gr.dropDepartures(now, g)
+	if t.State == types.TargetLeaving {
+		gr.departures = append(gr.departures, departure{address: t.Address, at: now})
+	}
+}
+
+// dropDepartures forgets the members whose successors have joined or are not awaited any
+// more.
+func (gr *group) dropDepartures(now types.Instant, g *types.Group) {
+	gr.departures = slices.DeleteFunc(gr.departures, func(d departure) bool {
+		joined := slices.ContainsFunc(g.Members, func(t types.Target) bool { return t.Address == d.address })
+		return joined || now.Sub(d.at) >= successorTimeout
+	})
+}
+
+// holdsAcknowledged reports whether the positions that are known show that a member holds
+// every commit that was acknowledged after Service.SyncReplicas replicas had received it.
+// That has to be shown for each member that may have been the primary: any but the last
+// one may have become it by a promotion request that was executed without an answer.
+func (m *Manager) holdsAcknowledged(now types.Instant, g *types.Group, gr *group, t types.Target) bool {
+	syncReplicas := m.state.Config().Services[g.Service].SyncReplicas
+	if syncReplicas == 0 || !g.Served() {
+		return true
+	}
+	gr.dropDepartures(now, g)
+	a, holders := gr.attempt, syncReplicas-len(gr.departures) // that are still members, at least
+	if g.LastPrimary != "" && !a.coversReplicas(g, t, g.LastPrimary, holders) {
+		return false
+	}
+	for _, primary := range g.Members {
+		if !a.coversReplicas(g, t, primary.Name, holders) {
+			return false
+		}
+	}
+	return true
+}
+
+// coversReplicas reports whether a member holds what a primary acknowledged: it holds all
+// that the primary itself holds, or all that each of the other members holds but for fewer
+// than holders.
+func (a *attempt) coversReplicas(g *types.Group, t types.Target, primary types.TargetName, holders int) bool {
+	replicas, covered := 0, 0
+	for _, other := range g.Members {
+		s, ok := a.statuses[other.Name]
+		holds := ok && s.Pos.Compare(a.statuses[t.Name].Pos) <= 0
+		if other.Name == primary {
+			if holds {
+				return true
+			}
+			continue
+		}
+		replicas++
+		if holds {
+			covered++
+		}
+	}
+	return covered > replicas-holders
+}
--- /dev/null
+++ b/core/promotion/synchronous_test.go
@@ -0,0 +1,160 @@
+package promotion_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/camphorpaddle/camphorpaddle/core/event"
+	"github.com/camphorpaddle/camphorpaddle/core/proto"
+	"github.com/camphorpaddle/camphorpaddle/core/types"
+	"gotest.tools/v3/assert"
+)
+
+// startSynchronous returns a harness whose managed service acknowledges a commit once one
+// replica has received it. Its primary is t2.
+func startSynchronous(t *testing.T) *harness {
+	t.Helper()
+	h := startManaged(t)
+	h.setSyncReplicas(2, 1)
+	return h
+}
+
+// setSyncReplicas orders configuration version n.
+func (h *harness) setSyncReplicas(n uint64, syncReplicas int) {
+	h.change(n, map[types.ServiceName]types.Service{
+		service: {Name: service, Connections: 20, Managed: true, SyncReplicas: syncReplicas},
+	})
+	h.Run(500 * time.Millisecond)
+}
+
+// leave makes a member announce that it leaves.
+func (h *harness) leave(name types.TargetName) {
+	h.targets[name].leaving = true
+	h.Run(2500 * time.Millisecond)
+}
+
+// write writes to the primary, and waits until the replicas that receive it have it.
+func (h *harness) write() {
+	h.targets["t2"].write(20)
+	h.Run(100 * time.Millisecond)
+}
+
+// hideFromProxies cuts a target off from the proxies, but not from the control hosts.
+func (h *harness) hideFromProxies(name types.TargetName) {
+	for id := range h.proxies {
+		h.blocked[string(id)+">"+string(name)] = true
+	}
+}
+
+// TestLeavingReplicaHoldsAcknowledgedCommits guards against the promotion of an active
+// member that lacks commits, which were acknowledged since a leaving one has them.
+func TestLeavingReplicaHoldsAcknowledgedCommits(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		then func(h *harness) // after the write
+	}{
+		{"crash", func(h *harness) { h.targets["t2"].down = true }},
+		{"crash and another leader of the control hosts", func(h *harness) {
+			h.targets["t2"].down = true
+			h.Run(700 * time.Millisecond)
+			h.elect("c2")
+		}},
+		{"crash after SyncReplicas was lowered", func(h *harness) {
+			h.setSyncReplicas(3, 0)
+			h.targets["t2"].down = true
+		}},
+		{"primary that only the control hosts reach", func(h *harness) { h.hideFromProxies("t2") }},
+		{"release", func(h *harness) { h.targets["t2"].leaving = true }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := startSynchronous(t)
+			h.leave("t1")
+			h.targets["t3"].deaf = true
+			h.write()
+			acknowledged := h.targets["t1"].pos
+			tt.then(h)
+			_, ok := h.runUntil(2*managedFailoverBound, func() bool { return h.group().LastPrimary != "t2" })
+			assert.Assert(t, ok, "no new primary: %+v", h.group())
+			assert.Equal(t, h.group().LastPrimary, types.TargetName("t1"))
+			assert.Assert(t, h.targets["t1"].pos.Compare(acknowledged) >= 0)
+		})
+	}
+}
+
+// TestUnknownPositionIsAwaited guards against the promotion of the only member that
+// answers, although another one may hold the only copy of acknowledged commits. That one
+// is neither removed while it is silent, nor passed over once it is back.
+func TestUnknownPositionIsAwaited(t *testing.T) {
+	h := startSynchronous(t)
+	h.targets["t3"].deaf = true
+	h.write()
+	h.targets["t1"].down, h.targets["t2"].down = true, true
+	h.Run(30 * time.Second)
+	assert.Equal(t, len(h.promotionService.tokens), 0)
+	assert.Equal(t, len(h.group().Members), 3)
+	h.targets["t1"].down = false
+	_, ok := h.runUntil(managedFailoverBound, func() bool { return h.group().Primary == "t1" })
+	assert.Assert(t, ok, "%+v", h.group())
+}
+
+// TestLoweredSyncReplicasEndsTheWait checks that an operator may give up the commits that
+// only silent members hold.
+func TestLoweredSyncReplicasEndsTheWait(t *testing.T) {
+	h := startSynchronous(t)
+	h.targets["t3"].deaf = true
+	h.write()
+	h.targets["t1"].down, h.targets["t2"].down = true, true
+	h.Run(5 * time.Second)
+	h.setSyncReplicas(3, 0)
+	_, ok := h.runUntil(managedFailoverBound, func() bool { return h.group().Primary == "t3" })
+	assert.Assert(t, ok, "%+v", h.group())
+}
+
+// TestReplicaAtThePositionOfThePrimary checks that no further answer is awaited where the
+// primary itself shows that a replica holds all that it acknowledged.
+func TestReplicaAtThePositionOfThePrimary(t *testing.T) {
+	h := startSynchronous(t)
+	h.targets["t1"].down = true
+	h.write()
+	h.hideFromProxies("t2")
+	_, ok := h.runUntil(managedFailoverBound, func() bool { return h.group().Primary == "t3" })
+	assert.Assert(t, ok, "%+v", h.group())
+}
+
+// TestLeavingPrimaryStays checks that a leaving primary is not replaced by a replica that
+// may lack acknowledged commits, and goes on serving.
+func TestLeavingPrimaryStays(t *testing.T) {
+	h := startSynchronous(t)
+	h.targets["t3"].deaf = true
+	h.write()
+	h.targets["t1"].down = true
+	h.leave("t2")
+	_, ok := h.runUntil(managedFailoverBound, func() bool { return h.group().Phase == types.GroupFencing })
+	assert.Assert(t, ok, "%+v", h.group())
+	_, ok = h.runUntil(managedFailoverBound, func() bool { return h.group().Primary == "t2" })
+	assert.Assert(t, ok, "%+v", h.group())
+	assert.Assert(t, h.promotionService.lastTarget != "t3")
+}
+
+// TestSuccessorOfLeavingReplicaIsAwaited guards against the promotion of a member that lacks
+// acknowledged commits, after the leaving replica that held them has ended and before the
+// successor at its address, which takes over its log, has joined.
+func TestSuccessorOfLeavingReplicaIsAwaited(t *testing.T) {
+	h := startSynchronous(t)
+	h.leave("t1")
+	h.targets["t3"].deaf = true
+	h.write()
+	ended := h.targets["t1"]
+	ended.down = true
+	h.proxies["p1"].step(event.Announced{Announcement: proto.Announcement{Name: "t1", Terminated: true}})
+	_, ok := h.runUntil(managedFailoverBound, func() bool { return len(h.group().Members) == 2 })
+	assert.Assert(t, ok, "%+v", h.group())
+	h.targets["t2"].down = true
+	h.Run(3 * time.Second)
+	assert.Equal(t, len(h.promotionService.tokens), 0)
+	h.addTarget("t4")
+	successor := h.targets["t4"]
+	successor.address, successor.term, successor.pos, successor.leader = "t1", ended.term, ended.pos, "t2"
+	_, ok = h.runUntil(managedFailoverBound, func() bool { return h.group().LastPrimary == "t4" })
+	assert.Assert(t, ok, "%+v", h.group())
+}
--- a/core/promotion/target_test.go
+++ b/core/promotion/target_test.go
@@ -1,6 +1,7 @@
 package promotion_test
 
 import (
+	"cmp"
 	"maps"
 	"time"
 
@@ -20,6 +21,8 @@
 	pos            types.LogPos
 	lag            time.Duration // time until its followers hold a write
 	down           bool
+	address        types.Address // its name, if empty
+	deaf           bool          // receives no writes
 	frozenUntil    types.Instant // answers nothing before this time
 	leaving        bool
 	crashOnPromote bool // crashes when asked to become primary
@@ -66,7 +69,7 @@
 	h := t.harness
 	if !t.down && !h.blocked[string(t.name)] {
 		h.proxies["p1"].step(event.Announced{Announcement: proto.Announcement{
-			Service: service, Name: t.name, Address: types.Address(t.name), Leaving: t.leaving,
+			Service: service, Name: t.name, Address: cmp.Or(t.address, types.Address(t.name)), Leaving: t.leaving,
 		}})
 	}
 	h.Schedule(2*time.Second, t.announce)
@@ -80,7 +83,7 @@
 	t.harness.Schedule(t.lag, func() {
 		for _, f := range t.harness.targets {
 			blocked := t.harness.blocked[string(t.name)] || t.harness.blocked[string(f.name)]
-			if f.leader == t.name && f.term == term && !blocked && !f.down && f.pos.Compare(pos) < 0 {
+			if f.leader == t.name && f.term == term && !blocked && !f.down && !f.deaf && f.pos.Compare(pos) < 0 {
 				f.pos = pos
 			}
 		}
--- a/core/types/config.go
+++ b/core/types/config.go
@@ -74,6 +74,10 @@
 	// themselves whether they hold the position that a read requires. Members, Slots and Profiles may be
 	// omitted then.
 	Managed bool
+
+	// SyncReplicas is the number of replicas that have received a commit before a managed
+	// target acknowledges it. A promotion keeps all commits acknowledged that way.
+	SyncReplicas int
 }
 
 // DatabaseName is the database name that a caller connects to.
--- a/core/types/group.go
+++ b/core/types/group.go
@@ -58,6 +58,13 @@
 	// primary, so that a lease does not rule out another one. Only for managed
 	// services.
 	Unconfirmed bool
+
+	// LastPrimary is the last primary, also while there is none.
+	LastPrimary TargetName
+
+	// Synchronous says that commits of the last primary may have been acknowledged under
+	// Service.SyncReplicas, although it may be zero now. Only for managed services.
+	Synchronous bool
 }
 
 // TargetTerm returns the term that the group's targets use: LogTerm, or Term if
