A statement waits for the setup of its connection

Cause: the operations that give a shared connection the values and prepared statements of a session were sent ahead of the statement without waiting for their answers. Their failure was noticed once the statement had run.

Change: the operations are an exchange of their own; the statement follows when all of them have succeeded. BEGIN, which runs nothing, still goes with them, so a transaction needs no further round trip. After a failure the connection is reset before its next use instead of closed, and the request is tried again: nothing of it has run. In a transaction that is still open the statement waits; otherwise it is refused as not run.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -46,20 +46,23 @@
 
 // setup holds the settings and prepared statements of a connection.
 type setup struct {
+	unknown  bool // an operation that would have changed it failed
 	values   map[string]string
 	prepared map[string]bool
 }
 
-// Prepare returns the operations that give the connection the setup that a session
-// needs, and records them as done: a connection on which one fails is dropped.
-func (c *Conn) Prepare(want *types.Setup) []types.Operation {
+// Missing returns the operations that give the connection the setup that a session
+// needs.
+func (c *Conn) Missing(want *types.Setup) []types.Operation {
 	var ops []types.Operation
 	c.visitMissing(want, func(op types.Operation) { ops = append(ops, op) })
-	c.recordOperations(ops)
 	return ops
 }
 
-// missingCount returns the number of operations that Prepare would return.
+// HasSetup reports whether the connection has the setup that a session needs.
+func (c *Conn) HasSetup(want *types.Setup) bool { return c.missingCount(want) == 0 }
+
+// missingCount returns the number of operations that Missing would return.
 func (c *Conn) missingCount(want *types.Setup) int {
 	n := 0
 	c.visitMissing(want, func(types.Operation) { n++ })
@@ -87,8 +90,9 @@
 	}
 }
 
-// recordOperations updates the setup of the connection as the operations change it.
-func (c *Conn) recordOperations(ops []types.Operation) {
+// RecordSetup updates the setup of the connection after operations that Missing returned
+// have succeeded.
+func (c *Conn) RecordSetup(ops []types.Operation) {
 	for _, op := range ops {
 		switch op.Kind {
 		case types.OpReset:
@@ -107,9 +111,16 @@
 	}
 }
 
+// ForgetSetup records that the setup of the connection is unknown, since an operation that
+// would have changed it failed. The connection is reset before its next use.
+func (c *Conn) ForgetSetup() { c.setup = setup{unknown: true} }
+
 // hasOnly reports whether every setting on the connection is also one of settings, so
 // that the connection needn't be reset.
 func (c *Conn) hasOnly(settings []types.Setting) bool {
+	if c.setup.unknown {
+		return false
+	}
 	found := 0
 	for _, s := range settings {
 		if _, ok := c.setup.values[s.Name]; ok {
--- a/core/pool/conn_test.go
+++ b/core/pool/conn_test.go
@@ -7,9 +7,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestMissingCountMatchesPrepare covers connections that have all, a part or none of the
+// TestMissingCountMatchesMissing covers connections that have all, a part or none of the
 // setup that a session needs, or more than that.
-func TestMissingCountMatchesPrepare(t *testing.T) {
+func TestMissingCountMatchesMissing(t *testing.T) {
 	set := func(names ...string) []types.Setting {
 		var out []types.Setting
 		for _, n := range names {
@@ -34,10 +34,27 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			var c Conn
-			c.Prepare(tt.left)
+			c.RecordSetup(c.Missing(tt.left))
 			assert.Equal(t, c.missingCount(tt.want), tt.operations)
-			assert.Equal(t, len(c.Prepare(tt.want)), tt.operations)
-			assert.Equal(t, c.missingCount(tt.want), 0)
+			assert.Equal(t, len(c.Missing(tt.want)), tt.operations)
+			c.RecordSetup(c.Missing(tt.want))
+			assert.Assert(t, c.HasSetup(tt.want))
 		})
 	}
 }
+
+// TestUnknownSetupIsReset guards against a connection that is used although an operation
+// that would have changed its setup failed.
+func TestUnknownSetupIsReset(t *testing.T) {
+	want := &types.Setup{Settings: []types.Setting{{Name: "x", Value: "1"}}}
+	for _, next := range []*types.Setup{want, nil} {
+		var c Conn
+		c.RecordSetup(c.Missing(want))
+		c.ForgetSetup()
+		assert.Assert(t, !c.HasSetup(next))
+		ops := c.Missing(next)
+		assert.Equal(t, ops[0].Kind, types.OpReset)
+		c.RecordSetup(ops)
+		assert.Assert(t, c.HasSetup(next))
+	}
+}
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -182,7 +182,7 @@
 			r.service.target(r.target).eject(s.now)
 		}
 		s.recordFailure(r)
-		r.mayHaveRun = true
+		r.mayHaveRun = r.mayHaveRun || r.mayBeExecuting()
 		s.suspectIfPrimary(r)
 		s.refuse(r, types.RefuseTimeout, r.outcome(), fmt.Sprintf("target %s did not answer within %s", r.target, s.now.Sub(r.sentAt)))
 	case stageDurable:
@@ -194,7 +194,7 @@
 
 // refuseStopping refuses a request that is not answered at the end of the drain.
 func (s *Shard) refuseStopping(r *request) {
-	r.mayHaveRun = r.mayHaveRun || r.stage == stageRunning
+	r.mayHaveRun = r.mayHaveRun || r.mayBeExecuting()
 	outcome := r.outcome()
 	if r.stage == stageDurable {
 		outcome = types.Unknown
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
 	"github.com/camphorpaddle/camphorpaddle/core/event"
@@ -22,6 +23,7 @@
 	stepLookup               // fetch the answer of an earlier run
 	stepFence                // begin a transaction, which a replaced primary refuses
 	stepFenced               // the caller's read within it
+	stepSetup                // give the connection the session's settings and prepared statements
 )
 
 // start gives a queued request a connection of the target and sends it.
@@ -54,17 +56,20 @@
 	return fmt.Sprintf("target %s is no longer active and the drain timeout of its transactions has passed", t)
 }
 
-// sendFirst sends the first exchange of a request.
+// sendFirst sends the first exchange of a request. A statement is sent only once the
+// connection has the session's setup, since a target that fails a part of the setup would
+// still run what was sent behind it. BEGIN runs nothing, so the setup may go with it.
 func (s *Shard) sendFirst(r *request) {
-	if s.needsFence(r) {
+	switch {
+	case s.needsFence(r):
 		s.send(r, stepFence)
-		return
-	}
-	if r.ID != "" {
+	case !r.BeginsTx && !r.conn.HasSetup(r.Setup):
+		s.send(r, stepSetup)
+	case r.ID != "":
 		s.send(r, stepClaim)
-		return
+	default:
+		s.send(r, stepCaller)
 	}
-	s.send(r, stepCaller)
 }
 
 // send starts an exchange. A request of several exchanges fails between two of
@@ -81,10 +86,9 @@
 	}
 	r.sentUnderLease = s.leaseLive() && r.service.primary.leased
 	r.selectedPos = r.service.health(s.view, r.target).Pos
-	setup := r.conn.Prepare(r.Setup)
-	r.setup = len(setup)
+	r.setup = r.conn.Missing(r.Setup)
 	s.emit(effect.SendTarget{
-		Conn: r.conn.ID, Seq: r.conn.BeginExchange(), Operations: append(setup, r.operations()...), Trace: r.Trace,
+		Conn: r.conn.ID, Seq: r.conn.BeginExchange(), Operations: slices.Concat(r.setup, r.operations()), Trace: r.Trace,
 		Deadline: s.sendDeadline(r),
 	})
 	s.armSessionTimer(r.session)
@@ -127,6 +131,8 @@
 		return []types.Operation{{Kind: types.OpBegin}}
 	case stepFenced:
 		return []types.Operation{caller, {Kind: types.OpRollback}, position}
+	case stepSetup:
+		return nil
 	case stepLookup:
 		lookup := types.Operation{Kind: types.OpLookup, RequestID: r.ID}
 		return append(precededBy(ownTx, types.OpRollback, lookup), position)
@@ -152,7 +158,7 @@
 	r := s.sessions[conn.Owner].request
 	s.dirty[r.service.name] = true
 	if e.Err == nil {
-		e.Results, e.Err = r.callerResults(e.Results)
+		e.Err = r.checkCount(e.Results)
 		e.Sent = true
 	}
 	if e.Err != nil {
@@ -164,31 +170,32 @@
 	if r.target == r.service.primary.name {
 		r.service.silence.answerReceived(executed(e.Results[0]))
 	}
-	s.recordResult(r, e.Results[0])
-	if executed(e.Results[0]) && !s.failedByTarget(r, e.Results[0]) {
+	if !s.setupDone(r, e.Results) {
+		return
+	}
+	results := e.Results[len(r.setup):]
+	if r.step == stepSetup {
+		s.sendFirst(r)
+		return
+	}
+	s.recordResult(r, results[0])
+	if executed(results[0]) && !s.failedByTarget(r, results[0]) {
 		t := r.service.target(r.target)
 		t.recordAnswer(s.now, e.Latency)
 		r.service.recordLatency(r.profile.Name, e.Latency)
 		s.adaptLimit(r)
 	}
-	s.observeQueueing(r, e.Results[0], e.Latency)
-	s.recordStatus(r, e.Results[0], e.Results[len(e.Results)-1])
-	s.stepDone(r, e.Results)
+	s.observeQueueing(r, results[0], e.Latency)
+	s.recordStatus(r, results[0], results[len(results)-1])
+	s.stepDone(r, results)
 }
 
-// callerResults returns the results of the request's own operations, without
-// those that set up the connection. A connection whose setup failed is in an
-// unknown state, so that is an error.
-func (r *request) callerResults(all []types.Result) ([]types.Result, error) {
-	if want := r.setup + len(r.operations()); len(all) != want {
-		return nil, fmt.Errorf("target %s gave %d results for %d operations", r.target, len(all), want)
-	}
-	for _, res := range all[:r.setup] {
-		if res.Err != types.TargetErrNone {
-			return nil, fmt.Errorf("target %s could not set up the connection", r.target)
-		}
+// checkCount returns an error unless there is a result for each operation that was sent.
+func (r *request) checkCount(results []types.Result) error {
+	if want := len(r.setup) + len(r.operations()); len(results) != want {
+		return fmt.Errorf("target %s gave %d results for %d operations", r.target, len(results), want)
 	}
-	return all[r.setup:], nil
+	return nil
 }
 
 // recordStatus stores the target's status if the exchange ended with one.
@@ -289,6 +296,7 @@
 	if sent && r.stage == stageRunning {
 		s.recordFailure(r)
 	}
+	sent = sent && r.step != stepSetup
 	lostTx := r.inTx || r.session.inTransaction()
 	again := !lostTx && (!sent || r.repeatable())
 	r.mayHaveRun = r.mayHaveRun || sent
--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -380,18 +380,25 @@
 	h.setShare("a", types.Share{Connections: 1, Slots: 1})
 	h.openDatabase(1, "orders")
 	h.openDatabase(2, "orders")
-	send := func(id types.SessionID, s *types.Setup) []types.OperationKind {
-		h.sendRequest(id, types.Request{Fenced: true, MayCommit: true, Payload: "write", Setup: s})
-		e, _ := h.lastSent()
-		h.answerManaged(1)
-		return operationKinds(e)
+	send := func(id types.SessionID, s *types.Setup) [][]types.OperationKind {
+		before := len(h.sends)
+		seq := h.sendRequest(id, types.Request{Fenced: true, MayCommit: true, Payload: "write", Setup: s})
+		var exchanges [][]types.OperationKind
+		for !h.answered(seq) {
+			e, _ := h.lastSent()
+			assert.Equal(t, len(h.sends), before+len(exchanges)+1)
+			exchanges = append(exchanges, operationKinds(e))
+			h.answerManaged(1)
+		}
+		return exchanges
 	}
+	statement := []types.OperationKind{types.OpCaller, types.OpPosition}
 	own := &types.Setup{Settings: []types.Setting{{Name: "x", Value: "1"}}, Prepared: &types.Prepared{Name: "p"}}
-	assert.DeepEqual(t, send(1, own), []types.OperationKind{types.OpSetValue, types.OpPrepare, types.OpCaller, types.OpPosition})
-	assert.DeepEqual(t, send(1, own), []types.OperationKind{types.OpCaller, types.OpPosition})
-	assert.DeepEqual(t, send(2, nil), []types.OperationKind{types.OpReset, types.OpCaller, types.OpPosition})
+	assert.DeepEqual(t, send(1, own), [][]types.OperationKind{{types.OpSetValue, types.OpPrepare}, statement})
+	assert.DeepEqual(t, send(1, own), [][]types.OperationKind{statement})
+	assert.DeepEqual(t, send(2, nil), [][]types.OperationKind{{types.OpReset}, statement})
 	other := &types.Setup{Settings: []types.Setting{{Name: "x", Value: "2"}}}
-	assert.DeepEqual(t, send(1, other), []types.OperationKind{types.OpSetValue, types.OpCaller, types.OpPosition})
+	assert.DeepEqual(t, send(1, other), [][]types.OperationKind{{types.OpSetValue}, statement})
 }
 
 // TestTokenSetsFloorOfRoutedSession covers a session that continues, by its
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -61,8 +61,8 @@
 	replica bool // target is not the primary
 	step    step
 
-	setup          int          // operations before the caller's that set up the connection
-	floor          types.LogPos // position that a replica of a managed service must hold
+	setup          []types.Operation // sent first in the exchange, to set up the connection
+	floor          types.LogPos      // position that a replica of a managed service must hold
 	sentAt         types.Instant
 	sentTerm       types.Term   // expected of the target when it was sent
 	slowChecked    bool         // the answer is slow, and the target has been checked for it
