PostgreSQL: nothing runs behind a BEGIN that failed

A target that fails the BEGIN around a declared read runs the read outside of a read-only transaction, so that a write in it would be kept. One that fails the BEGIN of a claim commits the claim at once, and the request's id is taken although its statement never ran.

Cause: both BEGINs were sent ahead as messages of their own, and the target executed the next message whatever became of them.

Change: the BEGIN of a claim is in one Query message with it. The BEGIN of a read-only transaction goes with the extended protocol and without a Sync, so that the target skips what follows. No round trip is added. The stand-in now skips Query messages until the Sync too, as PostgreSQL does.

--- a/dialer/pg/answer.go
+++ b/dialer/pg/answer.go
@@ -42,18 +42,40 @@
 	if !isReadOnly(op) {
 		return c.readAnswer(op, budget)
 	}
-	if err := c.readInternal(types.OpBegin); err != nil {
+	if err := c.readBegin(); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	a, err := c.readAnswer(op, budget)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if op.Payload.(*Batch).isQuery() {
+		if err := c.readInternal(types.OpBegin); err != nil { // the Sync behind it
+			return nil, trace.Wrap(err)
+		}
+	}
 	err = c.readInternal(types.OpCommit)
 	a.tx = types.TxIdle
 	return a, trace.Wrap(err)
 }
 
+// readBegin reads the answer to the beginning of a read-only transaction, which has no
+// ReadyForQuery.
+func (c *Conn) readBegin() error {
+	for {
+		msgType, body, err := c.readMessage()
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		switch msgType {
+		case msgCommandComplete:
+			return nil
+		case msgErrorResponse:
+			return trace.Wrap(decodeError(body), "beginning a read-only transaction")
+		}
+	}
+}
+
 // readInternal reads the answer to an internal statement that must not fail.
 func (c *Conn) readInternal(kind types.OperationKind) error {
 	a, err := c.readAnswer(types.Operation{Kind: kind}, c.maxReply)
--- a/dialer/pg/batch.go
+++ b/dialer/pg/batch.go
@@ -19,6 +19,12 @@
 	ReadOnly bool
 }
 
+// msgQuery is the type of a Query message.
+const msgQuery = 'Q'
+
+// isQuery reports whether the batch is a Query message.
+func (b *Batch) isQuery() bool { return len(b.Messages) > 0 && b.Messages[0] == msgQuery }
+
 // Reply is the payload of an answer: the messages of the target without the
 // final ReadyForQuery.
 type Reply struct {
--- a/dialer/pg/conn.go
+++ b/dialer/pg/conn.go
@@ -79,12 +79,9 @@
 	if err := c.ensureTable(ops); err != nil {
 		return nil, false, trace.Wrap(err)
 	}
-	var out []byte
-	for _, op := range ops {
-		var err error
-		if out, err = appendOperation(out, op); err != nil {
-			return nil, false, trace.Wrap(err)
-		}
+	out, err := appendOperations(ops)
+	if err != nil {
+		return nil, false, trace.Wrap(err)
 	}
 	if len(out) > maxSequentialWrite {
 		return c.sendWhileReading(out, ops)
@@ -126,7 +123,10 @@
 func (c *Conn) readResults(ops []types.Operation) ([]types.Result, error) {
 	results := make([]types.Result, 0, len(ops))
 	budget := c.maxReply
-	for _, op := range ops {
+	for i, op := range ops {
+		if beginsClaim(ops, i) {
+			continue // answered with the claim
+		}
 		answer, err := c.readOperation(op, budget)
 		if err != nil {
 			return nil, trace.Wrap(err, "reading the target's answer")
@@ -136,6 +136,9 @@
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
+		if i > 0 && beginsClaim(ops, i-1) {
+			results = append(results, answer.beginResult())
+		}
 		results = append(results, result)
 	}
 	return results, nil
--- a/dialer/pg/operation.go
+++ b/dialer/pg/operation.go
@@ -36,6 +36,46 @@
 // createRequestTable creates the table of request ids.
 const createRequestTable = "CREATE TABLE IF NOT EXISTS paddle_requests (id TEXT PRIMARY KEY, answer TEXT)"
 
+// appendOperations encodes the operations of an exchange.
+func appendOperations(ops []types.Operation) ([]byte, error) {
+	var out []byte
+	for i, op := range ops {
+		var err error
+		switch {
+		case beginsClaim(ops, i):
+			continue // sent with the claim
+		case i > 0 && beginsClaim(ops, i-1):
+			out, err = appendQuery(out, beginClaim(op))
+		default:
+			out, err = appendOperation(out, op)
+		}
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return out, nil
+}
+
+// beginsClaim reports whether operation i begins the transaction of a claim. The two are
+// one Query message, of which the target executes nothing after a statement that fails: a
+// claim outside of its transaction would be committed at once.
+func beginsClaim(ops []types.Operation, i int) bool {
+	return ops[i].Kind == types.OpBegin && i+1 < len(ops) && ops[i+1].Kind == types.OpClaim
+}
+
+// beginClaim returns the SQL text of a claim and the beginning of its transaction.
+func beginClaim(op types.Operation) string { return "BEGIN; " + claim(op) }
+
+// claim returns the SQL text that records a request's id.
+func claim(op types.Operation) string {
+	return fmt.Sprintf("INSERT INTO paddle_requests (id) VALUES (%s)", quote(string(op.RequestID)))
+}
+
+func appendQuery(dst []byte, sql string) ([]byte, error) {
+	dst, err := (&pgproto3.Query{String: sql}).Encode(dst)
+	return dst, trace.Wrap(err)
+}
+
 // appendOperation appends the encoded messages of an operation.
 func appendOperation(dst []byte, op types.Operation) ([]byte, error) {
 	if op.Kind == types.OpCaller {
@@ -49,21 +89,30 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return (&pgproto3.Query{String: sql}).Encode(dst)
+	return appendQuery(dst, sql)
 }
 
 // appendBatch appends the messages of a caller. With ReadOnly, the statements
-// of a read-only transaction are placed around them.
+// of a read-only transaction are placed around them. The first of them is sent with the
+// extended protocol and without a Sync of its own: if it fails, the target skips the
+// caller's messages, which would run outside of the transaction.
 func appendBatch(dst []byte, batch *Batch) ([]byte, error) {
 	if !batch.ReadOnly {
 		return append(dst, batch.Messages...), nil
 	}
-	dst, err := (&pgproto3.Query{String: "BEGIN READ ONLY"}).Encode(dst)
-	if err != nil {
-		return nil, trace.Wrap(err)
+	var err error
+	for _, m := range []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "BEGIN READ ONLY"}, &pgproto3.Bind{}, &pgproto3.Execute{}} {
+		if dst, err = m.Encode(dst); err != nil {
+			return nil, trace.Wrap(err)
+		}
 	}
 	dst = append(dst, batch.Messages...)
-	return (&pgproto3.Query{String: "COMMIT"}).Encode(dst)
+	if batch.isQuery() {
+		if dst, err = (&pgproto3.Sync{}).Encode(dst); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return appendQuery(dst, "COMMIT")
 }
 
 // isReadOnly reports whether an operation runs in a read-only transaction of
@@ -85,7 +134,7 @@
 	case types.OpRollback:
 		return "ROLLBACK", nil
 	case types.OpClaim:
-		return fmt.Sprintf("INSERT INTO paddle_requests (id) VALUES (%s)", quote(string(op.RequestID))), nil
+		return claim(op), nil
 	case types.OpRecordAnswer:
 		return recordAnswer(op)
 	case types.OpLookup:
@@ -126,6 +175,16 @@
 	return a.decodeRow(op, result)
 }
 
+// beginResult returns the result of the BEGIN that was sent with a claim. It failed if no
+// transaction is open behind the two.
+func (a *answer) beginResult() types.Result {
+	result := types.Result{Tx: a.tx}
+	if a.err != nil && a.tx == types.TxIdle {
+		result.Err = types.TargetErrStatement
+	}
+	return result
+}
+
 // errorKind classifies the error of the target, if any.
 func (a *answer) errorKind(op types.Operation) types.TargetErrorKind {
 	batch, ok := op.Payload.(*Batch)
--- a/standin/extended.go
+++ b/standin/extended.go
@@ -21,9 +21,7 @@
 
 // handle processes one message after the startup.
 func (c *serverConn) handle(msg pgproto3.FrontendMessage) error {
-	switch m := msg.(type) {
-	case *pgproto3.Query:
-		return c.query(m.String)
+	switch msg.(type) {
 	case *pgproto3.Sync:
 		failed := c.skipping
 		c.skipping = false
@@ -34,6 +32,9 @@
 	if c.skipping {
 		return nil
 	}
+	if m, ok := msg.(*pgproto3.Query); ok {
+		return c.query(m.String)
+	}
 	sqlErr, err := c.extended(msg)
 	if err != nil {
 		return trace.Wrap(err)
