Consensus: no change of voters right after a suspension

A leader that is suspended and goes on takes every voter for silent until it has handled their answers. The change of voters that follows on the commit of the last one is therefore made under the leader lease only. Found by reading; not seen. The tests of core/consensus pass.

--- a/core/consensus/voters.go
+++ b/core/consensus/voters.go
@@ -147,7 +147,9 @@
 		n.stepDown("this host was removed from the voters")
 		return
 	}
-	n.manageVoters()
+	if n.now < n.LeadsUntil() { // otherwise this host may have been suspended, and all seem silent
+		n.manageVoters()
+	}
 }
 
 // manageVoters makes the next change of voters that is needed, if any. A voter that
