--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -296,7 +296,7 @@
 	if sent && r.stage == stageRunning {
 		s.recordFailure(r)
 	}
-	sent = sent && r.step != stepSetup
+	sent = sent && r.step != stepSetup // then only the setup was
 	lostTx := r.inTx || r.session.inTransaction()
 	again := !lostTx && (!sent || r.repeatable())
 	r.mayHaveRun = r.mayHaveRun || sent
