--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -118,8 +118,8 @@
 			continue
 		}
 		active, bestActive := t.State == types.TargetActive, best.State == types.TargetActive
-		comparable := anyState || active == bestActive
-		if !found || !comparable && active || comparable && ranksBelow(a.statuses[best.Name].Pos, s.Pos, a.rank(best), a.rank(t)) {
+		byPosition := anyState || active == bestActive
+		if !found || !byPosition && active || byPosition && ranksBelow(a.statuses[best.Name].Pos, s.Pos, a.rank(best), a.rank(t)) {
 			best, found = t, true
 		}
 	}
