Consensus: the tests of interrupted replacements fail again on the old code

They and the long interruptions at the same address wait for half of the time again; the long ones at another address keep the quarter that the platform uses.

--- a/core/consensus/replacement_test.go
+++ b/core/consensus/replacement_test.go
@@ -17,31 +17,33 @@
 	recoveryLimit  = 5 * time.Second        // from the second loss until a host leads
 	longOutage     = 1500 * time.Millisecond
 	interruptEvery = 50 * time.Millisecond
+	shortSilence   = replacedIn / 4 // after which a voter is replaced
+	longSilence    = replacedIn / 2
 )
 
 // TestReplacementAtTheSameAddressInterrupted guards against a control group that ends
 // with the second lost disk, because a restart of the leader, at any point of the first
 // replacement, made the next leader count the silence of the lost voter from its own start.
 func TestReplacementAtTheSameAddressInterrupted(t *testing.T) {
-	testInterruptedReplacement(t, replaceAtSameAddress, interruption{"leader restarted", restartLeader})
+	testInterruptedReplacement(t, longSilence, replaceAtSameAddress, interruption{"leader restarted", restartLeader})
 }
 
 // TestReplacementAtANewAddressInterrupted is the same for a voter that is removed for
 // good, and whose successor has another address.
 func TestReplacementAtANewAddressInterrupted(t *testing.T) {
-	testInterruptedReplacement(t, replaceAtNewAddress, interruption{"leader restarted", restartLeader})
+	testInterruptedReplacement(t, longSilence, replaceAtNewAddress, interruption{"leader restarted", restartLeader})
 }
 
 // TestReplacementAtTheSameAddressUnderLongInterruptions is the same for interruptions that
 // take up to half of the time in which the new host has to be a voter.
 func TestReplacementAtTheSameAddressUnderLongInterruptions(t *testing.T) {
-	testInterruptedReplacement(t, replaceAtSameAddress, longInterruptions...)
+	testInterruptedReplacement(t, longSilence, replaceAtSameAddress, longInterruptions...)
 }
 
 // TestReplacementAtANewAddressUnderLongInterruptions is the same for a successor with
-// another address.
+// another address, with the silence after which the users' platform replaces a voter.
 func TestReplacementAtANewAddressUnderLongInterruptions(t *testing.T) {
-	testInterruptedReplacement(t, replaceAtNewAddress, longInterruptions...)
+	testInterruptedReplacement(t, shortSilence, replaceAtNewAddress, longInterruptions...)
 }
 
 func replaceAtSameAddress(c *harness, lost types.HostID) { c.loseDisk(lost, "new1") }
@@ -97,13 +99,13 @@
 
 // testInterruptedReplacement replaces a follower, interrupts that after each multiple of
 // interruptEvery, and takes another disk once the new host counts as working.
-func testInterruptedReplacement(t *testing.T, replace func(c *harness, lost types.HostID), interruptions ...interruption) {
+func testInterruptedReplacement(t *testing.T, silence time.Duration, replace func(c *harness, lost types.HostID), interruptions ...interruption) {
 	for _, i := range interruptions {
 		t.Run(i.name, func(t *testing.T) {
 			for after := time.Duration(0); after < replacedIn-outage; after += interruptEvery {
 				for seed := range uint64(3) {
 					c := newHarness(t, seed, "a", "b", "c")
-					c.usePolicy(consensus.Policy{Voters: 3, VoterSilence: replacedIn / 4})
+					c.usePolicy(consensus.Policy{Voters: 3, VoterSilence: silence})
 					l := c.awaitLeader(failoverTimeout)
 					c.awaitCommit(failoverTimeout, "before")
 					first := c.other(l).ID()
@@ -128,7 +130,7 @@
 func TestExcessVoterIsTheSilentOne(t *testing.T) {
 	for seed := range uint64(10) {
 		c := newHarness(t, seed, "a", "b", "c", "d")
-		c.usePolicy(consensus.Policy{Voters: 3, VoterSilence: replacedIn / 4})
+		c.usePolicy(consensus.Policy{Voters: 3, VoterSilence: longSilence})
 		c.cluster.Crash("b")
 		l := c.awaitLeader(failoverTimeout)
 		lost := c.cluster.RunUntil(replacedIn, func() bool { return !isVoting(l, "d") || c.leader() != l })
