--- a/review/rig3/member.go
+++ b/review/rig3/member.go
@@ -17,6 +17,7 @@
 const (
 	pumpInterval      = 2 * time.Millisecond
 	heartbeatInterval = 1200 * time.Millisecond // heartbeat_ms
+	beatStep          = 20 * time.Millisecond
 	statementTime     = 10 * time.Millisecond
 	healthyLag        = 20 * time.Millisecond
 )
@@ -38,11 +39,9 @@
 	Service      string
 	SyncReplicas int
 	PromoteTime  time.Duration
-	// Lose says whether a call to the platform is to get no answer, and how much later it
-	// is carried out than others; nil answers all.
-	Lose func(member string, token uint64) (lost bool, later time.Duration)
-	// Called is told of each call to the platform; it may be nil.
-	Called func(member string, token uint64)
+	// Lose says whether a call to the platform is to get no answer. Late carries one out
+	// afterwards. Nil answers all.
+	Lose func(member string, token uint64) bool
 	// Promoted is told of each member that takes the lead, with the group's lock held.
 	Promoted func(m *Member)
 
@@ -85,6 +84,7 @@
 	hung     bool // runs no statement until it is no more
 	busy     int
 	lead     uint64 // term that it leads, or zero
+	draining bool
 }
 
 // NewGroup starts members at the addresses. The first one leads term 3.
@@ -247,22 +247,18 @@
 		return
 	}
 	g.record.Printf("platform: promote %s, token %d, holder %s", body.ID, token, r.Header.Get("Duty-Holder"))
-	if g.Called != nil {
-		g.Called(body.ID, token)
-	}
-	if g.Lose != nil {
-		if lost, later := g.Lose(body.ID, token); lost {
-			go func() {
-				time.Sleep(later)
-				g.record.Printf("platform: promote %s, token %d is carried out late: %d", body.ID, token, g.promote(body.ID, token))
-			}()
-			<-r.Context().Done()
-			return
-		}
+	if g.Lose != nil && g.Lose(body.ID, token) {
+		<-r.Context().Done()
+		return
 	}
 	w.WriteHeader(g.promote(body.ID, token))
 }
 
+// Late carries out a call that got no answer.
+func (g *Group) Late(member string, token uint64) {
+	g.record.Printf("platform: promote %s, token %d, is carried out late: %d", member, token, g.promote(member, token))
+}
+
 func (g *Group) promote(id string, token uint64) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -322,12 +318,15 @@
 			return
 		}
 		m.seq++
-		role := "replica"
+		role, state := "replica", "ready"
+		if m.draining {
+			state = "draining"
+		}
 		if m == m.group.primary {
 			role = "primary"
 		}
 		body, _ := json.Marshal(map[string]any{
-			"service": m.group.Service, "address": m.Addr, "zone": m.Zone, "version": "v1", "slots": m.Sl, "state": "ready",
+			"service": m.group.Service, "address": m.Addr, "zone": m.Zone, "version": "v1", "slots": m.Sl, "state": state,
 			"warmup_left_ms": 0, "db_role": role, "seq": m.seq, "born": m.born,
 		})
 		m.group.mu.Unlock()
@@ -340,14 +339,28 @@
 			}
 			target, acked = m.beat(client, to, body)
 		}
-		if acked {
-			time.Sleep(heartbeatInterval)
-		} else {
-			time.Sleep(100 * time.Millisecond)
+		for waited := time.Duration(0); acked && waited < heartbeatInterval && !m.changed(state); waited += beatStep {
+			time.Sleep(beatStep)
 		}
+		time.Sleep(beatStep)
 	}
 }
 
+// changed reports whether a member has another state than it last announced.
+func (m *Member) changed(announced string) bool {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	return m.draining != (announced == "draining")
+}
+
+// Drain has a member announce at once that it leaves. It goes on serving.
+func (m *Member) Drain() {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.draining = true
+	m.group.record.Printf("member %s leaves", m.ID)
+}
+
 // beat sends one heartbeat and returns the address for the next one.
 func (m *Member) beat(client *http.Client, to string, body []byte) (string, bool) {
 	resp, err := client.Post("http://"+to+"/instances/"+m.ID+"/heartbeat", "application/json", bytes.NewReader(body))
