--- a/review/rig3/member.go
+++ b/review/rig3/member.go
@@ -54,6 +54,7 @@
 	primary *Member
 	members []*Member
 	reads   []Read
+	shapes  map[string]string // of the prepared statements that ran, by id
 }
 
 // Read is a read that a member ran.
@@ -89,7 +90,7 @@
 
 // NewGroup starts members at the addresses. The first one leads term 3.
 func NewGroup(r *Record, service string, sync int, control, addresses []string) (*Group, error) {
-	g := &Group{Service: service, SyncReplicas: sync, PromoteTime: time.Second, record: r, control: control, term: 3}
+	g := &Group{Service: service, SyncReplicas: sync, PromoteTime: time.Second, record: r, control: control, term: 3, shapes: map[string]string{}}
 	for i, a := range addresses {
 		m := &Member{
 			ID: fmt.Sprintf("i-%c%d", 'a'+(i+len(addresses)-1)%len(addresses), i), Addr: a, Zone: zones[i%len(zones)], Sl: 5,
@@ -121,6 +122,13 @@
 // Primary returns the primary; the group is locked.
 func (g *Group) Primary() *Member { return g.primary }
 
+// Shape returns what a member ran for an EXECUTE: READ or WRITE and the shape.
+func (g *Group) Shape(id string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shapes[id]
+}
+
 // Reads returns the reads that ran so far.
 func (g *Group) Reads() []Read {
 	g.mu.Lock()
@@ -511,6 +519,10 @@
 			c.fail("NOSTMT", name)
 			return
 		}
+		g.mu.Lock()
+		g.shapes[id] = shape
+		g.record.Printf("member %s runs %s: EXECUTE %s %s, whose shape is %q", c.m.ID, id, name, rest, shape)
+		g.mu.Unlock()
 		verb, args = strings.Fields(shape)[0], rest
 	}
 	g.mu.Lock()
