--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -58,10 +59,19 @@
 // NewID returns an id for a statement.
 func NewID() string { return fmt.Sprintf("%08x", lastID.Add(1)+0x5c000000) }
 
+var sentIDs sync.Map
+
+// Sent reports whether a client sent a statement with an id.
+func Sent(id string) bool {
+	_, ok := sentIDs.Load(id)
+	return ok
+}
+
 // Query sends a statement and waits for its answer.
 func (c *Client) Query(id, text string, wait time.Duration) (Answer, error) {
 	a := Answer{Sent: time.Now()}
 	c.record.Printf("client %s sends %s: %s", c.Name, id, text)
+	sentIDs.Store(id, true)
 	_ = c.conn.SetDeadline(a.Sent.Add(wait))
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
 		return a, err
--- a/review/rig3/member.go
+++ b/review/rig3/member.go
@@ -55,6 +55,7 @@
 	members []*Member
 	reads   []Read
 	shapes  map[string]string // of the prepared statements that ran, by id
+	ran     []string          // ids of the statements that ran, without those of the system itself
 }
 
 // Read is a read that a member ran.
@@ -122,6 +123,13 @@
 // Primary returns the primary; the group is locked.
 func (g *Group) Primary() *Member { return g.primary }
 
+// Ran returns the ids of the statements that ran, without those of the system itself.
+func (g *Group) Ran() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]string(nil), g.ran...)
+}
+
 // Shape returns what a member ran for an EXECUTE: READ or WRITE and the shape.
 func (g *Group) Shape(id string) string {
 	g.mu.Lock()
@@ -418,7 +426,7 @@
 	in := bufio.NewReaderSize(c, 1<<20)
 	mc := &memberConn{m: m, out: bufio.NewWriter(c), state: "I", values: map[string]string{}, prepared: map[string]string{}}
 	line, err := in.ReadString('\n')
-	f := strings.Fields(line)
+	f := strings.SplitN(strings.TrimSuffix(line, "\r\n"), " ", 4) // the last field extends to the end of the line
 	if err != nil || len(f) < 3 || f[0] != "STARTUP" {
 		return
 	}
@@ -580,6 +588,9 @@
 	defer g.mu.Unlock()
 	leads := m == g.primary && (c.state != "T" || c.readOnly || c.term == m.lead)
 	g.record.Printf("member %s runs %s: %s %s", m.ID, id, verb, args)
+	if id != "-" {
+		g.ran = append(g.ran, id)
+	}
 	switch verb {
 	case "BEGIN":
 		c.readOnly = args == "READ"
