--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -227,7 +227,7 @@
 // Start starts all control hosts and proxies for the first time.
 func (s *System) Start() error {
 	for i := range controlHosts {
-		if err := s.startProcess(controlName(i), "control", s.settings(controlName(i), true, firstControl+i, true)); err != nil {
+		if err := s.startProcess(ControlName(i), "control", s.settings(ControlName(i), true, firstControl+i, true)); err != nil {
 			return err
 		}
 	}
@@ -239,7 +239,18 @@
 	return nil
 }
 
-func controlName(i int) string { return fmt.Sprint("core-", i+1) }
+// RestartControl starts a control host again that has ended, with its disk.
+func (s *System) RestartControl(i int) error {
+	return s.startProcess(ControlName(i), "control", s.settings(ControlName(i), true, firstControl+i, false))
+}
+
+// RestartProxy starts a proxy again that has ended.
+func (s *System) RestartProxy(i int) error {
+	return s.startProcess(ProxyName(i), "proxy", s.settings(ProxyName(i), false, firstProxy+i, false))
+}
+
+// ControlName returns the name of a control host.
+func ControlName(i int) string { return fmt.Sprint("core-", i+1) }
 
 // ProxyName returns the name of a proxy.
 func ProxyName(i int) string { return fmt.Sprint("frontend-", i+1) }
