--- a/review/rig3/member.go
+++ b/review/rig3/member.go
@@ -377,6 +377,32 @@
 	m.group.record.Printf("member %s leaves", m.ID)
 }
 
+// Deregister says that a member has ended.
+func (m *Member) Deregister() {
+	client := &http.Client{Timeout: time.Second}
+	for try := range 8 {
+		to := m.group.control[try%len(m.group.control)]
+		resp, err := client.Post("http://"+to+"/instances/"+m.ID+"/deregister", "application/json", nil)
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		m.group.record.Printf("member %s deregisters: %d", m.ID, resp.StatusCode)
+		if resp.StatusCode/100 == 2 {
+			return
+		}
+	}
+}
+
+// Succeed starts a member under another id at the address of one that has ended, with its log.
+func (g *Group) Succeed(old *Member, id string) error {
+	g.mu.Lock()
+	m := &Member{ID: id, Addr: old.Addr, Zone: old.Zone, Sl: old.Sl, group: g, lag: healthyLag, log: old.log, times: old.times, applied: old.applied}
+	g.members = append(g.members, m)
+	g.mu.Unlock()
+	return m.Start()
+}
+
 // beat sends one heartbeat and returns the address for the next one.
 func (m *Member) beat(client *http.Client, to string, body []byte) (string, bool) {
 	resp, err := client.Post("http://"+to+"/instances/"+m.ID+"/heartbeat", "application/json", bytes.NewReader(body))
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -224,6 +225,25 @@
 		strings.Join(seeds, ","), bootstrap, control, data, listen, memory, fds, s.PlatformAddress())
 }
 
+// Leader returns the control host that answers reads of the configuration itself, or -1.
+func (s *System) Leader() int {
+	client := &http.Client{
+		Timeout:       time.Second,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	for i, a := range s.ControlAddresses() {
+		resp, err := client.Get("http://" + a + "/config/get")
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return i
+		}
+	}
+	return -1
+}
+
 // Start starts all control hosts and proxies for the first time.
 func (s *System) Start() error {
 	for i := range controlHosts {
