--- a/review/11/main.go
+++ b/review/11/main.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/camphorpaddle/camphorpaddle/review/rig3"
+	rig3 "github.com/camphorpaddle/camphorpaddle/review/rig3/platform"
 )
 
 const (
@@ -18,11 +18,6 @@
 	otherDeaf = 5 * time.Second         // how long the other one does
 )
 
-const config = `{"version":1,"routes":[{"name":"r-1","database":"slots","path_prefix":"/","route_type":"primary",` +
-	`"timeout_ms":3000,"objective_ms":1200,"priority":1,"service":"huvo11a","attempts":2}],` +
-	`"services":[{"name":"huvo11a","health_path":"/health","max_conns":55,"protocol":"h1","tls":false,"sync_replicas":1}],` +
-	`"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000,"txn_idle_ms":3000}}`
-
 func main() { rig3.Main(os.Args[1], 100*time.Second, run) }
 
 func run(r *rig3.Record, trouble bool) (bool, error) {
@@ -32,7 +27,7 @@
 	}
 	rig3.CloseAtExit(s)
 	defer rig3.CloseAll()
-	g, err := rig3.NewGroup(r, "huvo11a", 1, s.ControlAddresses(), []string{s.MemberAddress(0), s.MemberAddress(1), s.MemberAddress(2)})
+	g, err := rig3.NewGroup(r, rig3.Service, 1, s.ControlAddresses(), []string{s.MemberAddress(0), s.MemberAddress(1), s.MemberAddress(2)})
 	if err != nil {
 		return false, err
 	}
@@ -58,11 +53,11 @@
 	if err := s.Start(); err != nil {
 		return false, err
 	}
-	if err := rig3.PutConfig(r, s.ControlAddresses(), config); err != nil {
+	if err := rig3.PutConfig(r, s.ControlAddresses(), rig3.Config(1, 3*time.Second)); err != nil {
 		return false, err
 	}
 	for i := range s.Options.Proxies {
-		if err := rig3.AwaitWrite(r, s.CallersAddress(i), "slots"); err != nil {
+		if err := rig3.AwaitWrite(r, s.CallersAddress(i), rig3.Slots); err != nil {
 			return false, err
 		}
 	}
@@ -78,7 +73,7 @@
 	var work sync.WaitGroup
 	for i := range s.Options.Proxies {
 		for j := range clients {
-			c, err := rig3.Connect(r, fmt.Sprintf("u%d-%d", i, j), s.CallersAddress(i), "slots")
+			c, err := rig3.Connect(r, fmt.Sprintf("u%d-%d", i, j), s.CallersAddress(i), rig3.Slots)
 			if err != nil {
 				return false, err
 			}
