--- a/review/rig3/platform/member.go
+++ b/review/rig3/platform/member.go
@@ -410,11 +410,9 @@
 		return "", false
 	}
 	defer resp.Body.Close()
-	var answer struct {
-		Address string `json:"heartbeat_addr"`
-	}
-	_ = json.NewDecoder(resp.Body).Decode(&answer)
-	return answer.Address, resp.StatusCode/100 == 2
+	var answer map[string]string
+	_ = json.NewDecoder(resp.Body).Decode(&answer) // without an address the next heartbeat goes to any control host
+	return answer["heartbeat_addr"], resp.StatusCode/100 == 2
 }
 
 func (m *Member) accept(l net.Listener) {
