--- a/review/11/main.go
+++ b/review/11/main.go
@@ -18,7 +18,7 @@
 	otherDeaf = 5 * time.Second         // how long the other one does
 )
 
-func main() { rig3.Main(os.Args[1], 100*time.Second, run) }
+func main() { rig3.Main(os.Args[1], 100*time.Second, os.Getenv("TROUBLE") != "0", run) }
 
 func run(r *rig3.Record, trouble bool) (bool, error) {
 	s, err := rig3.NewSystem(r, rig3.Options{Proxies: 2})
--- a/review/rig3/platform/rig.go
+++ b/review/rig3/platform/rig.go
@@ -377,8 +377,8 @@
 }
 
 // Main runs a case: it returns whether the rule held, or an error if the case couldn't
-// run. trouble is false if TROUBLE=0. A case must end within limit.
-func Main(folder string, limit time.Duration, run func(r *Record, trouble bool) (held bool, err error)) {
+// run. A case must end within limit.
+func Main(folder string, limit time.Duration, trouble bool, run func(r *Record, trouble bool) (held bool, err error)) {
 	r, err := NewRecord(folder)
 	if err != nil {
 		fmt.Println(err)
@@ -390,7 +390,7 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		held, err := run(r, os.Getenv("TROUBLE") != "0")
+		held, err := run(r, trouble)
 		done <- result{held, err}
 	}()
 	res := result{err: errors.New("the case took too long")}
