Sessions: a commit under sync_replicas is acknowledged under the lease only

Cause: control reads the positions of the members once every proxy has the new term or no lease, and the promotion takes effect 0.3 to 1 s after that, at times many seconds. The old primary leads meanwhile, and acknowledges what a replica receives then. checkManagedAnswer relayed that: it looked at the time of sending only, since a replaced target refuses what it would execute later.

Change: the success of a commit (single write, COMMIT, EXECUTE of a prepared write) is relayed under a live lease only, while the view names its target as the confirmed primary of the same term. Otherwise it waits for the next view; the caller gets the success if the same primary serves on, and else learns that the outcome is unknown. A commit that could not be relayed is not sent and is refused as not run. So each commit that a caller knows of was received before the positions were read, whatever the reason for the promotion was. Services without synchronous replicas are as before.

--- a/core/session/acknowledge.go
+++ b/core/session/acknowledge.go
@@ -25,7 +25,7 @@
 		s.raiseFloor(r)
 		s.reply(r)
 	case check.wait:
-		s.awaitPosition(r, stageDurable)
+		s.awaitView(r, stageDurable)
 	default:
 		delete(r.service.waiting, r)
 		s.attemptFailed(r, true, check.code, check.reason)
@@ -69,10 +69,14 @@
 // checkManagedAnswer accepts the answer of a managed target, which checks floors itself.
 // If it refuses writes once it is replaced, that and, for reads on the primary, a fence
 // or the lease ruled out when the request was sent that it had been replaced. Otherwise
-// only the lease does, at the time of sending and now.
+// only the lease does, at the time of sending and now. The success of a commit of a
+// service with synchronous replicas needs the lease in any case.
 func (s *Shard) checkManagedAnswer(r *request) answerCheck {
 	switch {
 	case !s.needsLease(r), r.sentUnderLease && s.underLease(r) && r.service.primary.term == r.sentTerm:
+		if s.synchronous(r) && !r.failed {
+			return s.checkSynchronousCommit(r)
+		}
 		return answerCheck{ok: true}
 	case !s.leaseLive():
 		return answerCheck{code: types.RefuseNoLease, reason: "the proxy's lease expired before the answer could be confirmed"}
--- a/core/session/deadline.go
+++ b/core/session/deadline.go
@@ -69,7 +69,7 @@
 			return until
 		}
 		return r.queueDeadline
-	case stageQueued:
+	case stageQueued, stageLease:
 		return r.queueDeadline
 	case stageBackoff:
 		return r.retryAt
@@ -187,6 +187,8 @@
 		s.refuse(r, types.RefuseTimeout, r.outcome(), fmt.Sprintf("target %s did not answer within %s", r.target, s.now.Sub(r.sentAt)))
 	case stageDurable:
 		s.refuseNotDurable(r)
+	case stageLease:
+		s.refuse(r, s.unavailableCode(r), r.outcome(), "the proxy holds no lease on a confirmed primary")
 	case stageQuota:
 		s.recheckRight(r)
 	}
@@ -240,9 +242,13 @@
 	}
 }
 
-// refuseNotDurable refuses a write that no majority has confirmed in time. Its
+// refuseNotDurable refuses a write that was not confirmed as durable in time. Its
 // outcome is unknown.
 func (s *Shard) refuseNotDurable(r *request) {
+	if r.service.managed(s.view) {
+		s.refuseUnconfirmed(r)
+		return
+	}
 	code := types.RefuseNotDurable
 	if !s.leaseLive() {
 		code = types.RefuseNoLease
--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -48,6 +48,10 @@
 		s.refuse(r, types.RefuseTransactionLost, r.outcome(), leavingReason(r.target))
 		return
 	}
+	if s.lacksLease(r) {
+		s.awaitLease(r)
+		return
+	}
 	s.sendFirst(r)
 }
 
@@ -249,7 +253,7 @@
 	if s.failedByTarget(r, res) && s.retryElsewhere(r, res) {
 		return
 	}
-	r.answer = types.Answer{Payload: res.Payload, Tx: res.Tx}
+	r.answer, r.failed = types.Answer{Payload: res.Payload, Tx: res.Tx}, res.Err != types.TargetErrNone
 	s.bindOrReleaseConn(r, res.Tx)
 	s.acknowledge(r)
 }
--- a/core/session/place.go
+++ b/core/session/place.go
@@ -22,7 +22,7 @@
 func (s *Shard) place(r *request) {
 	s.dirty[r.service.name] = true
 	if !r.needsPrimary() && !s.ensureFloor(r.session, r.floorDeadline()) {
-		s.awaitPosition(r, stageFloor)
+		s.awaitView(r, stageFloor)
 		return
 	}
 	if pos, lost := s.lostPosition(r); lost {
@@ -32,6 +32,10 @@
 	if r.observed.FloorKnownAt == 0 {
 		r.observed.FloorKnownAt = s.now
 	}
+	if s.lacksLease(r) {
+		s.awaitLease(r)
+		return
+	}
 	s.enqueue(r)
 }
 
@@ -54,11 +58,14 @@
 		"a promotion lost position "+pos.String()+", which the session has read or written")
 }
 
-// awaitPosition adds a request to those that wait for positions of members.
-func (s *Shard) awaitPosition(r *request, st stage) {
+// awaitView adds a request to those that are checked again with each new view. They wait
+// for positions of members or, in a managed service, for a lease.
+func (s *Shard) awaitView(r *request, st stage) {
 	r.stage = st
 	r.service.waiting[r] = true
-	s.reportWaiting(r.service.name)
+	if !r.service.managed(s.view) {
+		s.reportWaiting(r.service.name)
+	}
 	s.armSessionTimer(r.session)
 }
 
@@ -189,6 +196,10 @@
 			s.enqueue(r)
 			continue
 		}
+		if s.lacksLease(r) {
+			s.awaitLease(r)
+			continue
+		}
 		s.start(r, s.pickTarget(svc, ready))
 	}
 }
--- a/core/session/report.go
+++ b/core/session/report.go
@@ -126,7 +126,7 @@
 	}
 	for _, name := range sortedKeys(s.services) {
 		svc := s.services[name]
-		if len(svc.waiting) > 0 {
+		if len(svc.waiting) > 0 && !svc.managed(s.view) {
 			r.WaitingServices = append(r.WaitingServices, name)
 		}
 		if s.now < svc.suspectUntil {
--- a/core/session/request.go
+++ b/core/session/request.go
@@ -31,8 +31,9 @@
 	stageQueued               // a connection
 	stageBackoff              // the pause before a retry
 	stageRunning              // the target's answer
-	stageDurable              // confirmation that a majority holds the write
+	stageDurable              // confirmation that the write is durable
 	stageQuota                // a right of the caller's organisation
+	stageLease                // a lease on a confirmed primary
 )
 
 // request is a request in progress.
@@ -70,6 +71,7 @@
 	selectedPos    types.LogPos // position of the replica when it was sent
 
 	answer       types.Answer       // set once the target has answered
+	failed       bool               // the answer is an error of the statement
 	status       types.TargetStatus // of the target after the answer
 	statusKnown  bool               // status is known
 	admitted     bool               // a queue has accepted it once
@@ -306,7 +308,7 @@
 		s.dequeue(r)
 	case stageRunning:
 		s.dropRunning(r)
-	case stageFloor, stageDurable:
+	case stageFloor, stageDurable, stageLease:
 		delete(r.service.waitingOrNil(), r)
 	case stageQuota:
 		s.removeLacking(r)
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -22,7 +22,7 @@
 	timerKey       uint64 // key of the service's timer
 	targets        map[types.TargetName]*target
 	queues         map[string]*queue
-	waiting        map[*request]bool // requests that wait for the floor or for a majority
+	waiting        map[*request]bool // requests that are checked again with each view
 	departures     drain.Departures
 	budget         *retry.Budget
 	writing        int          // sessions with a write or a transaction on the primary
--- a/core/session/view.go
+++ b/core/session/view.go
@@ -120,12 +120,16 @@
 	}
 }
 
-// recheckWaiting rechecks the requests that wait for positions.
+// recheckWaiting rechecks the requests that wait for positions or for a lease.
 func (s *Shard) recheckWaiting(svc *service) {
 	for _, r := range svc.waitingInOrder() {
 		switch {
 		case r.stage == stageDurable:
 			s.acknowledge(r)
+		case r.stage == stageLease:
+			if !s.lacksLease(r) {
+				s.resumeLeased(r)
+			}
 		case s.ensureFloor(r.session, r.floorDeadline()):
 			delete(svc.waiting, r)
 			s.place(r)
--- a/core/types/config.go
+++ b/core/types/config.go
@@ -132,6 +132,12 @@
 // do once they are replaced.
 func (c *Config) SelfFenced(service ServiceName) bool { return c.Managed(service) && !c.Unfenced }
 
+// Synchronous reports whether the targets of a managed service acknowledge a commit only
+// once replicas have received it.
+func (c *Config) Synchronous(service ServiceName) bool {
+	return c.Managed(service) && c.Services[service].SyncReplicas > 0
+}
+
 // AllManaged reports whether there are services and every one is managed.
 func (c *Config) AllManaged() bool {
 	if c == nil || len(c.Services) == 0 {
