Probes: a primary that waits for its replicas is kept

Cause: a primary counts as failed when two requests have had no answer for 1 s. A commit without an answer says nothing about the primary while no replica has received it.

Change: such a primary is kept for up to 3 s, about what a replacement takes, unless it leaves a probe unanswered or as many replicas as confirm a commit are known to hold all that it holds. All members are probed meanwhile. Probed names probes that were accepted and not answered.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -103,12 +103,13 @@
 	}
 	// Probed answers an effect.Probe.
 	Probed struct {
-		Ref      types.TargetRef
-		ProbedAt types.Instant
-		Err      error
-		Busy     bool // the target had no capacity to report more than its position, if even that
-		Full     bool // Busy, because the target rejected the connection
-		Status   types.TargetStatus
+		Ref        types.TargetRef
+		ProbedAt   types.Instant
+		Err        error
+		Busy       bool // the target had no capacity to report more than its position, if even that
+		Full       bool // Busy, because the target rejected the connection
+		Unanswered bool // Busy, because the target accepted the connection and answered nothing in time
+		Status     types.TargetStatus
 	}
 	// Announced reports an announcement that a target sent to this proxy.
 	Announced struct{ Announcement proto.Announcement }
--- a/core/probe/managed.go
+++ b/core/probe/managed.go
@@ -108,10 +108,44 @@
 }
 
 // silentSince returns since when a target that is the primary has answered no
-// requests, and whether that is so.
-func (p *Prober) silentSince(ref types.TargetRef) (types.Instant, bool) {
+// requests, and whether that shows that it has failed.
+func (p *Prober) silentSince(ref types.TargetRef, now types.Instant) (types.Instant, bool) {
 	since, ok := p.silent[ref.Service]
-	return since, ok && p.view.Groups[ref.Service].Primary == ref.Name
+	if !ok || p.view.Groups[ref.Service].Primary != ref.Name {
+		return 0, false
+	}
+	return since, !p.mayAwaitReplicas(ref, since, now)
+}
+
+// maxReplicaWait is how long a primary that answers probes may wait for its replicas.
+// Replacing it takes up to 3 s, so waiting for longer costs callers more than that.
+const maxReplicaWait = 3 * time.Second
+
+// mayAwaitReplicas reports whether a primary that answers no requests may be waiting for
+// replicas to receive its commits: it has left no probe unanswered since then, and too few
+// replicas are known to hold all that it holds.
+func (p *Prober) mayAwaitReplicas(primary types.TargetRef, since, now types.Instant) bool {
+	if !p.view.Config.Synchronous(primary.Service) || now.Sub(since) >= maxReplicaWait {
+		return false
+	}
+	return p.targets[primary].unansweredAt < since && !p.replicasConfirm(primary, since)
+}
+
+// replicasConfirm reports whether as many replicas as confirm a commit hold all that the
+// primary holds. Only what was learnt after since counts.
+func (p *Prober) replicasConfirm(primary types.TargetRef, since types.Instant) bool {
+	own := p.targets[primary]
+	if own.statusAt < since {
+		return false
+	}
+	holders := 0
+	for _, m := range p.view.Groups[primary.Service].Members {
+		h := p.targets[types.TargetRef{Service: primary.Service, Name: m.Name}].health
+		if m.Name != primary.Name && h.ProbedAt >= since && h.Pos.Compare(own.health.Pos) >= 0 {
+			holders++
+		}
+	}
+	return holders >= p.view.Config.Services[primary.Service].SyncReplicas
 }
 
 // primaryHealthy reports whether the primary of a service answers and, if it was
@@ -122,6 +156,9 @@
 	if t == nil || p.suspect[name] || t.health.Failing {
 		return false
 	}
+	if _, silent := p.silent[name]; silent && p.view.Config.Synchronous(name) {
+		return false // the positions of all members show whether it waits for its replicas
+	}
 	return t.health.ProbedAt == 0 || t.health.Primary && t.health.Term == g.TargetTerm()
 }
 
--- a/core/probe/prober.go
+++ b/core/probe/prober.go
@@ -86,6 +86,8 @@
 	probedAt       types.Instant // when the last probe was sent, or zero
 	reportedAlarm  alarm         // alarm at the last check for a report
 	lastAnsweredAt types.Instant // when the target last answered a request of a shard, or zero
+	unansweredAt   types.Instant // when it last left a probe unanswered whose connection it accepted, or zero
+	statusAt       types.Instant // when it last answered a probe with its status
 	inFlight       bool
 	suspectedAt    types.Instant // when the service last became suspect, see SetSuspects
 	interval       time.Duration // time between two probes while it answers; zero if it isn't probed regularly
@@ -325,6 +327,9 @@
 	t.health.Failing, t.health.FailingSince = false, 0
 	t.health.LastContact = now
 	p.countRejection(e, t, now)
+	if e.Unanswered {
+		t.unansweredAt = now
+	}
 	if e.Busy {
 		p.updateAlarm(t, now)
 		if e.Status.Pos != (types.LogPos{}) && e.Status.Pos.Compare(t.health.Pos) >= 0 && t.health.ProbedAt != 0 {
@@ -333,7 +338,7 @@
 		}
 		return nil
 	}
-	t.health.ProbedAt = e.ProbedAt
+	t.health.ProbedAt, t.statusAt = e.ProbedAt, now
 	if e.Status.Pos.Compare(t.health.Pos) < 0 {
 		t.health.FreshAt = 0
 	}
--- a/core/probe/report.go
+++ b/core/probe/report.go
@@ -79,7 +79,7 @@
 	out := make([]proto.TargetReport, 0, len(p.targets))
 	for _, ref := range p.refs {
 		t := p.targets[ref]
-		silentSince, silent := p.silentSince(ref)
+		silentSince, silent := p.silentSince(ref, now)
 		if !silent && (t.lacksCurrentStatus(now) || p.answeredBeforeTerm(ref, t, now) || !p.hasNews(ref, t, now)) {
 			continue
 		}
--- a/runtime/proxy.go
+++ b/runtime/proxy.go
@@ -119,12 +119,13 @@
 	p.probes.submit(p.ctx, targetKey{e.Ref, e.Address}, targetJob{
 		operation: types.Operation{Kind: types.OpPosition}, timeout: e.Timeout, closeAfter: e.Close,
 		done: func(r types.Result, err error) {
-			busy, full := r.Err == types.TargetErrBusy, false
+			probed := event.Probed{Ref: e.Ref, ProbedAt: sentAt, Err: err, Busy: r.Err == types.TargetErrBusy, Status: r.Status}
 			if errors.Is(err, ErrTargetFull) {
-				busy, full = true, !errors.Is(err, context.DeadlineExceeded)
-				err = nil
+				probed.Err, probed.Busy = nil, true
+				probed.Unanswered = errors.Is(err, context.DeadlineExceeded)
+				probed.Full = !probed.Unanswered
 			}
-			p.loop.post(event.Probed{Ref: e.Ref, ProbedAt: sentAt, Err: err, Busy: busy, Full: full, Status: r.Status})
+			p.loop.post(probed)
 		},
 	})
 }
