Promotion: an answered request does not yet confirm a synchronous primary

An earlier request for another member, executed right before an answered one, takes effect up to 1.5 s later and replaces the new primary. What that one acknowledged meanwhile under sync_replicas is lost. And a position that was asked for during the attempt confirmed a primary at once, if its answer arrived after the term was served.

Change: for services with synchronous replicas the answer rules out earlier requests only after that time, as it does for a returned primary; until then the primary is unconfirmed and acknowledges no commits. Only the check that is asked for after that time confirms it. A first failover under a new control leader is concerned as well, since the one before may have left a request.

Shown: TestPromotionTakesEffectAfterAnAnsweredOne and TestPositionOfTheAttemptDoesNotConfirm failed before; the second also with the first part alone (confirmed after 4 ms).

--- a/core/promotion/confirm.go
+++ b/core/promotion/confirm.go
@@ -102,7 +102,7 @@
 // earlier requests were ruled out. If it was, the proxies report that.
 func (m *Manager) handlePrimaryChecked(now types.Instant, g *types.Group, gr *group, e event.TargetReplied) []effect.Effect {
 	c := gr.confirmation
-	if !g.Unconfirmed || c.term != g.Term || c.answeredAt == 0 || e.Err != nil || e.Result.Err != types.TargetErrNone || superseded(e.Result.Status, g) {
+	if !g.Unconfirmed || c.term != g.Term || c.checkedAt == 0 || e.Err != nil || e.Result.Err != types.TargetErrNone || superseded(e.Result.Status, g) {
 		return nil
 	}
 	return m.propose(now, gr, g.Term, proto.Command{Confirm: &proto.ConfirmPrimary{Service: g.Service, Term: g.Term}})
--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -206,7 +206,7 @@
 		return m.abandon(now, g, gr)
 	case types.TargetErrNone:
 		a.answeredAt, gr.unansweredRequests = now, 0
-		if a.stage == stagePromote || !m.servesUnconfirmed(g, gr, name) {
+		if a.stage == stagePromote && !m.state.Config().Synchronous(g.Service) || !m.servesUnconfirmed(g, gr, name) {
 			gr.clearOpenRequests() // earlier requests have lower tokens
 		}
 	}
--- a/core/promotion/synchronous_test.go
+++ b/core/promotion/synchronous_test.go
@@ -158,3 +158,49 @@
 	_, ok = h.runUntil(managedFailoverBound, func() bool { return h.group().LastPrimary == "t4" })
 	assert.Assert(t, ok, "%+v", h.group())
 }
+
+// TestPromotionTakesEffectAfterAnAnsweredOne guards against the loss of a commit that is
+// acknowledged by a new primary, although an earlier request for another member was executed
+// right before and takes effect later. For other services the answer is enough.
+func TestPromotionTakesEffectAfterAnAnsweredOne(t *testing.T) {
+	h := startSynchronous(t)
+	h.promotionService.unansweredCalls, h.promotionService.executionDelay = 1, time.Hour
+	h.hideFromProxies("t2")
+	_, ok := h.runUntil(managedFailoverBound, func() bool { return len(h.promotionService.tokens) == 1 })
+	assert.Assert(t, ok, "no promotion was requested")
+	first := h.targets[h.promotionService.lastTarget]
+	first.down = true // the next attempt chooses the third member
+	_, ok = h.runUntil(managedFailoverBound, func() bool { return h.promotionService.lastTarget != first.name })
+	assert.Assert(t, ok, "no promotion of the third member was requested")
+	third := h.promotionService.lastTarget
+	first.down = false
+	h.Schedule(1200*time.Millisecond, func() { h.promotionService.makePrimary(first) })
+	served := false
+	_, trusted := h.runUntil(managedFailoverBound, func() bool {
+		served = served || h.group().Primary == third
+		return h.replacedUnderLease() != ""
+	})
+	assert.Assert(t, !trusted, "proxy %s trusts its lease after target %s was replaced", h.replacedUnderLease(), third)
+	assert.Assert(t, served, "the third member did not serve")
+	_, ok = h.runUntil(managedFailoverBound, func() bool { return h.confirmed() && h.primary() == first })
+	assert.Assert(t, ok, "the last primary was not confirmed: %+v", h.group())
+}
+
+// TestPositionOfTheAttemptDoesNotConfirm guards against a primary that counts as confirmed
+// because of an answer that was asked for before it served.
+func TestPositionOfTheAttemptDoesNotConfirm(t *testing.T) {
+	h := startSynchronous(t)
+	h.elect("c2") // which assumes that an earlier leader left a request open
+	h.Run(time.Second)
+	before := h.group().Term
+	h.targets["t2"].down = true
+	_, ok := h.runUntil(managedFailoverBound, func() bool { return len(h.promotionService.tokens) == 1 })
+	assert.Assert(t, ok, "no promotion was requested")
+	chosen := h.targets[h.promotionService.lastTarget]
+	chosen.frozenUntil = h.clock().Add(promotionLatency + 10*time.Millisecond) // it answers several polls at once then
+	_, ok = h.runUntil(managedFailoverBound, func() bool { return h.serving(before + 1) })
+	assert.Assert(t, ok, "no second primary: %+v", h.group())
+	elapsed, ok := h.runUntil(confirmedBound, h.confirmed)
+	assert.Assert(t, ok, "%+v", h.group())
+	assert.Assert(t, elapsed > 500*time.Millisecond, "confirmed after %v, while an earlier request may take effect", elapsed)
+}
