Promotion: the position of a leaving primary is awaited

An ordered change promotes a replica at once when it is at the position of the primary. If control did not reach the primary yet, that was the zero position, so that a replica with an empty log counted as caught up and was promoted without what the primary held. Now the primary has to have answered; without that the change goes on after 3 s as before.

Shown: TestPositionOfTheLeavingPrimaryIsAwaited failed before (a replica with an empty log was promoted at once).

--- a/core/promotion/managed.go
+++ b/core/promotion/managed.go
@@ -69,7 +69,8 @@
 	case !found:
 		return best, false, false
 	case catchingUp:
-		return best, false, a.statuses[best.Name].Pos == a.statuses[a.avoided].Pos
+		primary, answered := a.statuses[a.avoided]
+		return best, false, answered && a.statuses[best.Name].Pos == primary.Pos
 	case !m.holdsAcknowledged(now, g, gr, best):
 		if a.ordered {
 			a.avoided = "" // the leaving primary stays, since no member can take over without loss
--- a/core/promotion/managed_test.go
+++ b/core/promotion/managed_test.go
@@ -357,3 +357,20 @@
 	t.Logf("replaced after %v", elapsed)
 	assert.Assert(t, h.primary() != old)
 }
+
+// TestPositionOfTheLeavingPrimaryIsAwaited guards against the promotion of a member with an
+// empty log in place of a leaving primary, as if it had caught up with that one, while the
+// position of the primary is not known.
+func TestPositionOfTheLeavingPrimaryIsAwaited(t *testing.T) {
+	h := startManaged(t)
+	h.targets["t1"].deaf, h.targets["t3"].deaf = true, true
+	h.targets["t2"].write(20)
+	h.targets["t2"].leaving = true
+	for id := range h.hosts {
+		h.blocked[string(id)+">t2"] = true
+	}
+	_, ok := h.runUntil(managedFailoverBound, func() bool { return h.group().Phase == types.GroupFencing })
+	assert.Assert(t, ok, "%+v", h.group())
+	h.Run(2 * time.Second)
+	assert.Equal(t, len(h.promotionService.tokens), 0, "target %s was promoted", h.promotionService.lastTarget)
+}
