Promotion: a member that lost its log is no witness of commits

Cause: a position was taken for all that the member ever received. The start of its process came with the heartbeats, but was not part of the group.

Change: a member that started anew or joined while commits were acknowledged under sync_replicas is marked in the group. It may be chosen, but shows nothing about what it held, until the leader has seen it at a position that the primary had after that. The last primary comes back with its log and is not marked, nor is a target that takes over the log of a member that left. One that answers after two failed requests may not have announced its start yet, and shows nothing for 2 s.

Shown: TestMemberWithoutItsLogProvesNothing fails without the mark in all four cases, TestMemberThatCaughtUpCounts without the check.

--- a/core/cluster/apply.go
+++ b/core/cluster/apply.go
@@ -87,9 +87,9 @@
 	}
 	next := *g
 	old, known := g.Target(c.Target.Name)
-	c.Target = resolveTarget(c, old, known)
+	c.Target = resolveTarget(g, c, old, known)
 	switch {
-	case c.Operator && !known:
+	case (c.Operator || c.CaughtUp) && !known:
 		return nil
 	case c.Remove && (!known || g.Primary == c.Target.Name):
 		return nil
@@ -118,15 +118,19 @@
 // resolveTarget returns the target that results from a command. Operators decide
 // only whether a target is drained, announcements decide everything else, so that
 // neither undoes a change of the other that was committed before.
-func resolveTarget(c proto.SetMember, old types.Target, known bool) types.Target {
+func resolveTarget(g *types.Group, c proto.SetMember, old types.Target, known bool) types.Target {
 	next := c.Target
 	switch {
+	case c.CaughtUp:
+		next = old
+		next.LogIncomplete = old.LogIncomplete && old.StartedAt != c.Target.StartedAt
 	case c.Operator && known:
 		next = old
 		next.Drained = c.Target.Drained
 		next.State = types.TargetActive
 	default:
 		next.Drained = known && old.Drained
+		next.LogIncomplete = logIncomplete(g, c, old, known)
 	}
 	if next.Drained {
 		next.State = types.TargetLeaving
@@ -134,8 +138,23 @@
 	return next
 }
 
+// logIncomplete reports whether an announced member may lack commits of the group's log
+// that it, or the one in whose place it joined, had received. A primary that crashed comes
+// back with its log.
+func logIncomplete(g *types.Group, c proto.SetMember, old types.Target, known bool) bool {
+	switch {
+	case !g.Synchronous || !g.Served() || c.Target.Name == g.LastPrimary:
+		return false
+	case !known:
+		return !c.TakesOver
+	}
+	return old.LogIncomplete || old.StartedAt != 0 && old.StartedAt != c.Target.StartedAt
+}
+
 func memberReason(c proto.SetMember, known bool) string {
 	switch {
+	case c.CaughtUp:
+		return "caught up with the primary"
 	case c.Remove:
 		return "removed"
 	case !known:
@@ -146,6 +165,8 @@
 		return "announced that it leaves"
 	case c.Target.State == types.TargetSilent:
 		return "no announcement in time"
+	case c.Target.LogIncomplete:
+		return "active, and may lack commits that it had received before it started anew"
 	}
 	return "active"
 }
--- a/core/membership/managed.go
+++ b/core/membership/managed.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"time"
 
 	"github.com/camphorpaddle/camphorpaddle/core/effect"
@@ -76,7 +77,23 @@
 		return t.propose(now, ref, proto.SetMember{Service: g.Service, Target: m, Remove: true})
 	}
 	return t.propose(now, types.TargetRef{Service: g.Service, Name: a.Name},
-		proto.SetMember{Service: g.Service, Target: targetFrom(a)})
+		proto.SetMember{Service: g.Service, Target: targetFrom(a), TakesOver: t.takesOver(a.Address, now)})
+}
+
+// recordDeparture remembers the address of a leaving member after its removal. A new target
+// there takes over its log.
+func (t *Tracker) recordDeparture(m types.Target, now types.Instant) {
+	maps.DeleteFunc(t.departed, func(_ types.Address, at types.Instant) bool { return now.Sub(at) >= goneRetention })
+	if m.State == types.TargetLeaving && !m.Drained {
+		t.departed[m.Address] = now
+	}
+}
+
+// takesOver reports whether a target that joins at an address takes over the log of a member
+// that left.
+func (t *Tracker) takesOver(a types.Address, now types.Instant) bool {
+	at, ok := t.departed[a]
+	return ok && now.Sub(at) < goneRetention
 }
 
 // shouldRemove reports whether to remove a member of a managed service: it has
--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -40,6 +40,7 @@
 	proposed    map[types.TargetRef]proposal
 	vacancies   map[types.ServiceName]vacancy
 	gone        map[types.TargetRef]goneTarget
+	departed    map[types.Address]types.Instant // when leaving members of managed services were removed
 }
 
 // goneTarget is a target that said that it has ended.
@@ -69,6 +70,7 @@
 		proposed:  make(map[types.TargetRef]proposal),
 		vacancies: make(map[types.ServiceName]vacancy),
 		gone:      make(map[types.TargetRef]goneTarget),
+		departed:  make(map[types.Address]types.Instant),
 	}
 }
 
@@ -102,6 +104,7 @@
 	clear(t.proposed)
 	clear(t.vacancies)
 	clear(t.gone)
+	clear(t.departed)
 	t.leaderSince = now
 	if !e.Leading {
 		return nil
@@ -182,9 +185,9 @@
 	silentSince := t.leaderSince
 	if known {
 		silentSince = last.sentAt
-		drained := member.Drained
+		recorded := member
 		member = targetFrom(last.announcement)
-		member.Drained = drained
+		member.Drained, member.LogIncomplete = recorded.Drained, recorded.LogIncomplete
 	}
 	switch {
 	case member.Drained:
@@ -197,7 +200,9 @@
 
 // targetFrom returns the target that an announcement describes.
 func targetFrom(a proto.Announcement) types.Target {
-	t := types.Target{Name: a.Name, Address: a.Address, AvailabilityZone: a.AvailabilityZone, Slots: a.Slots}
+	t := types.Target{
+		Name: a.Name, Address: a.Address, AvailabilityZone: a.AvailabilityZone, Slots: a.Slots, StartedAt: a.StartedAt,
+	}
 	if a.Leaving {
 		t.State = types.TargetLeaving
 	}
@@ -248,6 +253,7 @@
 		return t.reconcile(now, ref)
 	}
 	t.recordGone(ref, now)
+	t.recordDeparture(c.Member.Target, now)
 	delete(t.announced, ref)
 	var out []effect.Effect
 	for _, other := range t.refs() {
--- a/core/promotion/attempt.go
+++ b/core/promotion/attempt.go
@@ -35,6 +35,8 @@
 	statuses        map[types.TargetName]types.TargetStatus
 	requestedAt     map[types.TargetName]types.Instant // when each position was requested last
 	failures        map[types.TargetName]string        // why the last request for a position failed
+	failedCalls     map[types.TargetName]int           // consecutive requests for a position that failed
+	returnedAt      map[types.TargetName]types.Instant // when a member first answered after returnFailures
 	quorumAt        types.Instant                      // when a quorum had answered
 	preferred       types.TargetName                   // member that an operator chose
 	avoided         types.TargetName                   // primary that the proxies can't reach
@@ -59,6 +61,8 @@
 		statuses:    make(map[types.TargetName]types.TargetStatus),
 		requestedAt: make(map[types.TargetName]types.Instant),
 		failures:    make(map[types.TargetName]string),
+		failedCalls: make(map[types.TargetName]int),
+		returnedAt:  make(map[types.TargetName]types.Instant),
 	}
 	if m.managed(g) {
 		gr.attempt.catchUpDeadline = now.Add(managedCatchUpTimeout)
@@ -171,7 +175,7 @@
 // handlePosition handles the position of a member during an attempt.
 func (m *Manager) handlePosition(now types.Instant, g *types.Group, gr *group, name types.TargetName, e event.TargetReplied) []effect.Effect {
 	if g.Phase == types.GroupServing {
-		return m.handlePrimaryChecked(now, g, gr, e)
+		return append(m.handlePrimaryChecked(now, g, gr, e), m.handleLogPosition(now, g, gr, name, e)...)
 	}
 	a := gr.attempt
 	if a == nil || a.term != g.Term || a.stage != stageRead && a.stage != stagePromote {
@@ -179,9 +183,10 @@
 	}
 	if e.Err != nil || e.Result.Err != types.TargetErrNone {
 		a.failures[name] = failureOf(e)
+		a.failedCalls[name]++
 		return nil // readPositions asks again
 	}
-	delete(a.failures, name)
+	a.recordAnswer(now, name)
 	if m.managed(g) {
 		return m.handleManagedPosition(now, g, gr, name, e.Result.Status)
 	}
--- a/core/promotion/detect.go
+++ b/core/promotion/detect.go
@@ -28,6 +28,7 @@
 		return m.propose(now, gr, g.Term, proto.Command{Quiesce: &proto.Quiesce{Service: g.Service, Term: g.Term}})
 	}
 	out := m.advanceFollowers(now, g, gr)
+	out = append(out, m.checkLogs(now, g, gr)...)
 	if g.Unconfirmed {
 		out = append(out, m.confirmPrimary(now, g, gr)...)
 	}
--- a/core/promotion/manager.go
+++ b/core/promotion/manager.go
@@ -103,6 +103,7 @@
 	unansweredRequests int              // consecutive promotion requests without an answer
 	confirmation       confirmation     // of a primary that serves unconfirmed
 	departures         []departure      // since the last primary was chosen
+	logCheck           logCheck         // of members whose logs may be incomplete
 }
 
 // call is a pending call to a target.
--- a/core/promotion/synchronous.go
+++ b/core/promotion/synchronous.go
@@ -45,25 +45,50 @@
 	}
 	gr.dropDepartures(now, g)
 	a, holders := gr.attempt, syncReplicas-len(gr.departures) // that are still members, at least
-	if g.LastPrimary != "" && !a.coversReplicas(g, t, g.LastPrimary, holders) {
+	if g.LastPrimary != "" && !a.coversReplicas(now, g, t, g.LastPrimary, holders) {
 		return false
 	}
 	for _, primary := range g.Members {
-		if !a.coversReplicas(g, t, primary.Name, holders) {
+		if !a.coversReplicas(now, g, t, primary.Name, holders) {
 			return false
 		}
 	}
 	return true
 }
 
+const (
+	// returnFailures is after how many failed requests for its position a member that
+	// answers may have started anew meanwhile.
+	returnFailures = 2
+	// returnNotice is how long such a member may take to announce that.
+	returnNotice = 2 * time.Second
+)
+
+// recordAnswer records that a member has answered.
+func (a *attempt) recordAnswer(now types.Instant, name types.TargetName) {
+	if _, returned := a.returnedAt[name]; !returned && a.failedCalls[name] >= returnFailures {
+		a.returnedAt[name] = now
+	}
+	delete(a.failures, name)
+	delete(a.failedCalls, name)
+}
+
+// showsLog reports whether the position of a member shows all that it ever received: it has
+// its log since then, and if it may have started anew, it would have said so by now. The
+// last primary comes back with its log.
+func (a *attempt) showsLog(now types.Instant, g *types.Group, t types.Target) bool {
+	at, returned := a.returnedAt[t.Name]
+	return !t.LogIncomplete && (!returned || now.Sub(at) >= returnNotice || t.Name == g.LastPrimary)
+}
+
 // coversReplicas reports whether a member holds what a primary acknowledged: it holds all
 // that the primary itself holds, or all that each of the other members holds but for fewer
 // than holders.
-func (a *attempt) coversReplicas(g *types.Group, t types.Target, primary types.TargetName, holders int) bool {
+func (a *attempt) coversReplicas(now types.Instant, g *types.Group, t types.Target, primary types.TargetName, holders int) bool {
 	replicas, covered := 0, 0
 	for _, other := range g.Members {
 		s, ok := a.statuses[other.Name]
-		holds := ok && s.Pos.Compare(a.statuses[t.Name].Pos) <= 0
+		holds := ok && a.showsLog(now, g, other) && s.Pos.Compare(a.statuses[t.Name].Pos) <= 0
 		if other.Name == primary {
 			if holds {
 				return true
--- a/core/promotion/synchronous_test.go
+++ b/core/promotion/synchronous_test.go
@@ -16,6 +16,11 @@
 	t.Helper()
 	h := startManaged(t)
 	h.setSyncReplicas(2, 1)
+	for _, target := range h.targets {
+		target.startedAt = 1
+		target.sendAnnouncement()
+	}
+	h.Run(time.Second)
 	return h
 }
 
@@ -152,9 +157,8 @@
 	h.targets["t2"].down = true
 	h.Run(3 * time.Second)
 	assert.Equal(t, len(h.promotionService.tokens), 0)
-	h.addTarget("t4")
-	successor := h.targets["t4"]
-	successor.address, successor.term, successor.pos, successor.leader = "t1", ended.term, ended.pos, "t2"
+	successor := h.addTargetAt("t4", "t1")
+	successor.term, successor.pos, successor.leader = ended.term, ended.pos, "t2"
 	_, ok = h.runUntil(managedFailoverBound, func() bool { return h.group().LastPrimary == "t4" })
 	assert.Assert(t, ok, "%+v", h.group())
 }
@@ -204,3 +208,92 @@
 	assert.Assert(t, ok, "%+v", h.group())
 	assert.Assert(t, elapsed > 500*time.Millisecond, "confirmed after %v, while an earlier request may take effect", elapsed)
 }
+
+// TestMemberWithoutItsLogProvesNothing guards against the promotion of a member that lacks
+// acknowledged commits, because the only replica that had received them started again without
+// its log, or another one joined in its place, and seems to show that there are none.
+func TestMemberWithoutItsLogProvesNothing(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		lose func(h *harness) // the log of t1
+	}{
+		{"started again", func(h *harness) { h.targets["t1"].restartWithoutLog() }},
+		{"started again, and announces that later", func(h *harness) {
+			t1 := h.targets["t1"]
+			t1.down = true
+			h.Run(1500 * time.Millisecond)
+			t1.down, t1.pos, t1.startedAt = false, types.LogPos{}, 2
+			h.Run(time.Second)
+			t1.sendAnnouncement()
+		}},
+		{"started again, and another leader of the control hosts", func(h *harness) {
+			h.targets["t1"].restartWithoutLog()
+			h.Run(time.Second)
+			h.elect("c2")
+		}},
+		{"joined", func(h *harness) {
+			h.targets["t1"].down = true
+			h.Run(20 * time.Second) // it is removed
+			assert.Equal(h.t, len(h.group().Members), 2)
+			h.targets["t2"].down = true
+			h.addTarget("t4")
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := startSynchronous(t)
+			h.targets["t3"].deaf = true
+			h.write()
+			acknowledged := h.targets["t2"].pos
+			h.targets["t2"].down = tt.name != "joined"
+			tt.lose(h)
+			h.Run(8 * time.Second)
+			assert.Equal(t, len(h.promotionService.tokens), 0, "target %s was promoted", h.promotionService.lastTarget)
+			h.targets["t2"].down = false
+			h.Run(managedFailoverBound)
+			assert.Equal(t, h.group().Primary, types.TargetName("t2"), "%+v", h.group())
+			assert.Assert(t, h.primary().pos.Compare(acknowledged) >= 0)
+		})
+	}
+}
+
+// TestMemberThatCaughtUpCounts checks that a replica which started again without its log is
+// taken into account once it holds what the primary holds, and not before.
+func TestMemberThatCaughtUpCounts(t *testing.T) {
+	h := startSynchronous(t)
+	h.write()
+	t1 := h.targets["t1"]
+	t1.deaf = true
+	t1.restartWithoutLog()
+	h.Run(2 * time.Second)
+	assert.Assert(t, h.member("t1").LogIncomplete)
+	t1.deaf = false
+	h.write()
+	_, ok := h.runUntil(time.Second, func() bool { return !h.member("t1").LogIncomplete })
+	assert.Assert(t, ok, "%+v", h.group())
+	h.targets["t3"].deaf = true
+	h.write()
+	h.targets["t2"].down = true
+	_, ok = h.runUntil(managedFailoverBound, func() bool { return h.group().Primary == "t1" })
+	assert.Assert(t, ok, "%+v", h.group())
+}
+
+// TestPrimaryKeepsItsLog checks that a primary which crashed and came back shows what it
+// acknowledged, although its process is another one.
+func TestPrimaryKeepsItsLog(t *testing.T) {
+	h := startSynchronous(t)
+	h.targets["t3"].deaf = true
+	h.write()
+	h.targets["t1"].down, h.targets["t2"].down = true, true
+	h.Run(3 * time.Second)
+	primary := h.targets["t2"]
+	primary.down, primary.startedAt = false, 2
+	_, ok := h.runUntil(managedFailoverBound, func() bool { return h.group().Primary == "t2" })
+	assert.Assert(t, ok, "%+v", h.group())
+	assert.Assert(t, !h.member("t2").LogIncomplete)
+}
+
+// member returns a member as it is recorded.
+func (h *harness) member(name types.TargetName) types.Target {
+	m, _ := h.group().Target(name)
+	return m
+}
--- a/core/promotion/target_test.go
+++ b/core/promotion/target_test.go
@@ -22,6 +22,7 @@
 	lag            time.Duration // time until its followers hold a write
 	down           bool
 	address        types.Address // its name, if empty
+	startedAt      int64         // start of its process, as announced; zero if it does not say
 	deaf           bool          // receives no writes
 	frozenUntil    types.Instant // answers nothing before this time
 	leaving        bool
@@ -58,23 +59,37 @@
 // connectionSetup is how long a target takes to accept a connection.
 const connectionSetup = 12 * time.Millisecond
 
-func (h *harness) addTarget(name types.TargetName) {
-	t := &fakeTarget{harness: h, name: name, lag: 5 * time.Millisecond}
+func (h *harness) addTarget(name types.TargetName) { h.addTargetAt(name, "") }
+
+// addTargetAt adds a target with another address than its name.
+func (h *harness) addTargetAt(name types.TargetName, address types.Address) *fakeTarget {
+	t := &fakeTarget{harness: h, name: name, address: address, lag: 5 * time.Millisecond}
 	h.targets[name] = t
 	t.announce()
+	return t
+}
+
+// restartWithoutLog starts a target again under its name.
+func (t *fakeTarget) restartWithoutLog() {
+	t.down, t.pos, t.startedAt = false, types.LogPos{}, t.startedAt+1
+	t.sendAnnouncement()
 }
 
 // announce sends an announcement to one proxy every two seconds.
 func (t *fakeTarget) announce() {
 	h := t.harness
 	if !t.down && !h.blocked[string(t.name)] {
-		h.proxies["p1"].step(event.Announced{Announcement: proto.Announcement{
-			Service: service, Name: t.name, Address: cmp.Or(t.address, types.Address(t.name)), Leaving: t.leaving,
-		}})
+		t.sendAnnouncement()
 	}
 	h.Schedule(2*time.Second, t.announce)
 }
 
+func (t *fakeTarget) sendAnnouncement() {
+	t.harness.proxies["p1"].step(event.Announced{Announcement: proto.Announcement{
+		Service: service, Name: t.name, Address: cmp.Or(t.address, types.Address(t.name)), Leaving: t.leaving, StartedAt: t.startedAt,
+	}})
+}
+
 // write appends to the log of a primary. Its followers receive the write after
 // the lag.
 func (t *fakeTarget) write(n uint64) {
--- a/core/proto/command.go
+++ b/core/proto/command.go
@@ -55,6 +55,11 @@
 	// only Target.Drained and the state that follows from it are applied.
 	// Otherwise Target.Drained is ignored.
 	Operator bool
+	// TakesOver says that a target that joins has the log of an earlier one at its address.
+	TakesOver bool
+	// CaughtUp says that a member holds all that the primary held after Target.StartedAt.
+	// Only Target.LogIncomplete is applied, unless the member has started anew since.
+	CaughtUp bool
 }
 
 // Quiesce prepares an ordered change of primary within the current term. The
--- a/core/types/group.go
+++ b/core/types/group.go
@@ -21,6 +21,14 @@
 	State            TargetState
 	Drained          bool // an operator drains it; announcements don't clear this
 	Slots            int  // statements that it runs concurrently; zero means Service.Slots
+
+	// StartedAt is the start of its process on its own clock, as announced; zero if it is
+	// not known.
+	StartedAt int64
+	// LogIncomplete says that it joined or started anew while commits were acknowledged
+	// under Service.SyncReplicas, and has not been seen to hold them since. Its position
+	// then says nothing about what it held before.
+	LogIncomplete bool
 }
 
 // GroupPhase is the phase of a group's current term.
