Sessions: the end of a transaction without writes shows no primary

Cause: a replaced primary commits a transaction that has written nothing. Its answer was taken for one of the primary: its position became the floor of reads, and the probe that finds the new primary was put off.

Change: without a lease on a confirmed primary such an answer is neither a sample of positions nor a sign of the role.

--- a/core/session/exchange.go
+++ b/core/session/exchange.go
@@ -182,6 +182,9 @@
 		s.sendFirst(r)
 		return
 	}
+	if r.sentUnderLease || !r.endedWithoutWrites(results[0]) {
+		r.service.target(r.target).lastSignOfRole = s.now
+	}
 	s.recordResult(r, results[0])
 	if executed(results[0]) && !s.failedByTarget(r, results[0]) {
 		t := r.service.target(r.target)
--- a/core/session/managed.go
+++ b/core/session/managed.go
@@ -163,8 +163,9 @@
 
 // recordPosition records the position that came with an answer. A primary that
 // executed the request was the primary when it was sent: a lease or the target
-// itself ensured that. The position of one that had no capacity for the request
-// counts only under a lease, because otherwise it may have been replaced.
+// itself ensured that. The position of one that had no capacity for the request, or
+// that ended a transaction without writes, counts only under a lease, because
+// otherwise it may have been replaced.
 func (s *Shard) recordPosition(r *request, res types.Result) {
 	t := r.service.target(r.target)
 	r.status.Term, r.status.Primary = r.sentTerm, !r.replica
@@ -176,11 +177,18 @@
 		}
 	case current.name != r.target || current.term != r.sentTerm:
 	case !r.sentUnderLease && !r.service.selfFenced(s.view):
+	case r.endedWithoutWrites(res) && !r.sentUnderLease:
 	case executed(res), res.Err == types.TargetErrBusy && r.sentUnderLease:
 		r.service.samples.Add(r.sentAt, r.status.Pos)
 	}
 }
 
+// endedWithoutWrites reports whether the target ended a transaction that had written
+// nothing. A replaced primary does that as well.
+func (r *request) endedWithoutWrites(res types.Result) bool {
+	return r.inTx && !r.MayCommit && res.Tx == types.TxIdle
+}
+
 // adaptLimit allows more exchanges in flight than the share's slots at a target
 // that has spare capacity while requests are queued here, since other proxies
 // may leave their slots unused. It lowers the limit of a congested target.
--- a/core/session/managed_test.go
+++ b/core/session/managed_test.go
@@ -646,3 +646,40 @@
 		})
 	}
 }
+
+// TestCommitWithoutWritesSaysNothingOfThePrimary guards against stale reads: a replaced
+// primary commits a transaction that has written nothing, so that without a lease neither is
+// its position a floor of reads nor its answer a reason to put off the next probe.
+func TestCommitWithoutWritesSaysNothingOfThePrimary(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		request  types.Request
+		leased   bool
+		believed bool
+	}{
+		{"without writes", types.Request{DiscardedOnClose: true, Payload: "commit"}, false, false},
+		{"without writes, under a lease", types.Request{DiscardedOnClose: true, Payload: "commit"}, true, true},
+		{"with writes", types.Request{MayCommit: true, Payload: "commit"}, false, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newManagedHarness(t)
+			h.setView(func(_ *types.NodeView, g *types.Group) { g.Unconfirmed = !tt.leased })
+			h.openDatabase(1, "orders")
+			h.sendRequest(1, types.Request{Fenced: true, BeginsTx: true, DiscardedOnClose: true, Idempotent: true, Payload: "begin"})
+			e, _ := h.lastSent()
+			h.answerWith(e, types.TxOpen, types.TargetStatus{})
+			began := h.now
+			h.advance(2 * h.config.Profiles["catalog"].MaxAge) // what was learnt before is too old
+			commit := h.sendRequest(1, tt.request)
+			h.answerManaged(40)
+			assert.Assert(t, h.answered(commit))
+
+			h.openDatabase(2, "catalog")
+			h.sendManagedRead(2)
+			_, name := h.lastSent()
+			assert.Equal(t, name != "a", tt.believed, "the read was sent to %s", name)
+			h.advance(reportInterval)
+			assert.Equal(t, h.lastReport().AnsweredAt[ref("a")] > began, tt.believed)
+		})
+	}
+}
--- a/core/session/primary.go
+++ b/core/session/primary.go
@@ -81,10 +81,10 @@
 	return []types.TargetName{svc.primary.name}
 }
 
-// primaryLastContact returns when the primary last answered a request, or zero.
-func (svc *service) primaryLastContact() types.Instant {
+// primaryAnsweredAt returns when the primary last answered a request as such, or zero.
+func (svc *service) primaryAnsweredAt() types.Instant {
 	if t, ok := svc.targets[svc.primary.name]; ok {
-		return t.lastContact
+		return t.lastSignOfRole
 	}
 	return 0
 }
--- a/core/session/report.go
+++ b/core/session/report.go
@@ -132,7 +132,7 @@
 		if s.now < svc.suspectUntil {
 			r.SuspectServices = append(r.SuspectServices, name)
 		}
-		if at := svc.primaryLastContact(); at != 0 {
+		if at := svc.primaryAnsweredAt(); at != 0 {
 			r.AnsweredAt[types.TargetRef{Service: name, Name: svc.primary.name}] = at
 		}
 		if since, ok := svc.silence.silentSince(s.now); ok {
--- a/core/session/service.go
+++ b/core/session/service.go
@@ -54,6 +54,7 @@
 	behind behind // of a managed service
 
 	lastContact         types.Instant // when it last answered anything
+	lastSignOfRole      types.Instant // the same without answers that a replaced primary gives as well
 	lastRunAt           types.Instant // when it last executed an operation
 	steadySince         types.Instant // when it began to answer without a pause
 	consecutiveFailures int           // exchanges in a row without an answer
