Promotion: only the check that was asked for confirms a primary

The check of members that may have lost their log asks the primary for its position as well. An answer to that, asked for up to 250 ms before promotionDuration had passed, could have confirmed the primary. Now the call itself has to be the check.

Shown: the tests of core/promotion pass, TestPositionOfTheAttemptDoesNotConfirm among them. The interleaving itself was found by reading; no run shows it.

--- a/core/promotion/confirm.go
+++ b/core/promotion/confirm.go
@@ -27,6 +27,7 @@
 	requestedAt types.Instant // when the last request was sent
 	answeredAt  types.Instant // when one was carried out, or zero; no earlier request is executed after that
 	checkedAt   types.Instant // when the primary was asked last whether it still is the primary
+	checkCall   uint64        // the call that asked
 }
 
 // addOpenRequest records a promotion request that may be executed.
@@ -75,6 +76,7 @@
 	case c.answeredAt != 0 && now.Sub(c.answeredAt) >= promotionDuration && now.Sub(c.checkedAt) >= retryInterval:
 		c.checkedAt = now
 		out = append(out, m.call(g, primary, types.Operation{Kind: types.OpPosition}))
+		c.checkCall = m.lastCall
 	}
 	return out
 }
@@ -102,7 +104,7 @@
 // earlier requests were ruled out. If it was, the proxies report that.
 func (m *Manager) handlePrimaryChecked(now types.Instant, g *types.Group, gr *group, e event.TargetReplied) []effect.Effect {
 	c := gr.confirmation
-	if !g.Unconfirmed || c.term != g.Term || c.checkedAt == 0 || e.Err != nil || e.Result.Err != types.TargetErrNone || superseded(e.Result.Status, g) {
+	if !g.Unconfirmed || c.term != g.Term || e.Call != c.checkCall || e.Err != nil || e.Result.Err != types.TargetErrNone || superseded(e.Result.Status, g) {
 		return nil
 	}
 	return m.propose(now, gr, g.Term, proto.Command{Confirm: &proto.ConfirmPrimary{Service: g.Service, Term: g.Term}})
