Promotion: a member that joins does not hold up a promotion

A group whose primary was lost then stayed without one once an additional member had joined, as that one could not catch up with anybody.

Change: only a member that joins at the address of a replica that was lost is marked. An additional one never held an earlier commit, and one at the address of a member that left takes over its log. Between the removal of a member and the next one at its address, at most for 10 s, the removed one counts as a possible holder of commits; until now that held for leaving members only.

Shown: two of three cases of TestNewMemberDoesNotHoldUpAPromotion failed before. TestMemberWithoutItsLogProvesNothing had a member join that did not take the place of the lost one; that case is now one that joins in its place, without the 15 s in which the lost one was removed first, and failed until the removed member counted.

--- a/core/cluster/apply.go
+++ b/core/cluster/apply.go
@@ -139,14 +139,14 @@
 }
 
 // logIncomplete reports whether an announced member may lack commits of the group's log
-// that it, or the one in whose place it joined, had received. A primary that crashed comes
-// back with its log.
+// that it, or the replica in whose place it joined, had received. A primary that crashed
+// comes back with its log.
 func logIncomplete(g *types.Group, c proto.SetMember, old types.Target, known bool) bool {
 	switch {
 	case !g.Synchronous || !g.Served() || c.Target.Name == g.LastPrimary:
 		return false
 	case !known:
-		return !c.TakesOver
+		return c.Replaces
 	}
 	return old.LogIncomplete || old.StartedAt != 0 && old.StartedAt != c.Target.StartedAt
 }
--- a/core/membership/managed.go
+++ b/core/membership/managed.go
@@ -77,22 +77,24 @@
 		return t.propose(now, ref, proto.SetMember{Service: g.Service, Target: m, Remove: true})
 	}
 	return t.propose(now, types.TargetRef{Service: g.Service, Name: a.Name},
-		proto.SetMember{Service: g.Service, Target: targetFrom(a), TakesOver: t.takesOver(a.Address, now)})
+		proto.SetMember{Service: g.Service, Target: targetFrom(a), Replaces: t.replaces(a.Address, now)})
 }
 
-// recordDeparture remembers the address of a leaving member after its removal. A new target
-// there takes over its log.
-func (t *Tracker) recordDeparture(m types.Target, now types.Instant) {
-	maps.DeleteFunc(t.departed, func(_ types.Address, at types.Instant) bool { return now.Sub(at) >= goneRetention })
-	if m.State == types.TargetLeaving && !m.Drained {
-		t.departed[m.Address] = now
+// recordVacated remembers the address of a replica that was removed without having left. A
+// new target there has none of its log, while one at the address of a member that left
+// takes its log over.
+func (t *Tracker) recordVacated(ref types.TargetRef, m types.Target, now types.Instant) {
+	maps.DeleteFunc(t.vacated, func(_ types.Address, at types.Instant) bool { return now.Sub(at) >= goneRetention })
+	left := m.State == types.TargetLeaving && !m.Drained || t.announced[ref].announcement.Leaving
+	if g := t.state.Group(ref.Service); g != nil && !left && m.Name != g.LastPrimary {
+		t.vacated[m.Address] = now
 	}
 }
 
-// takesOver reports whether a target that joins at an address takes over the log of a member
-// that left.
-func (t *Tracker) takesOver(a types.Address, now types.Instant) bool {
-	at, ok := t.departed[a]
+// replaces reports whether a target that joins at an address replaces a replica whose log is
+// gone.
+func (t *Tracker) replaces(a types.Address, now types.Instant) bool {
+	at, ok := t.vacated[a]
 	return ok && now.Sub(at) < goneRetention
 }
 
--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -40,7 +40,7 @@
 	proposed    map[types.TargetRef]proposal
 	vacancies   map[types.ServiceName]vacancy
 	gone        map[types.TargetRef]goneTarget
-	departed    map[types.Address]types.Instant // when leaving members of managed services were removed
+	vacated     map[types.Address]types.Instant // when replicas were removed that had not left
 }
 
 // goneTarget is a target that said that it has ended.
@@ -70,7 +70,7 @@
 		proposed:  make(map[types.TargetRef]proposal),
 		vacancies: make(map[types.ServiceName]vacancy),
 		gone:      make(map[types.TargetRef]goneTarget),
-		departed:  make(map[types.Address]types.Instant),
+		vacated:   make(map[types.Address]types.Instant),
 	}
 }
 
@@ -104,7 +104,7 @@
 	clear(t.proposed)
 	clear(t.vacancies)
 	clear(t.gone)
-	clear(t.departed)
+	clear(t.vacated)
 	t.leaderSince = now
 	if !e.Leading {
 		return nil
@@ -253,7 +253,7 @@
 		return t.reconcile(now, ref)
 	}
 	t.recordGone(ref, now)
-	t.recordDeparture(c.Member.Target, now)
+	t.recordVacated(ref, c.Member.Target, now)
 	delete(t.announced, ref)
 	var out []effect.Effect
 	for _, other := range t.refs() {
--- a/core/promotion/synchronous.go
+++ b/core/promotion/synchronous.go
@@ -7,22 +7,21 @@
 	"github.com/camphorpaddle/camphorpaddle/core/types"
 )
 
-// successorTimeout is how long the successor of a leaving member that has ended is awaited.
-// Until it has announced itself, nobody knows what the log holds that it takes over.
+// successorTimeout is how long a successor of a member that was removed is awaited at its
+// address. Until it has announced itself, nobody knows whether a log that it takes over
+// holds commits that no other member has.
 const successorTimeout = 10 * time.Second
 
-// departure is a leaving member that has ended. Its log goes to a successor at its address.
+// departure is a member that was removed.
 type departure struct {
 	address types.Address
 	at      types.Instant
 }
 
-// recordDeparture records a member that was removed, if a successor takes over its log.
+// recordDeparture records a member that was removed.
 func (gr *group) recordDeparture(now types.Instant, g *types.Group, t types.Target) {
 	gr.dropDepartures(now, g)
-	if t.State == types.TargetLeaving {
-		gr.departures = append(gr.departures, departure{address: t.Address, at: now})
-	}
+	gr.departures = append(gr.departures, departure{address: t.Address, at: now})
 }
 
 // dropDepartures forgets the members whose successors have joined or are not awaited any
--- a/core/proto/command.go
+++ b/core/proto/command.go
@@ -55,8 +55,8 @@
 	// only Target.Drained and the state that follows from it are applied.
 	// Otherwise Target.Drained is ignored.
 	Operator bool
-	// TakesOver says that a target that joins has the log of an earlier one at its address.
-	TakesOver bool
+	// Replaces says that a target joins in the place of a replica whose log is gone.
+	Replaces bool
 	// CaughtUp says that a member holds all that the primary held after Target.StartedAt.
 	// Only Target.LogIncomplete is applied, unless the member has started anew since.
 	CaughtUp bool
--- a/core/types/group.go
+++ b/core/types/group.go
@@ -25,9 +25,9 @@
 	// StartedAt is the start of its process on its own clock, as announced; zero if it is
 	// not known.
 	StartedAt int64
-	// LogIncomplete says that it joined or started anew while commits were acknowledged
-	// under Service.SyncReplicas, and has not been seen to hold them since. Its position
-	// then says nothing about what it held before.
+	// LogIncomplete says that it started anew, or joined in the place of a replica, while
+	// commits were acknowledged under Service.SyncReplicas, and has not been seen to hold
+	// them since. Its position then says nothing about what was held before.
 	LogIncomplete bool
 }
 
